--- /dev/null
+++ b/crates/claim/src/holders.rs
@@ -0,0 +1,46 @@
+//! Which entries hold the claim of a key.
+
+use sha2::{Digest, Sha256};
+use std::time::Duration;
+
+/// Holders a key has.
+pub const HOLDERS: usize = 3;
+
+/// The holders of `key` among entries `(id, failure domain)`: by rendezvous hashing,
+/// in different failure domains as far as there are so many.
+pub fn choose<'a>(key: &str, entries: impl Iterator<Item = (&'a str, &'a str)>) -> Vec<&'a str> {
+    let mut ranked: Vec<_> = entries
+        .map(|(id, domain)| (weight(key, id), id, domain))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let mut chosen: Vec<(&str, &str)> = Vec::new();
+    for fresh_only in [true, false] {
+        for (_, id, domain) in &ranked {
+            let fresh = !chosen.iter().any(|(_, d)| d == domain);
+            let new = !chosen.iter().any(|(i, _)| i == id);
+            if chosen.len() < HOLDERS && new && (fresh || !fresh_only) {
+                chosen.push((id, domain));
+            }
+        }
+    }
+    chosen.into_iter().map(|(id, _)| id).collect()
+}
+
+/// When a key was minted, as wall time; `None` where it is no UUIDv7.
+pub fn minted(key: &str) -> Option<Duration> {
+    let id = uuid::Uuid::parse_str(key).ok()?;
+    if id.get_version_num() != 7 {
+        return None;
+    }
+    let (secs, nanos) = id.get_timestamp()?.to_unix();
+    Some(Duration::new(secs, nanos))
+}
+
+fn weight(key: &str, id: &str) -> [u8; 32] {
+    Sha256::new()
+        .chain_update(key)
+        .chain_update([0])
+        .chain_update(id)
+        .finalize()
+        .into()
+}
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,16 @@
+//! At most once: a request that may not be repeated claims its idempotency key at a
+//! majority of three holders before it is dispatched. Holders keep claims in memory
+//! only, and refuse what they cannot know about. Pure decisions.
+
+mod chain;
+mod holder;
+mod holders;
+
+pub use chain::{Chain, ChainId, Outcome};
+pub use holder::{Answer, Holder};
+pub use holders::{HOLDERS, choose, minted};
+
+/// An idempotency key, with its account before it.
+pub type Key = String;
+/// Revision of the set of holders.
+pub type Epoch = u64;
--- /dev/null
+++ b/crates/cli/src/cmd/mod.rs
@@ -0,0 +1,9 @@
+//! One file a command.
+
+pub(crate) mod bench;
+pub(crate) mod check;
+pub(crate) mod ctl;
+pub(crate) mod demo;
+pub(crate) mod fake;
+pub(crate) mod run;
+pub(crate) mod timeline;
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,41 @@
+//! Errors of the commands, for people, and the exit code each has.
+
+use snafu::Snafu;
+
+/// Why a command failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Error {
+    #[snafu(display("{source}"), context(false))]
+    Settings { source: bn_conf::Error },
+    #[snafu(display("{source}"), context(false))]
+    Node { source: bn_node::Error },
+    #[snafu(display("{source}"), context(false))]
+    Trace { source: bn_trace::Error },
+    #[snafu(display("{what}: {source}"))]
+    Io {
+        what: String,
+        source: std::io::Error,
+    },
+    #[snafu(display("{url}: {reason}"))]
+    Http { url: String, reason: String },
+    #[snafu(display("refused: {reason}"))]
+    Refused { reason: String },
+    #[snafu(display("{reason}"))]
+    Failed { reason: String },
+}
+
+impl Error {
+    /// 1: it failed; 2: settings are wrong; 3: refused; 4: nobody answered.
+    pub(crate) fn code(&self) -> u8 {
+        match self {
+            Error::Settings { .. } => 2,
+            Error::Refused { .. } => 3,
+            Error::Http { .. } => 4,
+            _ => 1,
+        }
+    }
+}
+
+/// Result of a command.
+pub(crate) type CliResult<T = ()> = Result<T, Error>;
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,57 @@
+//! buckthornnotch: a load balancer for expert-parallel model groups. This file only
+//! dispatches; each command has a file in `cmd`.
+
+mod cmd;
+mod error;
+mod http;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(
+    name = "buckthornnotch",
+    version,
+    about = "Load balancer for expert-parallel model groups"
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one process with the roles that its settings list.
+    Run(cmd::run::Args),
+    /// Check a settings file; changes nothing.
+    Check(cmd::check::Args),
+    /// Ask and command a running system in the operator language.
+    Ctl(cmd::ctl::Args),
+    /// Merge the events of many processes into one time line.
+    Timeline(cmd::timeline::Args),
+    /// Send one request of each kind through a running system.
+    Demo(cmd::demo::Args),
+    /// Measure a running system, or the policies alone.
+    Bench(cmd::bench::Args),
+    /// A stand-in backend server for tries and tests.
+    Fake(cmd::fake::Args),
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Run(args) => cmd::run::run(&args),
+        Command::Check(args) => cmd::check::run(&args),
+        Command::Ctl(args) => cmd::ctl::run(&args),
+        Command::Timeline(args) => cmd::timeline::run(&args),
+        Command::Demo(args) => cmd::demo::run(&args),
+        Command::Bench(args) => cmd::bench::run(&args),
+        Command::Fake(args) => cmd::fake::run(args),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(e.code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/record.rs
@@ -0,0 +1,51 @@
+//! What ran, as the fake itself saw it.
+
+use serde::{Deserialize, Serialize};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::Path;
+use std::sync::{Mutex, PoisonError};
+
+/// One event of one request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// `start`, `end`, `cancel`, or `step`.
+    pub event: String,
+    /// Idempotency key, empty where there is none.
+    pub key: String,
+    /// Attempt as the agent names it.
+    pub attempt: String,
+    /// The prompt, or the body of a plain call.
+    pub prompt: String,
+    /// Step at which it happened.
+    pub step: u64,
+    /// Expert map in use.
+    pub map: u64,
+}
+
+/// The record, in memory and in a file where one is given, so that it outlives a kill.
+#[derive(Debug, Default)]
+pub(crate) struct Record(Mutex<(Vec<Line>, Option<File>)>);
+
+impl Record {
+    pub(crate) fn open(path: Option<&Path>) -> io::Result<Record> {
+        let open = |p| OpenOptions::new().create(true).append(true).open(p);
+        Ok(Record(Mutex::new((
+            Vec::new(),
+            path.map(open).transpose()?,
+        ))))
+    }
+
+    pub(crate) fn add(&self, line: Line) {
+        let mut inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let (Ok(text), Some(file)) = (serde_json::to_string(&line), inner.1.as_mut()) {
+            let _ = writeln!(file, "{text}");
+        }
+        inner.0.push(line);
+    }
+
+    pub(crate) fn json(&self) -> String {
+        let inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        serde_json::to_string(&inner.0).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,144 @@
+//! Links between the system's own processes: one inbox a process and one bounded,
+//! non-blocking link a peer. Loss is normal; ids, epochs and deadlines in the
+//! messages make it harmless. Nothing here resends.
+
+use bn_wire::messages::{Envelope, envelope::Body};
+use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize};
+use nng::{Protocol, Socket};
+use prost::Message;
+use snafu::{ResultExt, Snafu};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// Messages a link holds while its peer does not take them.
+const LINK_MESSAGES: i32 = 1024;
+/// Largest message taken, in bytes.
+const LARGEST_MESSAGE: usize = 64 << 20;
+const RECONNECT_FROM: Duration = Duration::from_millis(20);
+const RECONNECT_TO: Duration = Duration::from_millis(250);
+
+/// Why the inbox could not be opened.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The library refused.
+    #[snafu(display("inbox {address}: {source}"))]
+    Open {
+        /// Where it was to listen.
+        address: SocketAddr,
+        /// What the library said.
+        source: nng::Error,
+    },
+}
+
+/// Result of opening.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// A process's end of all its links. Cheap to clone.
+#[derive(Clone)]
+pub struct Net(Arc<Inner>);
+
+struct Inner {
+    id: String,
+    incarnation: u64,
+    inbox: String,
+    links: Mutex<HashMap<SocketAddr, Socket>>,
+}
+
+impl Net {
+    /// Opens the inbox at `address`; `sink` gets each message on the inbox's own
+    /// thread and must not block for long.
+    pub fn open(
+        id: &str,
+        incarnation: u64,
+        address: SocketAddr,
+        sink: impl Fn(Envelope) + Send + 'static,
+    ) -> Result<Net> {
+        let socket = listen(address).context(OpenSnafu { address })?;
+        thread::spawn(move || receive(&socket, sink));
+        let inner = Inner {
+            id: id.into(),
+            incarnation,
+            inbox: address.to_string(),
+            links: Mutex::default(),
+        };
+        Ok(Net(Arc::new(inner)))
+    }
+
+    /// Random number of this start of the process.
+    pub fn incarnation(&self) -> u64 {
+        self.0.incarnation
+    }
+
+    /// Queues a message. `false` says that it was not queued, so no byte of it was
+    /// or will be sent; `true` says nothing about arrival.
+    pub fn send(&self, to: SocketAddr, body: Body) -> bool {
+        let envelope = Envelope {
+            from: self.0.id.clone(),
+            incarnation: self.0.incarnation,
+            inbox: self.0.inbox.clone(),
+            body: Some(body),
+        };
+        let bytes = envelope.encode_to_vec();
+        metrics::counter!("link_messages").increment(1);
+        metrics::counter!("link_bytes").increment(bytes.len() as u64);
+        let sent = self
+            .link(to)
+            .is_some_and(|l| l.try_send(&bytes[..]).is_ok());
+        if !sent {
+            metrics::counter!("link_refused").increment(1);
+        }
+        sent
+    }
+
+    /// Closes the link to a peer that is gone. What waited on it is dropped, so
+    /// that a peer that comes back is not handed minutes-old messages.
+    pub fn forget(&self, peer: SocketAddr) {
+        let mut links = self.0.links.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = links.remove(&peer) {
+            link.close();
+        }
+    }
+
+    fn link(&self, to: SocketAddr) -> Option<Socket> {
+        let mut links = self.0.links.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = links.get(&to) {
+            return Some(link.clone());
+        }
+        let link = dial(to).map_err(|e| log::warn!("link to {to}: {e}")).ok()?;
+        links.insert(to, link.clone());
+        Some(link)
+    }
+}
+
+fn listen(address: SocketAddr) -> nng::Result<Socket> {
+    let socket = Socket::new(Protocol::Pull0)?;
+    socket.set_opt::<RecvMaxSize>(LARGEST_MESSAGE)?;
+    socket.listen(&format!("tcp://{address}"))?;
+    Ok(socket)
+}
+
+fn dial(to: SocketAddr) -> nng::Result<Socket> {
+    let socket = Socket::new(Protocol::Push0)?;
+    socket.set_opt::<SendBufferSize>(LINK_MESSAGES)?;
+    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_FROM))?;
+    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_TO))?;
+    socket.dial_async(&format!("tcp://{to}"))?;
+    Ok(socket)
+}
+
+fn receive(socket: &Socket, sink: impl Fn(Envelope)) {
+    loop {
+        let bytes = match socket.recv() {
+            Ok(bytes) => bytes,
+            Err(nng::Error::Closed) => return,
+            Err(_) => continue,
+        };
+        match Envelope::decode(&bytes[..]) {
+            Ok(envelope) => sink(envelope),
+            Err(_) => metrics::counter!("link_undecodable").increment(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/engine.rs
@@ -0,0 +1,169 @@
+//! One request at the backend server, on its own thread: asked once, streamed back.
+
+use super::{Event, RunKey};
+use bn_net::Net;
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::finish::Kind;
+use bn_wire::messages::{Dispatch, Finish, Header, Piece, Started};
+use crossbeam::channel::Sender;
+use std::io::{ErrorKind, Read};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const CONNECT: Duration = Duration::from_millis(500);
+/// Largest piece, in bytes.
+const PIECE: usize = 16 * 1024;
+/// How long a full link is waited for before the answer is given up.
+const LINK_PATIENCE: Duration = Duration::from_secs(2);
+const LINK_PAUSE: Duration = Duration::from_millis(1);
+/// Headers of the backend server's answer that callers get.
+const PASSED: [&str; 4] = ["content-type", "cache-control", "x-fake", "retry-after"];
+
+/// A request to run.
+pub(crate) struct Work {
+    pub(crate) net: Net,
+    pub(crate) ring: Sender<Event>,
+    pub(crate) base: String,
+    pub(crate) entry: SocketAddr,
+    pub(crate) key: RunKey,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) cancelled: Arc<AtomicBool>,
+}
+
+/// How it ended.
+struct End {
+    kind: Kind,
+    length: u64,
+    reason: String,
+}
+
+impl Work {
+    /// Runs the request and reports its end; never asks twice.
+    pub(crate) fn run(self) {
+        let end = self.ask();
+        let finish = Finish {
+            attempt: self.dispatch.attempt,
+            kind: end.kind.into(),
+            length: end.length,
+            reason: end.reason,
+            running: 0,
+        };
+        self.send(Body::Finish(finish));
+        let _ = self.ring.send(Event::Ended(self.key));
+    }
+
+    fn ask(&self) -> End {
+        self.send(Body::Started(Started {
+            attempt: self.dispatch.attempt,
+        }));
+        match self.request() {
+            Ok(response) => self.stream(response),
+            Err(ureq::Error::Io(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                end(Kind::NotRun, 0, "the backend server refused the connection")
+            }
+            Err(e) => end(Kind::MayHaveRun, 0, &e.to_string()),
+        }
+    }
+
+    /// One connection a request: a pooled one may be dead at write time, and a
+    /// second try by the library would run the request twice.
+    fn request(&self) -> Result<http::Response<ureq::Body>, ureq::Error> {
+        let d = &self.dispatch;
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .max_idle_connections(0)
+            .max_redirects(0)
+            .http_status_as_error(false)
+            .timeout_connect(Some(CONNECT))
+            .timeout_global(Some(Duration::from_millis(d.time_left_ms.max(1))))
+            .build()
+            .into();
+        let mut request = http::Request::builder()
+            .method(d.method.as_str())
+            .uri(format!("{}{}", self.base, d.path))
+            .header("x-attempt", format!("{:x}-{}", self.key.0, self.key.1))
+            .header("x-priority", d.priority)
+            .header("x-resume-at", d.resume_at);
+        if !d.key.is_empty() {
+            request = request.header("idempotency-key", &d.key);
+        }
+        for h in &d.headers {
+            request = request.header(&h.name, &h.value);
+        }
+        if d.body.is_empty() {
+            agent.run(request.body(())?)
+        } else {
+            agent.run(request.body(&d.body[..])?)
+        }
+    }
+
+    fn stream(&self, response: http::Response<ureq::Body>) -> End {
+        let (head, body) = response.into_parts();
+        let passed = |name: &&str| {
+            let value = head.headers.get(*name)?.to_str().ok()?;
+            Some(Header {
+                name: (*name).into(),
+                value: value.into(),
+            })
+        };
+        let mut headers: Vec<Header> = PASSED.iter().filter_map(passed).collect();
+        let mut offset = self.dispatch.resume_at;
+        let mut reader = body.into_reader();
+        let mut buffer = vec![0; PIECE];
+        let mut first = true;
+        loop {
+            if self.cancelled.load(Ordering::Relaxed) {
+                return end(Kind::MayHaveRun, offset, "cancelled");
+            }
+            let read = match reader.read(&mut buffer) {
+                Ok(n) => n,
+                Err(e) => return end(Kind::MayHaveRun, offset, &format!("cut: {e}")),
+            };
+            if read > 0 || first {
+                let piece = Piece {
+                    attempt: self.dispatch.attempt,
+                    offset,
+                    data: buffer.get(..read).unwrap_or_default().to_vec(),
+                    status: u32::from(head.status.as_u16()),
+                    headers: std::mem::take(&mut headers),
+                };
+                first = false;
+                offset += read as u64;
+                if !self.send(Body::Piece(piece)) {
+                    return end(
+                        Kind::MayHaveRun,
+                        offset,
+                        "the link to the entry takes nothing",
+                    );
+                }
+            }
+            if read == 0 {
+                return end(Kind::Whole, offset, "");
+            }
+        }
+    }
+
+    /// Waits a while for room on the link, so that a burst slows this request down
+    /// and loses nothing of it.
+    fn send(&self, body: Body) -> bool {
+        let start = Instant::now();
+        loop {
+            if self.net.send(self.entry, body.clone()) {
+                return true;
+            }
+            if start.elapsed() > LINK_PATIENCE || self.cancelled.load(Ordering::Relaxed) {
+                return false;
+            }
+            std::thread::sleep(LINK_PAUSE);
+        }
+    }
+}
+
+fn end(kind: Kind, length: u64, reason: &str) -> End {
+    End {
+        kind,
+        length,
+        reason: reason.into(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/mod.rs
@@ -0,0 +1,304 @@
+//! The agent role: stands before one backend server, takes its announcements, gates
+//! what reaches it, and reports its load to entries.
+
+mod announce;
+mod engine;
+mod gate;
+
+pub(crate) use announce::announce_page;
+
+use crate::Result;
+use crate::clock::ms;
+use crate::run::Common;
+use announce::Announcement;
+use bn_conf::Agent as Conf;
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::finish::Kind;
+use bn_wire::messages::{AgentLease, Attach, Dispatch, Envelope, Finish};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use gate::Gate;
+use indexmap::{IndexMap, IndexSet};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(20);
+const GROUP: usize = 256;
+/// Between two reports to each entry.
+const REPORT: Duration = Duration::from_millis(500);
+/// A backend server that has not announced itself for this long is not served.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Entries that never answer are asked this often, so that they cost little.
+const SEEK: Duration = Duration::from_secs(2);
+
+/// What the agent thread is told.
+pub(crate) enum Event {
+    /// The backend server announces itself.
+    Announced(Box<Announcement>),
+    /// A message of an entry.
+    Message(Box<Envelope>),
+    /// A request ended.
+    Ended(RunKey),
+    /// Begin a graceful stop.
+    Stop,
+}
+
+/// A request at this agent: incarnation of the entry, and its attempt.
+pub(crate) type RunKey = (u64, u64);
+
+/// One entry this agent reports to.
+#[derive(Default)]
+struct Attached {
+    due: Duration,
+    heard: Option<Duration>,
+}
+
+/// The agent role's state.
+pub(crate) struct Agent {
+    common: Common,
+    ring: Sender<Event>,
+    seeds: Vec<SocketAddr>,
+    entries: IndexMap<SocketAddr, Attached>,
+    backend: Option<Announcement>,
+    announced: Duration,
+    gate: Gate,
+    /// Requests that run, each with its flag of being cancelled.
+    running: HashMap<RunKey, Arc<AtomicBool>>,
+    stopping: bool,
+}
+
+impl Agent {
+    pub(crate) fn new(common: Common, conf: &Conf, ring: Sender<Event>) -> Agent {
+        Agent {
+            common,
+            ring,
+            seeds: conf.entries.clone(),
+            entries: conf
+                .entries
+                .iter()
+                .map(|a| (*a, Attached::default()))
+                .collect(),
+            backend: None,
+            announced: Duration::ZERO,
+            gate: Gate::default(),
+            running: HashMap::new(),
+            stopping: false,
+        }
+    }
+
+    /// Runs until a graceful stop is complete.
+    pub(crate) fn run(mut self, ring: &Receiver<Event>) -> Result<()> {
+        loop {
+            match ring.recv_timeout(TICK) {
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            for event in ring.try_iter().take(GROUP) {
+                self.take(event);
+            }
+            self.report(false);
+            if self.stopping && self.running.is_empty() {
+                self.report(true);
+                return Ok(());
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.common.clock.now()
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Announced(a) => self.on_announcement(*a),
+            Event::Message(envelope) => self.message(*envelope),
+            Event::Ended(key) => {
+                self.running.remove(&key);
+            }
+            Event::Stop => {
+                self.stopping = true;
+                self.gate.leaving = true;
+                self.common
+                    .events
+                    .note("leaving", "no new work from now on");
+                self.report(true);
+            }
+        }
+    }
+
+    fn on_announcement(&mut self, announcement: Announcement) {
+        let now = self.now();
+        let first = self
+            .backend
+            .as_ref()
+            .is_none_or(|b| b.address != announcement.address);
+        if first {
+            let detail = format!("{} at {}", announcement.name, announcement.address);
+            self.common.events.note("announced", detail);
+        }
+        let changed = self
+            .backend
+            .as_ref()
+            .is_none_or(|b| b.leaving != announcement.leaving);
+        self.gate.backend_leaving = announcement.leaving;
+        self.gate.capacity = announcement.capacity;
+        self.backend = Some(announcement);
+        self.announced = now;
+        if first || changed {
+            self.report(true);
+        }
+    }
+
+    fn message(&mut self, envelope: Envelope) {
+        let Ok(inbox) = envelope.inbox.parse::<SocketAddr>() else {
+            return;
+        };
+        match envelope.body {
+            Some(Body::AgentLease(lease)) => self.on_lease(inbox, &lease),
+            Some(Body::Dispatch(d)) => self.on_dispatch(inbox, envelope.incarnation, d),
+            Some(Body::Cancel(c)) => {
+                let key = (envelope.incarnation, c.attempt);
+                self.gate.cancel(key);
+                if let Some(flag) = self.running.get(&key) {
+                    flag.store(true, Ordering::Relaxed);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn on_lease(&mut self, inbox: SocketAddr, lease: &AgentLease) {
+        let now = self.now();
+        if let Some(entry) = self.entries.get_mut(&inbox) {
+            entry.heard = Some(now);
+        }
+        let until = Duration::from_millis(lease.agent_ms + lease.lease_ms);
+        let before = (self.gate.drained, self.gate.leased(now));
+        self.gate
+            .lease(until, lease.fence, lease.revision, lease.drained);
+        if self.gate.drained != before.0 {
+            self.common
+                .events
+                .note("drain", format!("drained: {}", self.gate.drained));
+        }
+        if before != (self.gate.drained, self.gate.leased(now)) {
+            self.report(true);
+        }
+        self.follow_entries(lease);
+    }
+
+    /// Reports to the entries that are settled, and to the seeds for as long as
+    /// nothing is.
+    fn follow_entries(&mut self, lease: &AgentLease) {
+        let wanted: IndexSet<SocketAddr> = lease
+            .entries
+            .iter()
+            .filter_map(|a| a.parse().ok())
+            .collect();
+        if wanted.is_empty() {
+            return;
+        }
+        for address in &wanted {
+            self.entries.entry(*address).or_default();
+        }
+        let seeds = &self.seeds;
+        self.entries
+            .retain(|a, _| wanted.contains(a) || seeds.contains(a));
+    }
+
+    fn on_dispatch(&mut self, inbox: SocketAddr, incarnation: u64, dispatch: Dispatch) {
+        let now = self.now();
+        let key = (incarnation, dispatch.attempt);
+        let fresh = dispatch.agent == self.common.net.incarnation();
+        let present = now < self.announced + SILENCE;
+        let backend = self.backend.as_ref().filter(|_| present);
+        let refusal = match backend {
+            None => Some("the backend server is not there"),
+            Some(_) if !fresh => Some("meant for an earlier start of this agent"),
+            Some(_) => self.gate.refusal(now, &dispatch, key, self.running.len()),
+        };
+        if let Some(reason) = refusal {
+            metrics::counter!("gate_refused", "reason" => reason).increment(1);
+            return self.turn_away(inbox, dispatch.attempt, reason);
+        }
+        let Some(backend) = backend else { return };
+        let flag = Arc::new(AtomicBool::new(false));
+        self.running.insert(key, flag.clone());
+        let work = engine::Work {
+            net: self.common.net.clone(),
+            ring: self.ring.clone(),
+            base: format!("http://{}", backend.address),
+            entry: inbox,
+            key,
+            dispatch,
+            cancelled: flag,
+        };
+        std::thread::spawn(move || work.run());
+    }
+
+    fn turn_away(&self, inbox: SocketAddr, attempt: u64, reason: &str) {
+        let finish = Finish {
+            attempt,
+            kind: Kind::NotRun.into(),
+            length: 0,
+            reason: reason.into(),
+            running: self.running.len() as u32,
+        };
+        self.common.net.send(inbox, Body::Finish(finish));
+    }
+
+    /// Tells each entry that is due, or every entry, how things stand.
+    fn report(&mut self, all: bool) {
+        let now = self.now();
+        let Some(backend) = &self.backend else { return };
+        let due: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| all || now >= e.due)
+            .map(|(a, _)| *a)
+            .collect();
+        if due.is_empty() {
+            return;
+        }
+        let attach = self.attach(now, backend);
+        for address in due {
+            let Some(entry) = self.entries.get_mut(&address) else {
+                continue;
+            };
+            let answers = entry.heard.is_some_and(|at| now < at + SILENCE);
+            entry.due = now
+                + if answers {
+                    REPORT
+                } else {
+                    SEEK.min(REPORT * 2)
+                };
+            self.common.net.send(address, Body::Attach(attach.clone()));
+        }
+    }
+
+    fn attach(&self, now: Duration, backend: &Announcement) -> Attach {
+        let load = &backend.load;
+        Attach {
+            agent_ms: ms(now),
+            name: backend.name.clone(),
+            service: backend.service.clone(),
+            group: backend.group.clone(),
+            rank: backend.rank,
+            domain: self.common.domain.clone(),
+            capacity: backend.capacity,
+            running: self.running.len() as u32,
+            queued: 0,
+            tokens: load.tokens,
+            fences: backend.fences,
+            leaving: self.gate.leaves(),
+            // Without a lease it would turn everything away.
+            healthy: now < self.announced + SILENCE && self.gate.leased(now),
+            fence: self.gate.fence,
+            report_age_ms: 0,
+            resumes: backend.resumes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/caller.rs
@@ -0,0 +1,316 @@
+//! The callers' side of an entry: HTTP in, streamed answers out. One thread with a
+//! current-thread runtime; requests go to the entry's thread over a bounded ring.
+
+use crate::entry::Event;
+use crate::server::{self, Body, BodyFault, text, whole_body};
+use crate::verdict::{Refusal, Verdict};
+use bn_state::Priority;
+use crossbeam::channel::Sender;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Bytes, Frame, Incoming};
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use std::io;
+use std::net::TcpListener;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// Pieces of one answer that wait for a slow caller; past that it is cut.
+pub(crate) const ANSWER_RING: usize = 1024;
+const JSON: &str = "application/json";
+/// Where a caller gives no deadline.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
+/// Bytes of a body that stand for its prompt's beginning.
+const PREFIX_BYTES: usize = 256;
+
+/// A part of an answer.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// Status and headers of the backend server's answer.
+    Head(u16, Vec<(String, String)>),
+    /// The next bytes.
+    Data(Vec<u8>),
+    /// The answer is whole.
+    End,
+    /// There will be no more, and it is not whole.
+    Cut(String),
+    /// There is none.
+    Refused(Refusal),
+}
+
+/// A request that passed the checks which need no state.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    pub(crate) service: String,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+    /// SHA-256 of the bearer key.
+    pub(crate) key_hash: String,
+    pub(crate) idempotency: Option<String>,
+    pub(crate) priority: Priority,
+    pub(crate) time_left: Duration,
+    pub(crate) prefix: Option<u64>,
+    pub(crate) answer: mpsc::Sender<Answer>,
+}
+
+/// What each connection needs.
+struct Shared {
+    ring: Sender<Event>,
+    max_body: usize,
+}
+
+/// Serves callers on their own thread, until the process ends.
+pub(crate) fn serve(listener: TcpListener, ring: Sender<Event>, max_body: usize) -> io::Result<()> {
+    let shared = Arc::new(Shared { ring, max_body });
+    server::serve(listener, "callers", move |request| {
+        handle(request, shared.clone())
+    })
+}
+
+async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
+    let path = request.uri().path().to_string();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/v1/addresses") => addresses(&shared).await,
+        (&Method::GET, "/healthz") => text(200, "text/plain", "ok\n".into()),
+        _ if path.starts_with("/svc/") => match arrival(request, shared.max_body).await {
+            Ok((arrival, answers)) => forward(arrival, answers, &shared).await,
+            Err(refusal) => refuse(&refusal),
+        },
+        _ => refuse(&Refusal::not_run(
+            404,
+            "ask /v1/addresses or /svc/<service>/<path>",
+        )),
+    }
+}
+
+async fn addresses(shared: &Shared) -> Response<Body> {
+    let (tx, rx) = oneshot::channel();
+    if shared.ring.try_send(Event::Addresses(tx)).is_err() {
+        return refuse(&busy());
+    }
+    match rx.await {
+        Ok(json) => text(200, JSON, json),
+        Err(_) => refuse(&busy()),
+    }
+}
+
+fn busy() -> Refusal {
+    Refusal::not_run(503, "this entry is overloaded").retry(Duration::from_secs(1))
+}
+
+async fn forward(
+    arrival: Arrival,
+    mut answers: mpsc::Receiver<Answer>,
+    shared: &Shared,
+) -> Response<Body> {
+    if shared
+        .ring
+        .try_send(Event::Arrival(Box::new(arrival)))
+        .is_err()
+    {
+        metrics::counter!("entry_ring_full").increment(1);
+        return refuse(&busy());
+    }
+    match answers.recv().await {
+        Some(Answer::Head(status, headers)) => stream(status, headers, answers),
+        Some(Answer::Refused(refusal)) => refuse(&refusal),
+        // The entry's thread dropped the request without a word: a fault of ours.
+        _ => refuse(&Refusal::may_have_run(500, "the entry lost the request")),
+    }
+}
+
+/// The answer as it arrives. Only `End` closes it as whole: an error from the body
+/// makes the connection break, so that a caller can tell a cut answer.
+fn stream(
+    status: u16,
+    headers: Vec<(String, String)>,
+    answers: mpsc::Receiver<Answer>,
+) -> Response<Body> {
+    let body = StreamBody::new(Pieces {
+        answers,
+        ended: false,
+    });
+    let mut response = Response::new(BodyExt::boxed(body));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    for (name, value) in headers {
+        let name = HeaderName::try_from(name);
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::try_from(value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+struct Pieces {
+    answers: mpsc::Receiver<Answer>,
+    ended: bool,
+}
+
+impl futures_core::Stream for Pieces {
+    type Item = io::Result<Frame<Bytes>>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        self.answers.poll_recv(cx).map(|answer| match answer {
+            Some(Answer::Data(bytes)) => Some(Ok(Frame::data(Bytes::from(bytes)))),
+            Some(Answer::End) => {
+                self.ended = true;
+                None
+            }
+            other => {
+                self.ended = true;
+                let why = match other {
+                    Some(Answer::Cut(why)) => why,
+                    _ => "the entry lost the request".into(),
+                };
+                Some(Err(io::Error::other(why)))
+            }
+        })
+    }
+}
+
+async fn arrival(
+    request: Request<Incoming>,
+    max_body: usize,
+) -> Result<(Arrival, mpsc::Receiver<Answer>), Refusal> {
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path().trim_start_matches("/svc/");
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    let query = parts
+        .uri
+        .query()
+        .map(|q| format!("?{q}"))
+        .unwrap_or_default();
+    let key_hash = bearer(&parts.headers)?;
+    let idempotency = idempotency(&parts.headers)?;
+    let priority = priority(&parts.headers)?;
+    let time_left = deadline(&parts.headers)?;
+    let body = checked_body(body, max_body).await?;
+    let (answer, answers) = mpsc::channel(ANSWER_RING);
+    let arrival = Arrival {
+        service: service.to_string(),
+        method: parts.method.to_string(),
+        path: format!("/{rest}{query}"),
+        headers: passed_on(&parts.headers),
+        prefix: prefix(&body),
+        body,
+        key_hash,
+        idempotency,
+        priority,
+        time_left,
+        answer,
+    };
+    Ok((arrival, answers))
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str();
+    text.map(Some)
+        .map_err(|_| Refusal::not_run(400, format!("{name}: not plain text")))
+}
+
+fn bearer(headers: &HeaderMap) -> Result<String, Refusal> {
+    let value = header(headers, AUTHORIZATION.as_str())?;
+    let key = value
+        .and_then(|v| v.strip_prefix("Bearer "))
+        .filter(|k| !k.is_empty());
+    let missing = || Refusal::not_run(401, "give the account's key: Authorization: Bearer <key>");
+    key.map(bn_state::digest).ok_or_else(missing)
+}
+
+fn idempotency(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    let Some(key) = header(headers, "idempotency-key")? else {
+        return Ok(None);
+    };
+    let wrong = || Refusal::not_run(400, "Idempotency-Key: give a UUID of version 7");
+    bn_claim::minted(key).ok_or_else(wrong)?;
+    Ok(Some(key.to_ascii_lowercase()))
+}
+
+fn priority(headers: &HeaderMap) -> Result<Priority, Refusal> {
+    let Some(name) = header(headers, "x-priority")? else {
+        return Ok(Priority::Normal);
+    };
+    let wrong = || Refusal::not_run(400, "X-Priority: give urgent, normal or batch");
+    Priority::parse(name).ok_or_else(wrong)
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Duration, Refusal> {
+    let Some(text) = header(headers, "x-deadline-ms")? else {
+        return Ok(DEFAULT_DEADLINE);
+    };
+    let ms = text
+        .parse()
+        .ok()
+        .filter(|ms| *ms > 0)
+        .map(Duration::from_millis);
+    let wrong = || Refusal::not_run(400, "X-Deadline-Ms: give the milliseconds you will wait");
+    ms.map(|d| d.min(LONGEST_DEADLINE)).ok_or_else(wrong)
+}
+
+async fn checked_body(body: Incoming, most: usize) -> Result<Vec<u8>, Refusal> {
+    whole_body(body, most).await.map_err(|fault| match fault {
+        BodyFault::Slow => Refusal::not_run(408, "the body came too slowly"),
+        BodyFault::TooLarge => {
+            Refusal::not_run(413, format!("the body is larger than {most} bytes"))
+        }
+        BodyFault::Broken => Refusal::not_run(400, "the body broke off"),
+    })
+}
+
+/// Headers the backend server gets; the connection's own and the key stay here.
+fn passed_on(headers: &HeaderMap) -> Vec<(String, String)> {
+    let kept = [
+        "content-type",
+        "accept",
+        "accept-language",
+        "user-agent",
+        "traceparent",
+    ];
+    let pair = |(n, v): (&HeaderName, &HeaderValue)| {
+        let value = v.to_str().ok()?;
+        kept.contains(&n.as_str())
+            .then(|| (n.to_string(), value.to_string()))
+    };
+    headers.iter().filter_map(pair).collect()
+}
+
+fn prefix(body: &[u8]) -> Option<u64> {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let start = body.get(..PREFIX_BYTES)?;
+    let mut hasher = DefaultHasher::new();
+    start.hash(&mut hasher);
+    Some(hasher.finish())
+}
+
+fn refuse(refusal: &Refusal) -> Response<Body> {
+    let verdict = refusal.verdict.name();
+    metrics::counter!("refused", "verdict" => verdict, "status" => refusal.status.to_string())
+        .increment(1);
+    let retry_ms = refusal.retry.map(|d| d.as_millis() as u64);
+    let json = serde_json::json!({
+        "verdict": verdict, "reason": refusal.reason, "retry_after_ms": retry_ms,
+    });
+    let mut response = text(refusal.status, JSON, format!("{json}\n"));
+    let headers = response.headers_mut();
+    headers.insert("x-verdict", HeaderValue::from_static(verdict));
+    if let Some(retry) = refusal.retry {
+        let seconds = retry.as_secs_f64().ceil() as u64;
+        headers.insert("retry-after", HeaderValue::from(seconds));
+    }
+    if refusal.verdict == Verdict::MayHaveRun {
+        headers.insert("cache-control", HeaderValue::from_static("no-store"));
+    }
+    response
+}
--- /dev/null
+++ b/crates/node/src/control/propose.rs
@@ -0,0 +1,190 @@
+//! Operators' commands at the leader: accepted once committed, in force once every
+//! lease holder acts on it.
+
+use super::{Control, shown};
+use bn_query::{Statement, Table, select};
+use bn_state::{Command, Refusal};
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{self as wire, Outcome, Proposal};
+use prost::Message;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A proposal whose outcome is open.
+struct Wait {
+    /// Index in the log; then the revision it was accepted at.
+    index: u64,
+    call: u64,
+    inbox: SocketAddr,
+    accepted: bool,
+}
+
+/// Proposals whose senders wait. A leader that steps down drops them: the sender
+/// asks again, and the number and token decide.
+#[derive(Default)]
+pub(crate) struct Waits(Vec<Wait>);
+
+impl Waits {
+    pub(crate) fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
+impl Control {
+    pub(super) fn on_proposal(&mut self, inbox: SocketAddr, proposal: Proposal) {
+        let (call, now) = (proposal.call, self.now());
+        let Some(raw) = proposal.command else { return };
+        if !self.quorum.may_grant(now) {
+            return self.reply(
+                inbox,
+                Outcome {
+                    call,
+                    redirect: true,
+                    ..Outcome::default()
+                },
+            );
+        }
+        let command = Command::from(raw);
+        if let Some(outcome) = self.leader_query(&command.text) {
+            let (table, reason) = match outcome {
+                Ok(table) => (table, String::new()),
+                Err(reason) => (String::new(), reason),
+            };
+            let accepted = reason.is_empty();
+            let done = Outcome {
+                call,
+                accepted,
+                in_force: true,
+                reason,
+                table,
+                ..Outcome::default()
+            };
+            return self.reply(inbox, done);
+        }
+        match self.state.earlier(&command) {
+            Some(Ok(index)) => self.waits.0.push(Wait {
+                index,
+                call,
+                inbox,
+                accepted: true,
+            }),
+            Some(Err(refusal)) => self.refuse(inbox, call, &refusal),
+            None => {
+                let bytes = wire::Command::from(&command).encode_to_vec();
+                match self.quorum.propose(bytes) {
+                    Ok(index) => self.waits.0.push(Wait {
+                        index,
+                        call,
+                        inbox,
+                        accepted: false,
+                    }),
+                    Err(_) => {
+                        self.reply(
+                            inbox,
+                            Outcome {
+                                call,
+                                redirect: true,
+                                ..Outcome::default()
+                            },
+                        );
+                    }
+                }
+            }
+        }
+    }
+
+    /// The entry at `index` was applied with this outcome.
+    pub(super) fn answer_wait(&mut self, index: u64, outcome: &bn_state::Result<u64>) {
+        metrics::counter!("commands", "accepted" => outcome.is_ok().to_string()).increment(1);
+        let is_it = |w: &Wait| w.index == index && !w.accepted;
+        match outcome {
+            Ok(revision) => {
+                for wait in self.waits.0.iter_mut().filter(|w| is_it(w)) {
+                    (wait.accepted, wait.index) = (true, *revision);
+                }
+                self.common
+                    .events
+                    .note("accepted", format!("revision {index}"));
+                self.push_revision();
+            }
+            Err(refusal) => {
+                let told: Vec<_> = self
+                    .waits
+                    .0
+                    .iter()
+                    .filter(|w| is_it(w))
+                    .map(|w| (w.inbox, w.call))
+                    .collect();
+                self.waits.0.retain(|w| !is_it(w));
+                for (inbox, call) in told {
+                    self.refuse(inbox, call, refusal);
+                }
+            }
+        }
+    }
+
+    /// Answers the proposals that are in force by now.
+    pub(super) fn answer_in_force(&mut self, now: Duration) {
+        let (done, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waits.0)
+            .into_iter()
+            .partition(|w| w.accepted && self.leases.in_force(now, w.index));
+        self.waits.0 = open;
+        for w in done {
+            let outcome = Outcome {
+                call: w.call,
+                accepted: true,
+                in_force: true,
+                revision: w.index,
+                ..Outcome::default()
+            };
+            self.reply(w.inbox, outcome);
+        }
+    }
+
+    fn refuse(&self, inbox: SocketAddr, call: u64, refusal: &Refusal) {
+        let reason = refusal.to_string();
+        self.reply(
+            inbox,
+            Outcome {
+                call,
+                in_force: true,
+                reason,
+                ..Outcome::default()
+            },
+        );
+    }
+
+    fn reply(&self, inbox: SocketAddr, outcome: Outcome) {
+        self.common.net.send(inbox, Body::Outcome(outcome));
+    }
+
+    /// `show members` and `show leases`, which only the leader knows.
+    fn leader_query(&self, text: &str) -> Option<Result<String, String>> {
+        let statements = bn_query::parse(text).ok()?;
+        let [Statement::Show(show)] = &statements[..] else {
+            return None;
+        };
+        let table = match show.table.as_str() {
+            "members" => self.members_table(),
+            "leases" => self.leases_table(),
+            _ => return Some(Err(format!("there is no table {:?}", show.table))),
+        };
+        let selected = select(show, table).map_err(|e| e.to_string());
+        Some(selected.map(|t| crate::entry::table_json(&t)))
+    }
+
+    fn leases_table(&self) -> Table {
+        let mut t = Table::new(&["entry", "lease_ms", "revision", "leaving"]);
+        t.rows
+            .extend(self.leases.rows().map(|(id, until, acked, leaving)| {
+                let left = shown(&self.common.clock, until);
+                vec![
+                    id.clone().into(),
+                    left.into(),
+                    (acked as f64).into(),
+                    leaving.into(),
+                ]
+            }));
+        t
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/admit.rs
@@ -0,0 +1,136 @@
+//! Admission: who asks, for what, and whether this entry may take it now.
+
+use super::Entry;
+use super::request::{Phase, Request};
+use crate::caller::{Answer, Arrival};
+use crate::verdict::Refusal;
+use std::time::Duration;
+
+/// When a caller should try another entry.
+const ELSEWHERE: Duration = Duration::from_millis(200);
+/// Requests held at most; more are refused at once.
+const MOST_REQUESTS: usize = 8192;
+
+impl Entry {
+    /// Admits a request, or refuses it at once.
+    pub(super) fn arrive(&mut self, arrival: Arrival) {
+        metrics::counter!("requests").increment(1);
+        match self.admit(&arrival) {
+            Err(refusal) => {
+                let _ = arrival.answer.try_send(Answer::Refused(refusal));
+            }
+            Ok((account, repeatable)) => {
+                let now = self.now();
+                let request = Request {
+                    deadline: now + arrival.time_left,
+                    arrived: now,
+                    account,
+                    phase: Phase::Queued,
+                    tried: Vec::new(),
+                    repeatable,
+                    may_have_run: false,
+                    head_sent: false,
+                    sent: 0,
+                    arrival,
+                };
+                let id = self.number();
+                let claims = request.arrival.idempotency.is_some();
+                self.requests.insert(id, request);
+                self.budget.earn();
+                if claims {
+                    self.start_claim(id);
+                } else {
+                    self.place(id);
+                }
+            }
+        }
+    }
+
+    /// The account, and whether the request may be repeated.
+    fn admit(&self, arrival: &Arrival) -> Result<(String, bool), Refusal> {
+        let now = self.now();
+        if !self.lease.valid(now) {
+            return Err(
+                Refusal::not_run(503, "this entry holds no lease; ask another").retry(ELSEWHERE),
+            );
+        }
+        let account = self.state.account_by_hash(&arrival.key_hash);
+        let (name, account) =
+            account.ok_or_else(|| Refusal::not_run(401, "no account has this key"))?;
+        if arrival.priority > account.top {
+            let most = account.top.name();
+            return Err(Refusal::not_run(
+                403,
+                format!("this account's priority ends at {most}"),
+            ));
+        }
+        let service = self.state.services.get(&arrival.service);
+        let unknown = || Refusal::not_run(404, format!("there is no service {}", arrival.service));
+        let service = service.ok_or_else(unknown)?;
+        if self.requests.len() >= MOST_REQUESTS {
+            return Err(Refusal::not_run(503, "this entry is full").retry(ELSEWHERE));
+        }
+        let repeatable = service.repeatable && arrival.idempotency.is_none();
+        Ok((name.clone(), repeatable))
+    }
+
+    /// Ends a request without a (whole) answer, at once.
+    pub(super) fn refuse(&mut self, id: u64, refusal: Refusal) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        if request.head_sent {
+            metrics::counter!("answers_cut").increment(1);
+            request.tell(Answer::Cut(refusal.reason));
+        } else {
+            request.tell(Answer::Refused(refusal));
+        }
+    }
+
+    /// Watches deadlines and callers that left.
+    pub(super) fn watch_requests(&mut self, now: Duration) {
+        let over = |r: &Request| now >= r.deadline || r.abandoned();
+        let ids: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| over(r))
+            .map(|(i, _)| *i)
+            .collect();
+        for id in ids {
+            self.cancel_attempts(id);
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            let refusal = match request.may_have_run || matches!(request.phase, Phase::Running) {
+                true => Refusal::may_have_run(504, "the deadline passed"),
+                false => Refusal::not_run(504, "the deadline passed before it could start"),
+            };
+            if request.abandoned() {
+                metrics::counter!("callers_gone").increment(1);
+            }
+            self.refuse(id, refusal);
+        }
+    }
+
+    /// Addresses of the entries, best first, as JSON: the own failure domain, then
+    /// the others, in an order that differs by entry so that load spreads.
+    pub(super) fn addresses(&mut self) -> String {
+        let own = self.common.domain.clone();
+        let mut rows: Vec<_> = self
+            .state
+            .entries
+            .iter()
+            .filter(|(id, e)| !e.drained && !self.lease.away.contains(*id))
+            .filter(|(id, _)| self.stopping.is_none() || **id != self.common.id)
+            .map(|(_, e)| (e.domain != own, e.callers.to_string()))
+            .collect();
+        for i in (1..rows.len()).rev() {
+            let j = self.random(i + 1);
+            rows.swap(i, j);
+        }
+        rows.sort_by_key(|(other, _)| *other);
+        let addresses: Vec<_> = rows.into_iter().map(|(_, a)| a).collect();
+        serde_json::json!({ "addresses": addresses, "ttl_ms": self.conf.ttl.as_millis() as u64 })
+            .to_string()
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/answers.rs
@@ -0,0 +1,103 @@
+//! Answers on their way back. Attempt numbers and agent incarnations must match, so
+//! that a late answer never reaches another request.
+
+use super::{Entry, Sender};
+use crate::caller::Answer;
+use crate::verdict::Verdict;
+use bn_wire::messages::finish::Kind;
+use bn_wire::messages::{Finish, Piece};
+
+impl Entry {
+    pub(super) fn on_started(&mut self, from: &Sender, attempt: u64) {
+        if let Some(a) = self.attempts.get_mut(&attempt)
+            && a.incarnation == from.incarnation
+        {
+            a.started = true;
+        }
+    }
+
+    pub(super) fn on_piece(&mut self, from: &Sender, piece: Piece) {
+        let Some(a) = self.attempts.get_mut(&piece.attempt) else {
+            metrics::counter!("late_pieces").increment(1);
+            return;
+        };
+        if a.incarnation != from.incarnation {
+            return;
+        }
+        a.started = true;
+        let Some(request) = self.requests.get_mut(&a.request) else {
+            return;
+        };
+        if piece.offset > request.sent {
+            let reason = "a piece of the answer was lost";
+            return self.fail_attempt(piece.attempt, Verdict::MayHaveRun, reason);
+        }
+        let mut told = true;
+        if !request.head_sent {
+            request.head_sent = true;
+            let pairs = piece
+                .headers
+                .into_iter()
+                .map(|h| (h.name, h.value))
+                .collect();
+            told = request.tell(Answer::Head(piece.status as u16, pairs));
+            let waited = self.common.clock.now().saturating_sub(request.arrived);
+            metrics::histogram!("first_piece_seconds").record(waited);
+        }
+        let known = (request.sent - piece.offset) as usize;
+        if let Some(fresh) = piece.data.get(known..).filter(|f| !f.is_empty()) {
+            request.sent += fresh.len() as u64;
+            told = told && request.tell(Answer::Data(fresh.to_vec()));
+        }
+        if !told {
+            metrics::counter!("callers_gone").increment(1);
+            let id = a.request;
+            self.cancel_attempts(id);
+            // Dropping the request closes its ring: the connection breaks, and the
+            // caller cannot take what it has for a whole answer.
+            self.requests.remove(&id);
+        }
+    }
+
+    pub(super) fn on_finish(&mut self, from: &Sender, finish: &Finish) {
+        let Some(a) = self.attempts.get(&finish.attempt) else {
+            return;
+        };
+        if a.incarnation != from.incarnation {
+            return;
+        }
+        let sent = self.requests.get(&a.request).map_or(0, |r| r.sent);
+        match finish.kind() {
+            Kind::Whole if finish.length == sent => self.end_whole(finish.attempt),
+            Kind::Whole => {
+                let reason = "the end of the answer came before all of it";
+                self.fail_attempt(finish.attempt, Verdict::MayHaveRun, reason);
+            }
+            Kind::NotRun => self.turned_away(finish.attempt, &finish.reason),
+            _ => self.fail_attempt(finish.attempt, Verdict::MayHaveRun, &finish.reason),
+        }
+    }
+
+    fn end_whole(&mut self, attempt: u64) {
+        let now = self.now();
+        let Some(a) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        self.router.ended(now, &a.backend, attempt, Some(true));
+        if let Some(request) = self.requests.remove(&a.request) {
+            metrics::counter!("answers_whole", "account" => request.account.clone()).increment(1);
+            request.tell(Answer::End);
+        }
+    }
+
+    /// The agent says that it did not run it: no fault of the backend server's.
+    fn turned_away(&mut self, attempt: u64, reason: &str) {
+        let now = self.now();
+        let Some(a) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        self.router.ended(now, &a.backend, attempt, None);
+        metrics::counter!("turned_away").increment(1);
+        self.next_try(a.request, Verdict::NotRun, reason);
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/claims.rs
@@ -0,0 +1,148 @@
+//! Claims of idempotency keys: this entry's own, and those it holds for others.
+
+use super::request::Phase;
+use super::{Entry, Sender};
+use crate::clock::wall;
+use crate::verdict::Refusal;
+use bn_claim::{Answer, Chain, Outcome, choose, minted};
+use bn_wire::messages::claim_answer::Kind;
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{ClaimAnswer, ClaimAsk};
+use std::time::Duration;
+
+/// A claim is asked again after this time.
+const AGAIN: Duration = Duration::from_millis(100);
+/// After this time a claim without a majority is given up.
+const GIVE_UP: Duration = Duration::from_millis(1500);
+
+impl Entry {
+    pub(super) fn start_claim(&mut self, id: u64) {
+        let now = self.now();
+        let Some(key) = self.claim_key(id) else {
+            return;
+        };
+        let entries = self
+            .state
+            .entries
+            .iter()
+            .map(|(i, e)| (i.as_str(), e.domain.as_str()));
+        let holders = choose(&key, entries)
+            .into_iter()
+            .map(String::from)
+            .collect();
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.phase = Phase::Claiming(Chain::new(holders), now + AGAIN);
+        }
+        self.claims.insert(id, id);
+        self.ask_holders(id);
+    }
+
+    /// The key with its account, so that accounts cannot collide.
+    fn claim_key(&self, id: u64) -> Option<String> {
+        let request = self.requests.get(&id)?;
+        let key = request.arrival.idempotency.as_ref()?;
+        Some(format!("{}/{key}", request.account))
+    }
+
+    fn ask_holders(&self, id: u64) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let Phase::Claiming(chain, _) = &request.phase else {
+            return;
+        };
+        let ask = ClaimAsk {
+            call: id,
+            key: request.arrival.idempotency.clone().unwrap_or_default(),
+            account: request.account.clone(),
+            chain: id,
+            epoch: self.state.claim_epoch,
+        };
+        for holder in chain.open() {
+            if let Some(entry) = self.state.entries.get(holder) {
+                self.common
+                    .net
+                    .send(entry.inbox, Body::ClaimAsk(ask.clone()));
+            }
+        }
+    }
+
+    pub(super) fn on_claim_ask(&mut self, from: &Sender, ask: &ClaimAsk) {
+        let now = self.now();
+        // Without a lease the set of holders may have changed unseen.
+        if !self.lease.valid(now) {
+            return;
+        }
+        let Some(minted) = minted(&ask.key) else {
+            return;
+        };
+        let key = format!("{}/{}", ask.account, ask.key);
+        let chain = (from.incarnation, ask.chain);
+        let kind = match self.holder.claim(wall(), &key, minted, chain, ask.epoch) {
+            Answer::Granted => Kind::Granted,
+            Answer::Taken => Kind::Taken,
+            Answer::Forgot => Kind::Forgot,
+            Answer::Stale => Kind::Stale,
+        };
+        metrics::gauge!("claims_held").set(self.holder.len() as f64);
+        let answer = ClaimAnswer {
+            call: ask.call,
+            kind: kind.into(),
+        };
+        self.common.net.send(from.inbox, Body::ClaimAnswer(answer));
+    }
+
+    pub(super) fn on_claim_answer(&mut self, from: &Sender, answer: &ClaimAnswer) {
+        let id = answer.call;
+        let Some(Phase::Claiming(chain, _)) = self.requests.get_mut(&id).map(|r| &mut r.phase)
+        else {
+            return;
+        };
+        let kind = match answer.kind() {
+            Kind::Granted => Answer::Granted,
+            Kind::Taken => Answer::Taken,
+            Kind::Stale => Answer::Stale,
+            Kind::Forgot | Kind::Unspecified => Answer::Forgot,
+        };
+        match chain.answer(&from.id, kind) {
+            Outcome::Open => {}
+            Outcome::Won => {
+                self.claims.remove(&id);
+                self.place(id);
+            }
+            Outcome::Lost => self.claim_lost(id, 409, "the key is claimed, or cannot be checked"),
+        }
+    }
+
+    /// The request of this key may have run, through another chain of attempts.
+    fn claim_lost(&mut self, id: u64, status: u16, reason: &str) {
+        self.claims.remove(&id);
+        metrics::counter!("claims_lost").increment(1);
+        self.refuse(id, Refusal::may_have_run(status, reason));
+    }
+
+    /// Claims and answers may be lost; asking again is harmless, since a holder
+    /// grants the same chain the same key.
+    pub(super) fn retry_claims(&mut self, now: Duration) {
+        let ids: Vec<_> = self.claims.keys().copied().collect();
+        for id in ids {
+            let Some(request) = self.requests.get_mut(&id) else {
+                self.claims.remove(&id);
+                continue;
+            };
+            let give_up = now > request.arrived + GIVE_UP;
+            let Phase::Claiming(_, due) = &mut request.phase else {
+                continue;
+            };
+            let again = now >= *due;
+            if again {
+                *due = now + AGAIN;
+            }
+            match (give_up, again) {
+                (true, _) => self.claim_lost(id, 503, "too few holders of claims answered"),
+                (false, true) => self.ask_holders(id),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/operators.rs
@@ -0,0 +1,222 @@
+//! Operators at this entry: queries are answered from its own view, commands go to
+//! the leader and are asked again until their outcome is known.
+
+use super::{Entry, Event};
+use crate::pages::{Extra, fault};
+use bn_query::{Cell, Show, Statement, Table, select};
+use bn_state::{Command, settled_table};
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{Outcome, Proposal};
+use crossbeam::channel::{Sender, bounded};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// A page waits this long for a command's outcome.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// A proposal without an outcome is sent again.
+const AGAIN: Duration = Duration::from_millis(500);
+/// Tables that only the leader can fill.
+const LEADER_TABLES: [&str; 2] = ["members", "leases"];
+
+/// An operator's command, and where its outcome goes, as JSON.
+pub(crate) struct Call {
+    command: Command,
+    answer: Sender<(u16, String)>,
+}
+
+/// A call that waits for the leader.
+pub(crate) struct Open {
+    call: Call,
+    due: Duration,
+    until: Duration,
+}
+
+/// The page that takes commands: `POST /v1/command`.
+pub(crate) fn command_page(ring: Sender<Event>) -> Extra {
+    Box::new(move |method, path, body| {
+        if (method, path) != ("POST", "/v1/command") {
+            return None;
+        }
+        let command = match command(body) {
+            Ok(command) => command,
+            Err(reason) => return Some((400, fault(&reason))),
+        };
+        let (answer, outcome) = bounded(1);
+        if ring
+            .try_send(Event::Command(Call { command, answer }))
+            .is_err()
+        {
+            return Some((503, fault("this entry is overloaded; nothing was done")));
+        }
+        let lost = || {
+            (
+                504,
+                fault("no outcome yet; send the same command again to learn it"),
+            )
+        };
+        Some(outcome.recv_timeout(PATIENCE).unwrap_or_else(|_| lost()))
+    })
+}
+
+fn command(body: &[u8]) -> Result<Command, String> {
+    let value: Value = serde_json::from_slice(body).map_err(|e| format!("not JSON: {e}"))?;
+    let text = |name: &str| {
+        let field = value.get(name).and_then(Value::as_str);
+        field
+            .map(String::from)
+            .ok_or_else(|| format!("{name}: give a text"))
+    };
+    let number = value.get("number").and_then(Value::as_u64);
+    Ok(Command {
+        operator: text("operator")?,
+        number: number.ok_or("number: give a whole number")?,
+        token: text("token")?,
+        text: text("text")?,
+    })
+}
+
+impl Entry {
+    pub(super) fn command(&mut self, call: Call) {
+        let statements = match bn_query::parse(&call.command.text) {
+            Ok(statements) => statements,
+            Err(e) => return call.tell(400, fault(&e.to_string())),
+        };
+        if let [Statement::Show(show)] = &statements[..]
+            && !LEADER_TABLES.contains(&show.table.as_str())
+        {
+            let (status, text) = self.show(show);
+            return call.tell(status, text);
+        }
+        let now = self.now();
+        let number = self.number();
+        let open = Open {
+            call,
+            due: now,
+            until: now + PATIENCE,
+        };
+        self.calls.insert(number, open);
+        self.retry_calls(now);
+    }
+
+    /// Sends open calls to whoever leads now. The number and token make a second
+    /// arrival harmless.
+    pub(super) fn retry_calls(&mut self, now: Duration) {
+        self.calls.retain(|_, open| now < open.until);
+        let Some(target) = self.lease.target() else {
+            return;
+        };
+        for (number, open) in &mut self.calls {
+            if now >= open.due {
+                open.due = now + AGAIN;
+                let command = Some((&open.call.command).into());
+                let proposal = Proposal {
+                    call: *number,
+                    command,
+                };
+                self.common.net.send(target, Body::Proposal(proposal));
+            }
+        }
+    }
+
+    pub(super) fn on_outcome(&mut self, outcome: Outcome) {
+        if outcome.redirect {
+            return;
+        }
+        let Some(open) = self.calls.remove(&outcome.call) else {
+            return;
+        };
+        if !outcome.table.is_empty() {
+            return open.call.tell(200, outcome.table);
+        }
+        let status = if outcome.accepted { 200 } else { 409 };
+        let text = json!({
+            "accepted": outcome.accepted, "in_force": outcome.in_force,
+            "revision": outcome.revision, "reason": outcome.reason,
+        });
+        open.call.tell(status, text.to_string());
+    }
+
+    fn show(&self, show: &Show) -> (u16, String) {
+        let table = match show.table.as_str() {
+            "backends" => Some(self.backends_table()),
+            name => settled_table(&self.state, name),
+        };
+        let known =
+            "services, accounts, entries, groups, drained, commands, backends, members, leases";
+        let Some(table) = table else {
+            return (
+                400,
+                fault(&format!("no table {:?}; there are: {known}", show.table)),
+            );
+        };
+        match select(show, table) {
+            Ok(table) => (200, table_json(&table)),
+            Err(e) => (400, fault(&e.to_string())),
+        }
+    }
+
+    fn backends_table(&self) -> Table {
+        let now = self.now();
+        let mut t = Table::new(&[
+            "backend",
+            "service",
+            "group",
+            "rank",
+            "domain",
+            "state",
+            "load",
+            "capacity",
+            "tokens",
+            "silent_ms",
+        ]);
+        t.rows.extend(self.router.backends.iter().map(|(id, b)| {
+            let r = &b.report;
+            let serving = self
+                .router
+                .in_service(now, &r.service)
+                .any(|(i, _)| i == id);
+            let state = match () {
+                () if serving => "serving",
+                () if self.state.drained.contains(id) => "drained",
+                () if r.leaving => "leaving",
+                () if !r.healthy => "unhealthy",
+                () if b.health.out(now) => "ejected",
+                () => "silent",
+            };
+            vec![
+                id.clone().into(),
+                r.service.clone().into(),
+                r.group.clone().into(),
+                f64::from(r.rank).into(),
+                r.domain.clone().into(),
+                state.into(),
+                b.load().into(),
+                f64::from(r.capacity).into(),
+                (r.tokens as f64).into(),
+                (now.saturating_sub(b.heard).as_millis() as f64).into(),
+            ]
+        }));
+        t
+    }
+}
+
+impl Call {
+    fn tell(&self, status: u16, text: String) {
+        let _ = self.answer.try_send((status, text));
+    }
+}
+
+/// A table as JSON: column names, and rows of values.
+pub(crate) fn table_json(table: &Table) -> String {
+    let cell = |c: &Cell| match c {
+        Cell::Text(t) => json!(t),
+        Cell::Number(n) => json!(n),
+        Cell::Flag(b) => json!(b),
+    };
+    let rows: Vec<Vec<Value>> = table
+        .rows
+        .iter()
+        .map(|r| r.iter().map(cell).collect())
+        .collect();
+    json!({ "columns": table.columns, "rows": rows }).to_string()
+}
--- /dev/null
+++ b/crates/node/src/pages.rs
@@ -0,0 +1,78 @@
+//! Small HTTP pages for operators and backend servers: metrics, events, commands,
+//! announcements. Nothing here streams.
+
+use crate::server::{self, Body, text, whole_body};
+use crate::{ListenSnafu, Result};
+use bn_trace::{Events, Metrics};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use snafu::ResultExt;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+/// Largest body taken, in bytes.
+const LARGEST_BODY: usize = 1 << 20;
+const JSON: &str = "application/json";
+const PLAIN: &str = "text/plain";
+
+/// Answers to the paths that a role adds: status and JSON text. May block.
+pub(crate) type Extra = Box<dyn Fn(&str, &str, &[u8]) -> Option<(u16, String)> + Send + Sync>;
+
+/// What the pages show.
+pub(crate) struct Pages {
+    pub(crate) events: Arc<Events>,
+    pub(crate) metrics: Metrics,
+    pub(crate) extra: Vec<Extra>,
+}
+
+/// Serves the pages on their own thread, until the process ends.
+pub(crate) fn serve(address: SocketAddr, pages: Pages) -> Result<()> {
+    let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
+    let pages = Arc::new(pages);
+    let handle = move |request| page(pages.clone(), request);
+    server::serve(listener, "pages", handle).context(ListenSnafu { address })
+}
+
+async fn page(pages: Arc<Pages>, request: Request<Incoming>) -> Response<Body> {
+    let (method, path) = (
+        request.method().to_string(),
+        request.uri().path().to_string(),
+    );
+    match (method.as_str(), path.as_str()) {
+        ("GET", "/metrics") => text(200, PLAIN, pages.metrics.render()),
+        ("GET", "/healthz") => text(200, PLAIN, "ok\n".into()),
+        ("GET", "/v1/events") => {
+            let events = serde_json::to_string(&pages.events.recent()).unwrap_or_default();
+            text(200, JSON, events)
+        }
+        _ => extra(pages, method, path, request).await,
+    }
+}
+
+async fn extra(
+    pages: Arc<Pages>,
+    method: String,
+    path: String,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let Ok(body) = whole_body(request.into_body(), LARGEST_BODY).await else {
+        return text(
+            413,
+            JSON,
+            fault("the body broke off, came too slowly or is too large"),
+        );
+    };
+    // A command's page waits for its outcome: off the runtime's thread, so that
+    // metrics and announcements go on meanwhile.
+    let work = move || pages.extra.iter().find_map(|f| f(&method, &path, &body));
+    match tokio::task::spawn_blocking(work).await {
+        Ok(Some((status, answer))) => text(status, JSON, answer),
+        Ok(None) => text(404, JSON, fault("there is no such page")),
+        Err(_) => text(500, JSON, fault("the page failed")),
+    }
+}
+
+/// A fault as JSON text.
+pub(crate) fn fault(reason: &str) -> String {
+    serde_json::json!({ "error": reason }).to_string()
+}
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,197 @@
+//! Starting a process from its settings: every role that they list.
+
+use crate::clock::Clock;
+use crate::control::Control;
+use crate::entry::{self, Entry};
+use crate::pages::{self, Pages};
+use crate::{ListenSnafu, Result, agent, caller, control};
+use bn_conf::Settings;
+use bn_net::Net;
+use bn_trace::Events;
+use bn_trace::Metrics;
+use bn_wire::messages::Envelope;
+use bn_wire::messages::envelope::Body;
+use crossbeam::channel::{Receiver, Sender, bounded};
+use snafu::ResultExt;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+/// Events that wait for a role's thread.
+const RING: usize = 16_384;
+
+/// What every role is given.
+#[derive(Clone)]
+pub(crate) struct Common {
+    pub(crate) id: String,
+    pub(crate) domain: String,
+    pub(crate) net: Net,
+    pub(crate) clock: Clock,
+    pub(crate) events: Arc<Events>,
+}
+
+/// Begins a role's graceful stop.
+type Stop = Arc<dyn Fn() + Send + Sync>;
+
+/// A started process.
+pub struct Running {
+    stops: Vec<Stop>,
+    threads: Vec<(&'static str, JoinHandle<Result<()>>)>,
+    events: Arc<Events>,
+}
+
+impl Running {
+    /// What begins a graceful stop of every role: no request in flight is cut.
+    pub fn stopper(&self) -> impl Fn() + Send + Sync + 'static {
+        let (stops, events) = (self.stops.clone(), self.events.clone());
+        move || {
+            events.note("stop", "graceful stop begins");
+            stops.iter().for_each(|s| s());
+        }
+    }
+
+    /// Waits until every role has ended; the first failure is returned, at once.
+    pub fn wait(self) -> Result<()> {
+        let mut open = self.threads;
+        while !open.is_empty() {
+            let ended = open.iter().position(|(_, t)| t.is_finished());
+            let Some(at) = ended else {
+                thread::sleep(std::time::Duration::from_millis(20));
+                continue;
+            };
+            let (role, thread) = open.swap_remove(at);
+            thread.join().map_err(|_| crate::Error::Ended { role })??;
+        }
+        self.events.note("stop", "stopped");
+        Ok(())
+    }
+}
+
+/// The rings to the roles of this process.
+#[derive(Default)]
+struct Rings {
+    entry: Option<Sender<entry::Event>>,
+    agent: Option<Sender<agent::Event>>,
+    control: Option<Sender<control::Event>>,
+}
+
+/// Starts all roles in `settings`.
+pub fn start(settings: &Settings, metrics: Metrics) -> Result<Running> {
+    let events = Arc::new(Events::open(&settings.id, settings.log.events.as_deref())?);
+    let mut rings = Rings::default();
+    let mut receivers = (None, None, None);
+    if settings.entry.is_some() {
+        (rings.entry, receivers.0) = ring();
+    }
+    if settings.agent.is_some() {
+        (rings.agent, receivers.1) = ring();
+    }
+    if settings.control.is_some() {
+        (rings.control, receivers.2) = ring();
+    }
+    let senders = (
+        rings.entry.clone(),
+        rings.agent.clone(),
+        rings.control.clone(),
+    );
+    let incarnation = rand::random::<u64>() | 1;
+    let net = Net::open(&settings.id, incarnation, settings.inbox, move |e| {
+        rings.sort(e)
+    })?;
+    let common = Common {
+        id: settings.id.clone(),
+        domain: settings.domain.clone(),
+        net,
+        clock: Clock::start(),
+        events: events.clone(),
+    };
+    events.note("start", format!("{} in {}", settings.id, settings.domain));
+    let mut running = Running {
+        stops: Vec::new(),
+        threads: Vec::new(),
+        events: events.clone(),
+    };
+    let mut extra: Vec<pages::Extra> = Vec::new();
+
+    if let (Some(conf), Some(tx), Some(rx)) = (&settings.control, senders.2, receivers.2) {
+        let control = Control::open(common.clone(), conf)?;
+        running
+            .threads
+            .push(("control", thread::spawn(move || control.run(&rx))));
+        running
+            .stops
+            .push(Arc::new(move || drop(tx.send(control::Event::Stop))));
+    }
+    if let (Some(conf), Some(tx), Some(rx)) = (&settings.entry, senders.0, receivers.0) {
+        let listener = TcpListener::bind(conf.callers).context(ListenSnafu {
+            address: conf.callers,
+        })?;
+        caller::serve(listener, tx.clone(), conf.max_body).context(ListenSnafu {
+            address: conf.callers,
+        })?;
+        extra.push(entry::command_page(tx.clone()));
+        let entry = Entry::new(common.clone(), conf);
+        running
+            .threads
+            .push(("entry", thread::spawn(move || entry.run(&rx))));
+        running
+            .stops
+            .push(Arc::new(move || drop(tx.send(entry::Event::Stop))));
+    }
+    if let (Some(conf), Some(tx), Some(rx)) = (&settings.agent, senders.1, receivers.1) {
+        extra.push(agent::announce_page(tx.clone()));
+        let agent = agent::Agent::new(common.clone(), conf, tx.clone());
+        running
+            .threads
+            .push(("agent", thread::spawn(move || agent.run(&rx))));
+        running
+            .stops
+            .push(Arc::new(move || drop(tx.send(agent::Event::Stop))));
+    }
+    pages::serve(
+        settings.operators,
+        Pages {
+            events,
+            metrics,
+            extra,
+        },
+    )?;
+    Ok(running)
+}
+
+fn ring<T>() -> (Option<Sender<T>>, Option<Receiver<T>>) {
+    let (tx, rx) = bounded(RING);
+    (Some(tx), Some(rx))
+}
+
+impl Rings {
+    /// Hands a message to the role it is for. A full ring loses it, as a link may.
+    fn sort(&self, envelope: Envelope) {
+        let lost = match &envelope.body {
+            Some(
+                Body::Attach(_)
+                | Body::Started(_)
+                | Body::Piece(_)
+                | Body::Finish(_)
+                | Body::LeaseGrant(_)
+                | Body::Outcome(_)
+                | Body::ClaimAsk(_)
+                | Body::ClaimAnswer(_),
+            ) => lost(&self.entry, entry::Event::Message(Box::new(envelope))),
+            Some(Body::AgentLease(_) | Body::Dispatch(_) | Body::Cancel(_)) => {
+                lost(&self.agent, agent::Event::Message(Box::new(envelope)))
+            }
+            Some(Body::Quorum(_) | Body::LeaseAsk(_) | Body::Proposal(_)) => {
+                lost(&self.control, control::Event::Message(Box::new(envelope)))
+            }
+            _ => true,
+        };
+        if lost {
+            metrics::counter!("ring_lost").increment(1);
+        }
+    }
+}
+
+fn lost<T>(ring: &Option<Sender<T>>, event: T) -> bool {
+    ring.as_ref().is_none_or(|r| r.try_send(event).is_err())
+}
--- /dev/null
+++ b/crates/query/src/table.rs
@@ -0,0 +1,142 @@
+//! Rows, and running a `show` over them.
+
+use crate::{Compare, Condition, Error, Order, Result, Show};
+use std::cmp::Ordering;
+use std::fmt;
+
+/// One value of a row.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Cell {
+    /// Text.
+    Text(String),
+    /// A number; whole ones print without a point.
+    Number(f64),
+    /// Yes or no.
+    Flag(bool),
+}
+
+impl fmt::Display for Cell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cell::Text(t) => f.write_str(t),
+            Cell::Number(n) if n.fract() == 0.0 => write!(f, "{n:.0}"),
+            Cell::Number(n) => write!(f, "{n:.2}"),
+            Cell::Flag(b) => write!(f, "{}", if *b { "yes" } else { "no" }),
+        }
+    }
+}
+
+impl From<&str> for Cell {
+    fn from(t: &str) -> Cell {
+        Cell::Text(t.into())
+    }
+}
+
+impl From<String> for Cell {
+    fn from(t: String) -> Cell {
+        Cell::Text(t)
+    }
+}
+
+impl From<f64> for Cell {
+    fn from(n: f64) -> Cell {
+        Cell::Number(n)
+    }
+}
+
+impl From<bool> for Cell {
+    fn from(b: bool) -> Cell {
+        Cell::Flag(b)
+    }
+}
+
+/// Cells in the order of the table's columns.
+pub type Row = Vec<Cell>;
+
+/// Column names and rows.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Table {
+    /// Names of the columns.
+    pub columns: Vec<String>,
+    /// The rows.
+    pub rows: Vec<Row>,
+}
+
+impl Table {
+    /// An empty table with these columns.
+    pub fn new(columns: &[&str]) -> Table {
+        Table {
+            columns: columns.iter().map(|c| (*c).into()).collect(),
+            rows: Vec::new(),
+        }
+    }
+
+    fn column(&self, name: &str) -> Result<usize> {
+        let found = self
+            .columns
+            .iter()
+            .position(|c| c.eq_ignore_ascii_case(name));
+        found.ok_or_else(|| Error::Column {
+            column: name.into(),
+            known: self.columns.join(", "),
+        })
+    }
+}
+
+/// Runs the filter, sort, limit and columns of a query over `table`.
+pub fn select(show: &Show, mut table: Table) -> Result<Table> {
+    for condition in &show.filter {
+        let at = table.column(&condition.column)?;
+        table
+            .rows
+            .retain(|r| r.get(at).is_some_and(|c| holds(c, condition)));
+    }
+    if let Some(Order { column, descending }) = &show.order {
+        let at = table.column(column)?;
+        table.rows.sort_by(|a, b| match (a.get(at), b.get(at)) {
+            (Some(a), Some(b)) if *descending => compare(b, a),
+            (Some(a), Some(b)) => compare(a, b),
+            _ => Ordering::Equal,
+        });
+    }
+    if let Some(limit) = show.limit {
+        table.rows.truncate(limit);
+    }
+    if show.columns.is_empty() {
+        return Ok(table);
+    }
+    let picks = show
+        .columns
+        .iter()
+        .map(|c| table.column(c))
+        .collect::<Result<Vec<_>>>()?;
+    let pick = |r: &Row| picks.iter().filter_map(|i| r.get(*i).cloned()).collect();
+    Ok(Table {
+        columns: show.columns.clone(),
+        rows: table.rows.iter().map(pick).collect(),
+    })
+}
+
+fn compare(a: &Cell, b: &Cell) -> Ordering {
+    match (a, b) {
+        (Cell::Number(a), Cell::Number(b)) => a.total_cmp(b),
+        (a, b) => a.to_string().cmp(&b.to_string()),
+    }
+}
+
+fn holds(cell: &Cell, condition: &Condition) -> bool {
+    let wanted = match (cell, condition.value.parse::<f64>()) {
+        (Cell::Number(_), Ok(n)) => Cell::Number(n),
+        _ => Cell::Text(condition.value.clone()),
+    };
+    let order = compare(cell, &wanted);
+    match condition.compare {
+        Compare::Equal => order == Ordering::Equal,
+        Compare::Differs => order != Ordering::Equal,
+        Compare::Below => order == Ordering::Less,
+        Compare::AtMost => order != Ordering::Greater,
+        Compare::Above => order == Ordering::Greater,
+        Compare::AtLeast => order != Ordering::Less,
+        Compare::Contains => cell.to_string().contains(&condition.value),
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/leader.rs
@@ -0,0 +1,331 @@
+//! Leading: replication with flow control, the lease, check-quorum, and changes of
+//! members one at a time.
+
+use crate::members::{Progress, genuine, reached, with_learner, without};
+use crate::model::{Entry, Index, Kind, MemberId, Payload, Role};
+use crate::step::Quorum;
+use crate::{Error, Result};
+use indexmap::IndexMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Entries in one message at most.
+const BATCH: u64 = 256;
+/// Entries sent to a follower and not yet answered at most.
+const WINDOW: u64 = 2048;
+/// Rounds remembered for the lease.
+const ROUNDS: usize = 64;
+
+/// What only a leader keeps.
+#[derive(Debug, Default)]
+pub(crate) struct Lead {
+    pub(crate) progress: IndexMap<MemberId, Progress>,
+    /// Start of each recent round.
+    rounds: VecDeque<(u64, Duration)>,
+    round: u64,
+    /// Next round due.
+    due: Duration,
+    /// When it was elected.
+    since: Duration,
+    /// Index of its first entry.
+    first: Index,
+}
+
+impl Quorum {
+    /// Appends a command where this replica leads; returns its index.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<Index> {
+        self.must_lead()?;
+        Ok(self.append_own(Payload::Command(command)))
+    }
+
+    /// Adds a member that only learns; it votes as soon as it has everything.
+    pub fn add(&mut self, id: &str, address: &str) -> Result<Index> {
+        self.may_change()?;
+        let members = with_learner(&self.members, id, address)?;
+        Ok(self.append_own(Payload::Members(members)))
+    }
+
+    /// Removes a member.
+    pub fn remove(&mut self, id: &str) -> Result<Index> {
+        self.may_change()?;
+        let members = without(&self.members, id)?;
+        Ok(self.append_own(Payload::Members(members)))
+    }
+
+    /// Until when this replica may act as the only leader, as far as time goes.
+    pub fn lease_until(&self) -> Option<Duration> {
+        if self.role != Role::Leader {
+            return None;
+        }
+        let lead = &self.lead;
+        let round = reached(&self.members, |id| self.round_of(id));
+        let start = lead.rounds.iter().find(|(r, _)| *r == round);
+        start.map(|(_, at)| *at + self.setup.timing.lease)
+    }
+
+    /// It leads under a valid lease and knows all that was ever committed.
+    pub fn may_grant(&self, now: Duration) -> bool {
+        self.commit >= self.lead.first && self.lease_until().is_some_and(|until| now < until)
+    }
+
+    /// For each member: the last index synced there, and whether the identity it
+    /// last showed is the settled one. Empty where this replica does not lead.
+    pub fn progress(&self) -> Vec<(MemberId, Index, bool)> {
+        if self.role != Role::Leader {
+            return Vec::new();
+        }
+        let row = |id: &MemberId| {
+            let matched = self.matched_of(id);
+            let seen = self.lead.progress.get(id).map_or(0, |p| p.identity);
+            // Nothing heard of it yet says nothing of its identity.
+            let same = *id == self.setup.id || seen == 0 || genuine(&self.members, id, seen);
+            (id.clone(), matched, same)
+        };
+        self.members.keys().map(row).collect()
+    }
+
+    pub(crate) fn start_leading(&mut self, now: Duration) {
+        self.role = Role::Leader;
+        self.leader = Some(self.setup.id.clone());
+        let first = self.log.last().0 + 1;
+        self.lead = Lead {
+            since: now,
+            first,
+            due: now,
+            ..Lead::default()
+        };
+        self.append_own(Payload::Empty);
+        self.lead_on(now);
+    }
+
+    pub(crate) fn lead_on(&mut self, now: Duration) {
+        if !self.heard_by_quorum(now) {
+            let term = self.hard.term;
+            return self.follow(now, term, None);
+        }
+        if now < self.lead.due {
+            return;
+        }
+        let lead = &mut self.lead;
+        lead.due = now + self.setup.timing.heartbeat;
+        lead.round += 1;
+        lead.rounds.push_back((lead.round, now));
+        if lead.rounds.len() > ROUNDS {
+            lead.rounds.pop_front();
+        }
+        for id in self.others() {
+            self.rewind_if_stuck(&id);
+            self.replicate(&id, true);
+        }
+        self.settle_members();
+        self.advance();
+    }
+
+    pub(crate) fn on_append_answer(
+        &mut self,
+        now: Duration,
+        from: &str,
+        identity: u64,
+        accepted: bool,
+        index: Index,
+        round: u64,
+    ) {
+        if self.role != Role::Leader || !self.members.contains_key(from) {
+            return;
+        }
+        let counts = genuine(&self.members, from, identity);
+        let last = self.log.last().0;
+        let progress = self.progress_of(from);
+        if progress.identity != identity {
+            *progress = Progress {
+                identity,
+                next: progress.next,
+                ..Progress::default()
+            };
+        }
+        if counts {
+            progress.round = progress.round.max(round);
+        }
+        if accepted {
+            progress.matched = progress.matched.max(index.min(last));
+            progress.next = progress.next.max(progress.matched + 1);
+        } else {
+            progress.next = (index + 1).min(last + 1);
+        }
+        self.advance();
+        self.replicate(from, false);
+        if self.lead.due <= now {
+            self.lead_on(now);
+        }
+    }
+
+    fn must_lead(&self) -> Result<()> {
+        let leader = self.leader.clone();
+        (self.role == Role::Leader)
+            .then_some(())
+            .ok_or(Error::NotLeader { leader })
+    }
+
+    /// One change at a time, and only after an entry of this term is committed:
+    /// otherwise two leaders could count majorities that do not overlap.
+    fn may_change(&self) -> Result<()> {
+        self.must_lead()?;
+        let settled = self.members_index <= self.commit && self.commit >= self.lead.first;
+        settled.then_some(()).ok_or(Error::ChangeUnderWay)
+    }
+
+    fn append_own(&mut self, payload: Payload) -> Index {
+        let index = self.log.last().0 + 1;
+        self.append(Entry {
+            index,
+            term: self.hard.term,
+            payload,
+        });
+        for id in self.others() {
+            self.replicate(&id, false);
+        }
+        self.advance();
+        index
+    }
+
+    /// Pins identities that were unknown and promotes learners that have synced
+    /// everything. Until then they count for nothing, so that losing a second
+    /// instance right after a repair loses no entry.
+    fn settle_members(&mut self) {
+        if self.may_change().is_err() {
+            return;
+        }
+        let last = self.log.last().0;
+        let mut next = self.members.clone();
+        for (id, member) in &mut next {
+            let seen = match self.lead.progress.get(id) {
+                _ if *id == self.setup.id => self.setup.identity,
+                Some(p) => p.identity,
+                None => 0,
+            };
+            let synced = self.matched_of(id) == last;
+            if member.identity == 0 && seen != 0 && (member.voter || synced) {
+                member.identity = seen;
+                member.voter = true;
+                break;
+            }
+        }
+        if next != self.members {
+            self.append_own(Payload::Members(next));
+        }
+    }
+
+    /// A leader that a majority has not answered for an election's time steps down:
+    /// it may be the one that is cut off.
+    fn heard_by_quorum(&self, now: Duration) -> bool {
+        let round = reached(&self.members, |id| self.round_of(id));
+        let start = self.lead.rounds.iter().find(|(r, _)| *r == round);
+        let at = start.map_or(self.lead.since, |(_, at)| (*at).max(self.lead.since));
+        now < at + self.setup.timing.election * 2
+    }
+
+    fn advance(&mut self) {
+        let index = reached(&self.members, |id| self.counted_match(id));
+        // Only entries of the own term commit by counting; older ones follow.
+        if self.log.term(index) == Some(self.hard.term) && index > self.commit {
+            self.commit_to(index);
+            let gone =
+                self.members_index <= self.commit && !self.members.contains_key(&self.setup.id);
+            if gone {
+                for id in self.others() {
+                    self.replicate(&id, true);
+                }
+                self.role = Role::Follower;
+                self.leader = None;
+            }
+        }
+    }
+
+    fn replicate(&mut self, id: &str, heartbeat: bool) {
+        let (last, commit, round) = (self.log.last().0, self.commit, self.lead.round);
+        let progress = self.progress_of(id).clone();
+        let full = progress.next > progress.matched + WINDOW;
+        let prev_index = progress.next.saturating_sub(1);
+        let Some(prev_term) = self.log.term(prev_index) else {
+            return self.send_snapshot(id, heartbeat);
+        };
+        let to = if full {
+            prev_index
+        } else {
+            last.min(prev_index + BATCH)
+        };
+        let entries = self.log.range(progress.next, to).to_vec();
+        if entries.is_empty() && !heartbeat {
+            return;
+        }
+        self.progress_of(id).next = to.max(prev_index) + 1;
+        self.send(
+            id,
+            Kind::AppendAsk {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                round,
+            },
+        );
+    }
+
+    /// Once a round at most: a snapshot is large, and the follower must sync it.
+    fn send_snapshot(&mut self, id: &str, heartbeat: bool) {
+        if heartbeat && self.snapshot.index > 0 {
+            let snapshot = self.snapshot.clone();
+            self.progress_of(id).next = snapshot.index + 1;
+            self.send(id, Kind::Snapshot(snapshot));
+        }
+    }
+
+    /// Messages may be lost: what made no progress for a round is sent again.
+    fn rewind_if_stuck(&mut self, id: &str) {
+        let progress = self.progress_of(id);
+        if progress.matched == progress.before && progress.next > progress.matched + 1 {
+            progress.next = progress.matched + 1;
+        }
+        progress.before = progress.matched;
+    }
+
+    fn progress_of(&mut self, id: &str) -> &mut Progress {
+        let next = self.log.last().0 + 1;
+        let fresh = || Progress {
+            next,
+            ..Progress::default()
+        };
+        self.lead.progress.entry(id.into()).or_insert_with(fresh)
+    }
+
+    fn others(&self) -> Vec<MemberId> {
+        self.members
+            .keys()
+            .filter(|id| **id != self.setup.id)
+            .cloned()
+            .collect()
+    }
+
+    fn matched_of(&self, id: &MemberId) -> Index {
+        if *id == self.setup.id {
+            return self.log.last().0;
+        }
+        self.lead.progress.get(id).map_or(0, |p| p.matched)
+    }
+
+    /// What counts towards a commit: only a genuine member's synced entries.
+    fn counted_match(&self, id: &MemberId) -> Index {
+        let seen = self.lead.progress.get(id).map_or(0, |p| p.identity);
+        if *id != self.setup.id && !genuine(&self.members, id, seen) {
+            return 0;
+        }
+        self.matched_of(id)
+    }
+
+    fn round_of(&self, id: &MemberId) -> u64 {
+        if *id == self.setup.id {
+            return self.lead.round;
+        }
+        self.lead.progress.get(id).map_or(0, |p| p.round)
+    }
+}
--- /dev/null
+++ b/crates/state/src/apply.rs
@@ -0,0 +1,365 @@
+//! Applying commands: numbered, whole or not at all.
+
+use crate::model::{Account, Entry, Group, Priority, Revision, Seen, Service, State};
+use crate::{Refusal, Result};
+use bn_query::{Kind, Place, Setting, Statement};
+use sha2::{Digest, Sha256};
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// Commands remembered for resends.
+const REMEMBERED: usize = 10_000;
+/// Client accounts start with this rate, in requests a second.
+const DEFAULT_RATE: f64 = 1000.0;
+
+/// A numbered command of an operator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Command {
+    /// Who sends it.
+    pub operator: String,
+    /// Unique among all commands; a race for one number has one winner.
+    pub number: u64,
+    /// Tells a resend from another command.
+    pub token: String,
+    /// Statements of the operator language.
+    pub text: String,
+}
+
+/// SHA-256 of a text, hexadecimal.
+pub fn digest(text: &str) -> String {
+    Sha256::digest(text.as_bytes())
+        .iter()
+        .map(|b| format!("{b:02x}"))
+        .collect()
+}
+
+impl State {
+    /// Applies the command that stands at `index` of the log. A resend gets the
+    /// first outcome; what fails changes nothing but the revision.
+    pub fn apply(&mut self, index: Revision, command: &Command) -> Result<Revision> {
+        self.revision = index;
+        if let Some(outcome) = self.earlier(command) {
+            return outcome;
+        }
+        let outcome = self.attempt(command);
+        let refusal = outcome.as_ref().err().map(ToString::to_string);
+        self.remember(index, command, refusal);
+        outcome.map(|()| index)
+    }
+
+    /// The outcome that the command's number already decides, if any. The leader
+    /// asks before it proposes, so that a resend costs no log entry.
+    pub fn earlier(&self, command: &Command) -> Option<Result<Revision>> {
+        let number = command.number;
+        if let Some(seen) = self.seen.get(&number) {
+            let same = seen.token == command.token && seen.digest == digest(&command.text);
+            let winner = seen.operator.clone();
+            return Some(match &seen.refusal {
+                _ if !same => Err(Refusal::Taken {
+                    number,
+                    winner,
+                    revision: seen.revision,
+                }),
+                Some(reason) => Err(Refusal::Again {
+                    reason: reason.clone(),
+                }),
+                None => Ok(seen.revision),
+            });
+        }
+        // Below the lowest number remembered a resend cannot be told from a new
+        // command; running it could undo what came after it.
+        let floor = self
+            .seen
+            .keys()
+            .next()
+            .copied()
+            .filter(|_| self.seen.len() >= REMEMBERED)?;
+        (number < floor).then_some(Err(Refusal::TooOld { number, floor }))
+    }
+
+    fn remember(&mut self, revision: Revision, command: &Command, refusal: Option<String>) {
+        let seen = Seen {
+            operator: command.operator.clone(),
+            token: command.token.clone(),
+            digest: digest(&command.text),
+            revision,
+            refusal,
+        };
+        self.seen.insert(command.number, seen);
+        while self.seen.len() > REMEMBERED {
+            self.seen.pop_first();
+        }
+    }
+
+    fn attempt(&mut self, command: &Command) -> Result<()> {
+        let statements =
+            bn_query::parse(&command.text).map_err(|source| Refusal::Syntax { source })?;
+        let mut next = self.clone();
+        for (i, statement) in statements.iter().enumerate() {
+            let at = |reason| Refusal::Statement {
+                position: i + 1,
+                reason,
+            };
+            next.statement(statement).map_err(at)?;
+        }
+        if !next.entries.keys().eq(self.entries.keys()) {
+            next.claim_epoch = self.revision;
+        }
+        *self = next;
+        Ok(())
+    }
+
+    fn statement(&mut self, statement: &Statement) -> Result<(), String> {
+        match statement {
+            Statement::Show(_) => Err("show changes nothing: ask it on its own".into()),
+            Statement::Create(kind, name, sets) => self.create(*kind, name, sets),
+            Statement::Alter(kind, name, sets) => self.alter(*kind, name, sets),
+            Statement::Drop(kind, name) => self.drop_one(*kind, name),
+            Statement::Drain(place, name) => self.drain(*place, name, true),
+            Statement::Undrain(place, name) => self.drain(*place, name, false),
+            Statement::Switch(name, sets) => self.switch(name, sets),
+        }
+    }
+
+    fn create(&mut self, kind: Kind, name: &str, sets: &[Setting]) -> Result<(), String> {
+        let there = match kind {
+            Kind::Service => self.services.contains_key(name),
+            Kind::Account => self.accounts.contains_key(name),
+            Kind::Entry => self.entries.contains_key(name),
+            Kind::Group => self.groups.contains_key(name),
+            Kind::Member => self.members.contains_key(name),
+        };
+        if there {
+            return Err(format!("{name} exists already"));
+        }
+        match kind {
+            Kind::Service => {
+                let mut s = Service {
+                    engine: false,
+                    repeatable: true,
+                    skew_weight: 1.0,
+                    move_weight: 1.0,
+                };
+                set_service(&mut s, sets)?;
+                self.services.insert(name.into(), s);
+            }
+            Kind::Account => {
+                let mut a = Account {
+                    key_hash: String::new(),
+                    rate: DEFAULT_RATE,
+                    share: 1,
+                    top: Priority::Normal,
+                };
+                set_account(&mut a, sets)?;
+                need(
+                    !a.key_hash.is_empty(),
+                    "an account needs key=... or key_hash=...",
+                )?;
+                let taken = self.account_by_hash(&a.key_hash).map(|(n, _)| n.clone());
+                need(taken.is_none(), "this key is another account's")?;
+                self.accounts.insert(name.into(), a);
+            }
+            Kind::Entry => {
+                let e = Entry {
+                    domain: wanted(sets, "domain")?,
+                    callers: wanted(sets, "callers")?,
+                    inbox: wanted(sets, "inbox")?,
+                    drained: false,
+                };
+                known(sets, &["domain", "callers", "inbox"])?;
+                self.entries.insert(name.into(), e);
+            }
+            Kind::Member => {
+                known(sets, &["inbox"])?;
+                self.members.insert(name.into(), wanted(sets, "inbox")?);
+            }
+            Kind::Group => self.create_group(name, sets)?,
+        }
+        Ok(())
+    }
+
+    fn create_group(&mut self, name: &str, sets: &[Setting]) -> Result<(), String> {
+        known(sets, &["service", "ranks", "experts"])?;
+        let service: String = wanted(sets, "service")?;
+        let ranks: u32 = wanted(sets, "ranks")?;
+        let experts: u32 = wanted(sets, "experts")?;
+        need(
+            self.services.contains_key(&service),
+            "there is no such service",
+        )?;
+        need(
+            ranks > 0 && experts >= ranks,
+            "give at least one expert a rank",
+        )?;
+        let map = (0..experts).map(|e| e % ranks).collect();
+        let group = Group {
+            service,
+            ranks,
+            map_version: 1,
+            map_step: 0,
+            map,
+        };
+        self.groups.insert(name.into(), group);
+        Ok(())
+    }
+
+    fn alter(&mut self, kind: Kind, name: &str, sets: &[Setting]) -> Result<(), String> {
+        let missing = || format!("there is no {name}");
+        match kind {
+            Kind::Service => set_service(self.services.get_mut(name).ok_or_else(missing)?, sets),
+            Kind::Account => {
+                set_account(self.accounts.get_mut(name).ok_or_else(missing)?, sets)?;
+                let hash = self.accounts.get(name).map(|a| a.key_hash.clone());
+                let same = self
+                    .accounts
+                    .values()
+                    .filter(|a| Some(&a.key_hash) == hash.as_ref());
+                need(same.count() == 1, "this key is another account's")
+            }
+            Kind::Entry => {
+                let entry = self.entries.get_mut(name).ok_or_else(missing)?;
+                known(sets, &["domain", "callers", "inbox"])?;
+                let take = |s: &Setting| sets_entry(entry, s);
+                sets.iter().try_for_each(take)
+            }
+            Kind::Group | Kind::Member => Err("use switch group, or drop and create".into()),
+        }
+    }
+
+    fn drop_one(&mut self, kind: Kind, name: &str) -> Result<(), String> {
+        let gone = match kind {
+            Kind::Service => {
+                let used = self.groups.values().any(|g| g.service == name);
+                need(!used, "a group still backs this service")?;
+                self.services.shift_remove(name).is_some()
+            }
+            Kind::Account => self.accounts.shift_remove(name).is_some(),
+            Kind::Entry => self.entries.shift_remove(name).is_some(),
+            Kind::Group => self.groups.shift_remove(name).is_some(),
+            Kind::Member => {
+                need(self.members.len() > 1, "the last member stays")?;
+                self.members.shift_remove(name).is_some()
+            }
+        };
+        need(gone, &format!("there is no {name}"))
+    }
+
+    fn drain(&mut self, place: Place, name: &str, on: bool) -> Result<(), String> {
+        match place {
+            Place::Backend if on => {
+                self.drained.insert(name.into());
+            }
+            Place::Backend => {
+                need(self.drained.shift_remove(name), "it is not drained")?;
+            }
+            Place::Entry => {
+                let entry = self.entries.get_mut(name);
+                entry.ok_or_else(|| format!("there is no {name}"))?.drained = on;
+            }
+        }
+        Ok(())
+    }
+
+    fn switch(&mut self, name: &str, sets: &[Setting]) -> Result<(), String> {
+        known(sets, &["version", "step", "map"])?;
+        let group = self
+            .groups
+            .get_mut(name)
+            .ok_or_else(|| format!("there is no {name}"))?;
+        let version: u64 = wanted(sets, "version")?;
+        let step: u64 = wanted(sets, "step")?;
+        let text: String = wanted(sets, "map")?;
+        let map: Result<Vec<u32>, _> = text.split('.').map(str::parse).collect();
+        let map = map.map_err(|_| "map: give the rank of each expert, joined by '.'")?;
+        need(
+            version == group.map_version + 1,
+            "the version must follow the one in force",
+        )?;
+        need(
+            step >= group.map_step,
+            "the step lies before the last switch",
+        )?;
+        need(
+            map.len() == group.map.len(),
+            "the map must name every expert",
+        )?;
+        need(
+            map.iter().all(|r| *r < group.ranks),
+            "the map names a rank that is not there",
+        )?;
+        (group.map_version, group.map_step, group.map) = (version, step, map);
+        Ok(())
+    }
+}
+
+fn set_service(service: &mut Service, sets: &[Setting]) -> Result<(), String> {
+    for s in sets {
+        match s.name.as_str() {
+            "engine" => service.engine = value(s)?,
+            "repeatable" => service.repeatable = value(s)?,
+            "skew_weight" => service.skew_weight = positive(s)?,
+            "move_weight" => service.move_weight = positive(s)?,
+            _ => return Err(unknown(s)),
+        }
+    }
+    Ok(())
+}
+
+fn set_account(account: &mut Account, sets: &[Setting]) -> Result<(), String> {
+    for s in sets {
+        match s.name.as_str() {
+            "key" => account.key_hash = digest(&s.value),
+            "key_hash" => account.key_hash = s.value.to_ascii_lowercase(),
+            "rate" => account.rate = positive(s)?,
+            "share" => account.share = value(s)?,
+            "top" => {
+                let top = Priority::parse(&s.value);
+                account.top = top.ok_or("top: give batch, normal or urgent")?;
+            }
+            _ => return Err(unknown(s)),
+        }
+    }
+    Ok(())
+}
+
+fn sets_entry(entry: &mut Entry, s: &Setting) -> Result<(), String> {
+    match s.name.as_str() {
+        "domain" => entry.domain = s.value.clone(),
+        "callers" => entry.callers = value::<SocketAddr>(s)?,
+        _ => entry.inbox = value::<SocketAddr>(s)?,
+    }
+    Ok(())
+}
+
+fn need(holds: bool, reason: &str) -> Result<(), String> {
+    if holds { Ok(()) } else { Err(reason.into()) }
+}
+
+fn unknown(s: &Setting) -> String {
+    format!("there is no setting {:?} here", s.name)
+}
+
+fn known(sets: &[Setting], names: &[&str]) -> Result<(), String> {
+    let stray = sets.iter().find(|s| !names.contains(&s.name.as_str()));
+    stray.map_or(Ok(()), |s| Err(unknown(s)))
+}
+
+fn value<T: FromStr>(s: &Setting) -> Result<T, String> {
+    s.value
+        .parse()
+        .map_err(|_| format!("{}: {:?} does not fit", s.name, s.value))
+}
+
+fn positive(s: &Setting) -> Result<f64, String> {
+    let n: f64 = value(s)?;
+    need(
+        n.is_finite() && n >= 0.0,
+        &format!("{}: give a number, 0 or more", s.name),
+    )?;
+    Ok(n)
+}
+
+fn wanted<T: FromStr>(sets: &[Setting], name: &str) -> Result<T, String> {
+    let found = sets.iter().find(|s| s.name == name);
+    value(found.ok_or_else(|| format!("{name}=... is missing"))?)
+}
--- /dev/null
+++ b/crates/trace/src/events.rs
@@ -0,0 +1,166 @@
+//! Events of the time line: changes of state, stamped with a hybrid logical clock
+//! so that a cause sorts before its effect over all processes.
+
+use crate::{FileSnafu, Result};
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+use std::collections::VecDeque;
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Write};
+use std::path::Path;
+use std::sync::{Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Events a process keeps in memory.
+const RING: usize = 4096;
+/// Bits of a stamp that count events within one millisecond.
+const COUNT_BITS: u32 = 16;
+
+/// One change of state in one process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Hybrid logical clock: wall milliseconds << 16, then a counter.
+    pub stamp: u64,
+    /// Process id.
+    pub process: String,
+    /// What changed, such as `leader` or `drain`.
+    pub kind: String,
+    /// Particulars for people.
+    pub detail: String,
+}
+
+/// The bounded ring of one process, and its file where it has one.
+pub struct Events {
+    process: String,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    last: u64,
+    ring: VecDeque<Event>,
+    file: Option<File>,
+}
+
+impl Events {
+    /// Opens the ring, and appends to `path` where one is given.
+    pub fn open(process: &str, path: Option<&Path>) -> Result<Events> {
+        let file = path.map(append_to).transpose()?;
+        let inner = Inner {
+            last: 0,
+            ring: VecDeque::new(),
+            file,
+        };
+        Ok(Events {
+            process: process.into(),
+            inner: Mutex::new(inner),
+        })
+    }
+
+    /// Records a change of state, and logs it.
+    pub fn note(&self, kind: &str, detail: impl Into<String>) {
+        let detail = detail.into();
+        log::info!("{kind}: {detail}");
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.last = inner.last.max(wall_ms() << COUNT_BITS).max(inner.last + 1);
+        let event = Event {
+            stamp: inner.last,
+            process: self.process.clone(),
+            kind: kind.into(),
+            detail,
+        };
+        if let (Some(file), Ok(line)) = (inner.file.as_mut(), serde_json::to_string(&event)) {
+            // A full disk must not stop the process: the ring still has the event.
+            let _ = writeln!(file, "{line}");
+        }
+        if inner.ring.len() == RING {
+            inner.ring.pop_front();
+        }
+        inner.ring.push_back(event);
+    }
+
+    /// The latest stamp, to send along with a message.
+    pub fn stamp(&self) -> u64 {
+        self.inner
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .last
+    }
+
+    /// Takes in the stamp of a received message. A stamp further ahead than a
+    /// minute is ignored: one broken wall clock would drag every process along.
+    pub fn observe(&self, stamp: u64) {
+        const AHEAD_MS: u64 = 60_000;
+        if stamp >> COUNT_BITS > wall_ms() + AHEAD_MS {
+            return;
+        }
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.last = inner.last.max(stamp);
+    }
+
+    /// What the ring holds, oldest first.
+    pub fn recent(&self) -> Vec<Event> {
+        let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.ring.iter().cloned().collect()
+    }
+}
+
+/// Milliseconds since 1970 by the wall clock; for people, never for decisions.
+pub(crate) fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+fn append_to(path: &Path) -> Result<File> {
+    let shown = path.display().to_string();
+    OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path)
+        .context(FileSnafu { path: shown })
+}
+
+/// Reads events from JSON lines; a torn or foreign line is passed over.
+pub fn read_lines(path: &Path) -> Result<Vec<Event>> {
+    let shown = path.display().to_string();
+    let file = File::open(path).context(FileSnafu { path: shown })?;
+    let lines = BufReader::new(file)
+        .lines()
+        .map_while(std::result::Result::ok);
+    Ok(lines
+        .filter_map(|l| serde_json::from_str(&l).ok())
+        .collect())
+}
+
+/// One time line out of many: by stamp, then process; doubles removed.
+pub fn merge(mut events: Vec<Event>) -> Vec<Event> {
+    events.sort_by(|a, b| (a.stamp, &a.process).cmp(&(b.stamp, &b.process)));
+    events.dedup();
+    events
+}
+
+/// The time line as text, a line an event, milliseconds since the first.
+pub fn to_text(events: &[Event]) -> String {
+    let start = events.first().map_or(0, |e| e.stamp >> COUNT_BITS);
+    let line = |e: &Event| {
+        let ms = (e.stamp >> COUNT_BITS) - start;
+        format!(
+            "{ms:>9} ms  {:<12} {:<14} {}\n",
+            e.process, e.kind, e.detail
+        )
+    };
+    events.iter().map(line).collect()
+}
+
+/// The time line in the Chrome trace format.
+pub fn to_chrome(events: &[Event]) -> String {
+    let instant = |e: &Event| {
+        let micros = (e.stamp >> COUNT_BITS) * 1000 + (e.stamp & 0xffff).min(999);
+        serde_json::json!({
+            "name": e.kind, "ph": "i", "s": "p", "ts": micros, "pid": e.process,
+            "tid": e.kind, "args": {"detail": e.detail},
+        })
+    };
+    let rows: Vec<_> = events.iter().map(instant).collect();
+    serde_json::json!({ "traceEvents": rows }).to_string()
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! The schema's generated types: messages between the system's processes, stored
+//! records, and settings as they stand in JSON. Domain types live with their
+//! crates and convert with `From` and `TryFrom`.
+
+/// Messages and stored records; source: `proto/messages.proto`.
+#[allow(missing_docs, clippy::all)]
+pub mod messages {
+    include!("gen/bn.messages.rs");
+}
+
+/// Settings; source: `proto/settings.proto`.
+#[allow(missing_docs, clippy::all)]
+pub mod settings {
+    include!("gen/bn.settings.rs");
+}
