--- /dev/null
+++ b/crates/conf/tests/settings.rs
@@ -0,0 +1,84 @@
+//! The settings interface: every fault is reported at once, with field and remedy.
+
+use bn_conf::{Error, parse};
+use googletest::prelude::*;
+
+fn fields(text: &str) -> Vec<String> {
+    match parse(text) {
+        Err(Error::Faults { faults }) => faults.into_iter().map(|f| f.field).collect(),
+        other => panic!("{text}: {other:?}"),
+    }
+}
+
+const RIGHT: &str = r#"{"id": "e1", "domain": "d", "inbox": "127.0.0.1:1", "operators":
+    "127.0.0.1:2", "entry": {"callers": "127.0.0.1:3", "control": ["127.0.0.1:1"]}}"#;
+
+/// A part of the right settings, what stands there instead, the fields at fault.
+const FAULTS: [(&str, &str, &[&str]); 7] = [
+    (r#""e1""#, r#""""#, &["id"]),
+    (r#""e1""#, r#""e 1""#, &["id"]),
+    (r#""127.0.0.1:1", "op"#, r#""localhost:1", "op"#, &["inbox"]),
+    (r#"["127.0.0.1:1"]"#, "[]", &["entry.control"]),
+    (
+        r#"["127.0.0.1:1"]"#,
+        r#"["127.0.0.1:1", "x"]"#,
+        &["entry.control[1]"],
+    ),
+    (
+        r#""entry": {"#,
+        r#""entry": {"max_body_bytes": 99999999, "#,
+        &["entry.max_body_bytes"],
+    ),
+    (
+        r#""entry""#,
+        r#""entri""#,
+        &["entri", "entry, control, agent"],
+    ),
+];
+
+#[gtest]
+fn right_settings_are_taken() {
+    expect_that!(parse(RIGHT).map(|s| s.id), ok(eq("e1")));
+}
+
+#[gtest]
+fn each_fault_names_its_field() {
+    for (part, instead, wrong) in FAULTS {
+        expect_that!(RIGHT.matches(part).count(), ge(1), "{part}");
+        let text = RIGHT.replacen(part, instead, 1);
+        expect_that!(fields(&text), eq(&wrong.to_vec()), "{text}");
+    }
+}
+
+#[gtest]
+fn all_faults_come_at_once() {
+    let text = r#"{"id": "", "colour": 1, "inbox": "x", "operators": "127.0.0.1:2",
+        "log": {"level": "loud"}, "control": {"data": ""}}"#;
+
+    let wanted = [
+        "colour",
+        "id",
+        "domain",
+        "inbox",
+        "log.level",
+        "control.data",
+    ];
+    expect_that!(
+        fields(text).iter().map(String::as_str).collect::<Vec<_>>(),
+        unordered_elements_are![
+            eq(&wanted[0]),
+            eq(&wanted[1]),
+            eq(&wanted[2]),
+            eq(&wanted[3]),
+            eq(&wanted[4]),
+            eq(&wanted[5])
+        ]
+    );
+}
+
+#[gtest]
+fn a_wrong_type_names_line_and_column() {
+    let fault = parse(r#"{"id": 7}"#).unwrap_err().to_string();
+
+    expect_that!(fault, contains_substring("line 1 column"));
+}
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -44,14 +44,16 @@
     pub(super) fn members_table(&self) -> Table {
         let mut t = Table::new(&["member", "inbox", "state", "synced", "behind", "leader"]);
         let last = self.quorum.last_index();
+        let settled = self.quorum.members_settled();
         for (id, matched, same) in self.quorum.progress() {
             let Some(member) = self.quorum.members().get(&id) else {
                 continue;
             };
-            let state = match (same, member.voter) {
-                (false, _) => "emptied",
-                (true, true) => "voter",
-                (true, false) => "learner",
+            let state = match (same, member.voter, settled) {
+                (false, _, _) => "emptied",
+                (true, true, true) => "voter",
+                (true, true, false) => "joining",
+                (true, false, _) => "learner",
             };
             t.rows.push(vec![
                 id.clone().into(),
--- /dev/null
+++ b/crates/quorum/benches/schedules.rs
@@ -0,0 +1,35 @@
+//! Random schedules of faults with free seeds: `cargo bench -p bn-quorum`. The number
+//! of schedules is `BN_SCHEDULES`, 2,000 where it is not set.
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use proptest::test_runner::{Config, TestRunner};
+use std::process::ExitCode;
+use std::time::Instant;
+use world::{play, schedules};
+
+fn main() -> ExitCode {
+    let cases = std::env::var("BN_SCHEDULES")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(2000);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let start = Instant::now();
+    let outcome = TestRunner::new(config).run(&schedules(), |(s, a)| play(s, &a));
+    let seconds = start.elapsed().as_secs_f64();
+    match outcome {
+        Ok(()) => {
+            println!("{cases} schedules in {seconds:.1} s, none broke a promise");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            println!("a schedule broke a promise: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/quorum/src/step.rs
+++ b/crates/quorum/src/step.rs
@@ -190,6 +190,12 @@
         &self.members
     }
 
+    /// The members in use are committed. Until then a repair is not complete: if the
+    /// leader is lost too, the learner it promoted may still count for nothing.
+    pub fn members_settled(&self) -> bool {
+        self.members_index <= self.commit
+    }
+
     /// Its own id.
     pub fn id(&self) -> &MemberId {
         &self.setup.id
--- a/crates/state/src/apply.rs
+++ b/crates/state/src/apply.rs
@@ -94,7 +94,10 @@
     fn attempt(&mut self, command: &Command) -> Result<()> {
         let statements =
             bn_query::parse(&command.text).map_err(|source| Refusal::Syntax { source })?;
+        // What was seen is large and no statement touches it: it is not copied.
+        let seen = std::mem::take(&mut self.seen);
         let mut next = self.clone();
+        self.seen = seen;
         for (i, statement) in statements.iter().enumerate() {
             let at = |reason| Refusal::Statement {
                 position: i + 1,
@@ -105,6 +108,7 @@
         if !next.entries.keys().eq(self.entries.keys()) {
             next.claim_epoch = self.revision;
         }
+        next.seen = std::mem::take(&mut self.seen);
         *self = next;
         Ok(())
     }
