--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -36,8 +36,10 @@
     pub id: String,
     /// Failure domain it stands in.
     pub domain: String,
-    /// Where it listens for the system's own messages.
+    /// Where others reach it for the system's own messages.
     pub inbox: SocketAddr,
+    /// Where it listens for them: the inbox, unless something stands in between.
+    pub listen: SocketAddr,
     /// Where it listens for operators, metrics and announcements.
     pub operators: SocketAddr,
     /// What it logs, and where.
@@ -180,8 +182,13 @@
             "give the section of at least one role",
         );
     }
+    let inbox = faults.address("inbox", &raw.inbox);
     let checked = Settings {
-        inbox: faults.address("inbox", &raw.inbox),
+        inbox,
+        listen: match raw.listen.as_str() {
+            "" => inbox,
+            other => faults.address("listen", other),
+        },
         operators: faults.address("operators", &raw.operators),
         log: logging(raw.log.unwrap_or_default(), &mut faults),
         entry: raw.entry.map(|e| entry(&e, &mut faults)),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -48,20 +48,21 @@
 }
 
 impl Net {
-    /// Opens the inbox at `address`; `sink` gets each message on the inbox's own
-    /// thread and must not block for long.
+    /// Opens the inbox at `listen`, which others reach at `inbox`; `sink` gets each
+    /// message on the inbox's own thread and must not block for long.
     pub fn open(
         id: &str,
         incarnation: u64,
-        address: SocketAddr,
+        inbox: SocketAddr,
+        listen: SocketAddr,
         sink: impl Fn(Envelope) + Send + 'static,
     ) -> Result<Net> {
-        let socket = listen(address).context(OpenSnafu { address })?;
+        let socket = open(listen).context(OpenSnafu { address: listen })?;
         thread::spawn(move || receive(&socket, sink));
         let inner = Inner {
             id: id.into(),
             incarnation,
-            inbox: address.to_string(),
+            inbox: inbox.to_string(),
             links: Mutex::default(),
         };
         Ok(Net(Arc::new(inner)))
@@ -113,7 +114,7 @@
     }
 }
 
-fn listen(address: SocketAddr) -> nng::Result<Socket> {
+fn open(address: SocketAddr) -> nng::Result<Socket> {
     let socket = Socket::new(Protocol::Pull0)?;
     socket.set_opt::<RecvMaxSize>(LARGEST_MESSAGE)?;
     socket.listen(&format!("tcp://{address}"))?;
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -13,17 +13,13 @@
             return;
         }
         let members = self.quorum.members();
-        let emptied = self
-            .quorum
-            .progress()
-            .into_iter()
-            .find(|(_, _, same)| !same);
+        let emptied = self.quorum.standings().into_iter().find(|s| !s.genuine);
         let moved = |id: &String| {
             let now = members.get(id).map(|m| m.address.clone());
             wanted.get(id).map(ToString::to_string) != now
         };
         let away = emptied
-            .map(|(id, _, _)| id)
+            .map(|s| s.id)
             .or_else(|| members.keys().find(|id| moved(id)).cloned());
         if let Some(id) = away {
             if self.quorum.remove(&id).is_ok() {
@@ -45,15 +41,17 @@
         let mut t = Table::new(&["member", "inbox", "state", "synced", "behind", "leader"]);
         let last = self.quorum.last_index();
         let settled = self.quorum.members_settled();
-        for (id, matched, same) in self.quorum.progress() {
+        for standing in self.quorum.standings() {
+            let (id, matched) = (standing.id, standing.synced);
             let Some(member) = self.quorum.members().get(&id) else {
                 continue;
             };
-            let state = match (same, member.voter, settled) {
-                (false, _, _) => "emptied",
-                (true, true, true) => "voter",
-                (true, true, false) => "joining",
-                (true, false, _) => "learner",
+            let state = match () {
+                () if !standing.genuine => "emptied",
+                () if standing.silent => "silent",
+                () if !member.voter => "learner",
+                () if settled => "voter",
+                () => "joining",
             };
             t.rows.push(vec![
                 id.clone().into(),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -95,9 +95,13 @@
         rings.control.clone(),
     );
     let incarnation = rand::random::<u64>() | 1;
-    let net = Net::open(&settings.id, incarnation, settings.inbox, move |e| {
-        rings.sort(e)
-    })?;
+    let net = Net::open(
+        &settings.id,
+        incarnation,
+        settings.inbox,
+        settings.listen,
+        move |e| rings.sort(e),
+    )?;
     let common = Common {
         id: settings.id.clone(),
         domain: settings.domain.clone(),
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -2,7 +2,7 @@
 //! members one at a time.
 
 use crate::members::{Progress, genuine, reached, with_learner, without};
-use crate::model::{Entry, Index, Kind, MemberId, Payload, Role};
+use crate::model::{Entry, Index, Kind, MemberId, Payload, Role, Standing};
 use crate::step::Quorum;
 use crate::{Error, Result};
 use indexmap::IndexMap;
@@ -13,6 +13,8 @@
 const BATCH: u64 = 256;
 /// Entries sent to a follower and not yet answered at most.
 const WINDOW: u64 = 2048;
+/// Rounds without an answer after which a member counts as silent.
+const SILENT_ROUNDS: u64 = 3;
 /// Rounds remembered for the lease.
 const ROUNDS: usize = 64;
 
@@ -68,20 +70,25 @@
         self.commit >= self.lead.first && self.lease_until().is_some_and(|until| now < until)
     }
 
-    /// For each member: the last index synced there, and whether the identity it
-    /// last showed is the settled one. Empty where this replica does not lead.
-    pub fn progress(&self) -> Vec<(MemberId, Index, bool)> {
+    /// How each member stands. Empty where this replica does not lead.
+    pub fn standings(&self) -> Vec<Standing> {
         if self.role != Role::Leader {
             return Vec::new();
         }
-        let row = |id: &MemberId| {
-            let matched = self.matched_of(id);
+        let standing = |id: &MemberId| {
             let seen = self.lead.progress.get(id).map_or(0, |p| p.identity);
-            // Nothing heard of it yet says nothing of its identity.
-            let same = *id == self.setup.id || seen == 0 || genuine(&self.members, id, seen);
-            (id.clone(), matched, same)
+            let me = *id == self.setup.id;
+            let round = self.lead.progress.get(id).map_or(0, |p| p.answered);
+            let missed = self.lead.round.saturating_sub(round);
+            Standing {
+                id: id.clone(),
+                synced: self.matched_of(id),
+                // Nothing heard of it yet says nothing of its identity.
+                genuine: me || seen == 0 || genuine(&self.members, id, seen),
+                silent: !me && missed > SILENT_ROUNDS,
+            }
         };
-        self.members.keys().map(row).collect()
+        self.members.keys().map(standing).collect()
     }
 
     pub(crate) fn start_leading(&mut self, now: Duration) {
@@ -143,6 +150,7 @@
                 ..Progress::default()
             };
         }
+        progress.answered = progress.answered.max(round);
         if counts {
             progress.round = progress.round.max(round);
         }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use model::{
     Entry, HardState, Index, Kind, Member, MemberId, Members, Message, Output, Payload, Restored,
-    Role, Setup, Snapshot, Term, Timing,
+    Role, Setup, Snapshot, Standing, Term, Timing,
 };
 pub use step::Quorum;
 
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -79,6 +79,8 @@
     pub(crate) identity: u64,
     /// Latest lease round it answered.
     pub(crate) round: u64,
+    /// Latest round it answered under any identity.
+    pub(crate) answered: u64,
     /// Matched at the last heartbeat, to notice lost messages.
     pub(crate) before: Index,
 }
--- a/crates/quorum/src/model.rs
+++ b/crates/quorum/src/model.rs
@@ -117,6 +117,19 @@
     pub seed: u64,
 }
 
+/// How a member stands, as its leader sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// The member.
+    pub id: MemberId,
+    /// Last index known to be synced there.
+    pub synced: Index,
+    /// Its data folder is the one that is counted on.
+    pub genuine: bool,
+    /// It has not answered for some rounds.
+    pub silent: bool,
+}
+
 /// What a replica is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
--- a/crates/quorum/tests/schedules.rs
+++ b/crates/quorum/tests/schedules.rs
@@ -1,6 +1,7 @@
 //! The promises of the log under random schedules of faults; seeds are fixed here
 //! and free in `cargo bench -p bn-quorum`.
 
+#[allow(dead_code)]
 mod world;
 
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
--- a/crates/quorum/tests/world/mod.rs
+++ b/crates/quorum/tests/world/mod.rs
@@ -31,6 +31,8 @@
     Cut(usize),
     /// Silent cut, outgoing only.
     Mute(usize),
+    /// Silent cut between two only, so that a third hears both.
+    CutPair(usize, usize),
     /// All cuts end; what was held is delivered late.
     Heal,
     /// One message in so many is lost, and as many are doubled.
@@ -51,6 +53,7 @@
         3 => who.clone().prop_map(Action::Start),
         2 => who.clone().prop_map(Action::Cut),
         1 => who.clone().prop_map(Action::Mute),
+        3 => (who.clone(), who.clone()).prop_map(|(a, b)| Action::CutPair(a, b)),
         2 => Just(Action::Heal),
         1 => (0u8..30).prop_map(Action::Lose),
         2 => who.clone().prop_map(Action::Empty),
@@ -171,22 +174,46 @@
             Action::Start(_) => {}
             Action::Cut(i) => self.cut_all(i, true),
             Action::Mute(i) => self.cut_all(i, false),
+            Action::CutPair(a, b) => self.cut.extend([(a, b), (b, a)]),
             Action::Heal => self.cut.clear(),
             Action::Lose(percent) => self.loss = percent,
-            Action::Empty(i) => {
-                if self.repaired() {
-                    self.disks[i] = Disk {
-                        identity: self.rng.random::<u64>() | 1,
-                        ..Disk::default()
-                    };
-                    self.start(i);
-                }
-            }
+            Action::Empty(i) if self.repaired() => self.empty(i),
+            Action::Empty(_) => {}
             Action::Compact(i) => self.compact(i),
         }
         Ok(())
     }
 
+    /// Empties a disk, whatever else is under way.
+    pub(crate) fn empty(&mut self, i: usize) {
+        let identity = self.rng.random::<u64>() | 1;
+        self.disks[i] = Disk {
+            identity,
+            ..Disk::default()
+        };
+        self.start(i);
+    }
+
+    /// Who leads under a lease.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let leads = |i: &usize| {
+            self.running[*i]
+                .as_ref()
+                .is_some_and(|q| q.may_grant(self.clock(*i)))
+        };
+        (0..REPLICAS).find(leads)
+    }
+
+    /// The replica, where it runs.
+    pub(crate) fn replica(&mut self, i: usize) -> &mut Quorum {
+        self.running[i].as_mut().unwrap()
+    }
+
+    /// Highest index that a leader acknowledged.
+    pub(crate) fn acked(&self) -> Index {
+        self.acked
+    }
+
     fn cut_all(&mut self, i: usize, both: bool) {
         for other in (0..REPLICAS).filter(|o| *o != i) {
             self.cut.insert((i, other));
@@ -197,7 +224,7 @@
     }
 
     /// Every voter that the latest leader counts on still has the disk it counts on.
-    fn repaired(&self) -> bool {
+    pub(crate) fn repaired(&self) -> bool {
         let leader = self
             .running
             .iter()
@@ -212,7 +239,7 @@
         leader.members_settled() && members.len() == REPLICAS && members.iter().all(held)
     }
 
-    fn propose(&mut self) -> Result<(), TestCaseError> {
+    pub(crate) fn propose(&mut self) -> Result<(), TestCaseError> {
         self.proposed += 1;
         let command = self.proposed.to_le_bytes().to_vec();
         for i in 0..REPLICAS {
@@ -329,9 +356,9 @@
         let Some(q) = self.running[i].as_mut() else {
             return;
         };
-        let emptied = q.progress().into_iter().find(|(_, _, same)| !same);
-        if let Some((id, _, _)) = emptied {
-            let _ = q.remove(&id);
+        let emptied = q.standings().into_iter().find(|s| !s.genuine);
+        if let Some(standing) = emptied {
+            let _ = q.remove(&standing.id);
             return;
         }
         let missing = (0..REPLICAS)
@@ -374,7 +401,7 @@
     }
 
     /// All faults end; everything acknowledged must be everywhere.
-    fn settle(&mut self) -> Result<(), TestCaseError> {
+    pub(crate) fn settle(&mut self) -> Result<(), TestCaseError> {
         self.cut.clear();
         self.loss = 0;
         for i in 0..REPLICAS {
--- a/crates/wire/src/gen/bn.settings.rs
+++ b/crates/wire/src/gen/bn.settings.rs
@@ -24,6 +24,9 @@
     pub control: ::core::option::Option<ControlSettings>,
     #[prost(message, optional, tag = "8")]
     pub agent: ::core::option::Option<AgentSettings>,
+    /// where the inbox listens, if not at `inbox` itself
+    #[prost(string, tag = "9")]
+    pub listen: ::prost::alloc::string::String,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
