Control cost measured against nodes; entry lists and profiles sent only on change

Counters by message kind (new) named agent_lease: each answer to each agent listed every entry. switch_order carried the expert map in every grant: 12.3 KB/s for 16 ranks. Ruled out: lease grants (270 B/s for 6 entries) and the log's heartbeats (1.1 KB/s).

--- a/crates/claim/src/holders.rs
+++ b/crates/claim/src/holders.rs
@@ -6,9 +6,14 @@
 /// Holders a key has.
 pub const HOLDERS: usize = 3;
 
-/// The holders of `key` among entries `(id, failure domain)`: by rendezvous hashing,
-/// in different failure domains as far as there are so many.
-pub fn choose<'a>(key: &str, entries: impl Iterator<Item = (&'a str, &'a str)>) -> Vec<&'a str> {
+/// `count` of the entries `(id, failure domain)` for `key`: by rendezvous hashing, so
+/// that a change of one entry moves few keys, and in different failure domains as far
+/// as there are so many.
+pub fn choose<'a>(
+    key: &str,
+    count: usize,
+    entries: impl Iterator<Item = (&'a str, &'a str)>,
+) -> Vec<&'a str> {
     let mut ranked: Vec<_> = entries
         .map(|(id, domain)| (weight(key, id), id, domain))
         .collect();
@@ -18,7 +23,7 @@
         for (_, id, domain) in &ranked {
             let fresh = !chosen.iter().any(|(_, d)| d == domain);
             let new = !chosen.iter().any(|(i, _)| i == id);
-            if chosen.len() < HOLDERS && new && (fresh || !fresh_only) {
+            if chosen.len() < count && new && (fresh || !fresh_only) {
                 chosen.push((id, domain));
             }
         }
--- a/crates/claim/tests/claims.rs
+++ b/crates/claim/tests/claims.rs
@@ -144,7 +144,7 @@
         .collect();
     for n in 0..50 {
         let all = entries.iter().map(|(e, d)| (e.as_str(), d.as_str()));
-        let chosen = choose(&format!("key {n}"), all);
+        let chosen = choose(&format!("key {n}"), 3, all);
         let domains: std::collections::HashSet<_> = chosen
             .iter()
             .filter_map(|c| entries.iter().find(|(e, _)| e == c).map(|(_, d)| d))
--- /dev/null
+++ b/crates/cli/src/cmd/bench/load.rs
@@ -0,0 +1,254 @@
+//! `bench load`: an open loop with seeded arrivals. Reports first-token and
+//! between-token times, refusals by verdict, and how evenly replicas were used.
+
+use super::{page, table};
+use crate::cmd::demo::first_address;
+use crate::error::{CliResult, Error};
+use crate::http;
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::io::Read;
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest time in a histogram, in microseconds.
+const MOST_MICROS: u64 = 60_000_000;
+const DIGITS: u8 = 3;
+
+#[derive(clap::Args)]
+#[command(after_help = "Examples:\n  \
+    buckthornnotch bench load --ask 127.0.0.1:7101 --rate 200 --seconds 20\n  \
+    buckthornnotch bench load --direct 127.0.0.1:7501,127.0.0.1:7502 --rate 200")]
+pub(crate) struct Args {
+    /// Callers' addresses, used in turn; the first is asked for the others.
+    #[arg(long, default_value = "127.0.0.1:7101")]
+    ask: String,
+    /// Send straight to these backend servers in turn, for comparison.
+    #[arg(long, value_delimiter = ',')]
+    direct: Vec<String>,
+    /// Operators' addresses whose processor time is counted.
+    #[arg(long, value_delimiter = ',')]
+    count: Vec<String>,
+    #[arg(long, default_value = "notice-gen")]
+    service: String,
+    #[arg(long, default_value = "key-a1")]
+    key: String,
+    /// Requests a second.
+    #[arg(long, default_value_t = 100)]
+    rate: u32,
+    #[arg(long, default_value_t = 10)]
+    seconds: u32,
+    /// Tokens an answer.
+    #[arg(long, default_value_t = 32)]
+    tokens: usize,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Each request carries an idempotency key.
+    #[arg(long)]
+    keyed: bool,
+}
+
+/// What one request saw.
+struct Seen {
+    first: Duration,
+    gaps: Vec<Duration>,
+    /// Whole, or why not.
+    end: String,
+    replica: String,
+}
+
+pub(crate) fn run(args: &Args) -> CliResult {
+    let targets = targets(args)?;
+    let before = cpu(args)?;
+    let seen = send_all(args, &targets);
+    // What the last requests cost is in the counters by now.
+    thread::sleep(Duration::from_millis(300));
+    let used = cpu(args)? - before;
+    report(args, &seen, used)
+}
+
+fn targets(args: &Args) -> CliResult<Vec<String>> {
+    if !args.direct.is_empty() {
+        return Ok(args.direct.clone());
+    }
+    first_address(&args.ask)?;
+    let text = http::get(&format!("http://{}/v1/addresses", args.ask), TIMEOUT)?.text;
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+    let all = value
+        .get("addresses")
+        .and_then(|a| a.as_array())
+        .cloned()
+        .unwrap_or_default();
+    Ok(all
+        .iter()
+        .filter_map(|a| a.as_str().map(String::from))
+        .collect())
+}
+
+fn cpu(args: &Args) -> CliResult<f64> {
+    args.count
+        .iter()
+        .map(|a| page::read(a).map(|c| c.cpu_seconds))
+        .sum()
+}
+
+fn send_all(args: &Args, targets: &[String]) -> Vec<Seen> {
+    let mut rng = SmallRng::seed_from_u64(args.seed);
+    let (tx, rx) = mpsc::channel();
+    let start = Instant::now();
+    let mut at = 0.0;
+    for i in 0..args.rate * args.seconds {
+        // Exponential gaps: arrivals do not know of each other.
+        at += -(1.0 - rng.random::<f64>()).ln() / f64::from(args.rate);
+        let due = start + Duration::from_secs_f64(at);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let Some(target) = targets.get(i as usize % targets.len().max(1)) else {
+            break;
+        };
+        let request = Request {
+            url: match args.direct.is_empty() {
+                true => format!("http://{target}/svc/{}/v1/run", args.service),
+                false => format!("http://{target}/v1/run"),
+            },
+            key: args.key.clone(),
+            idempotency: args.keyed.then(|| uuid::Uuid::now_v7().to_string()),
+            prompt: format!("load {} {i}", args.seed),
+            tokens: args.tokens,
+            due,
+        };
+        let tx = tx.clone();
+        thread::spawn(move || drop(tx.send(request.send())));
+    }
+    drop(tx);
+    rx.into_iter().collect()
+}
+
+struct Request {
+    url: String,
+    key: String,
+    idempotency: Option<String>,
+    prompt: String,
+    tokens: usize,
+    /// When it was due: a late start counts as waiting.
+    due: Instant,
+}
+
+impl Request {
+    fn send(self) -> Seen {
+        let mut seen = Seen {
+            first: Duration::ZERO,
+            gaps: Vec::new(),
+            end: String::new(),
+            replica: String::new(),
+        };
+        seen.end = self
+            .read(&mut seen)
+            .unwrap_or_else(|e| format!("cut: {e:.60}"));
+        seen
+    }
+
+    fn read(&self, seen: &mut Seen) -> Result<String, String> {
+        let body = serde_json::json!({ "prompt": self.prompt, "tokens": self.tokens });
+        let mut request = http::agent(TIMEOUT)
+            .post(&self.url)
+            .header("authorization", format!("Bearer {}", self.key));
+        if let Some(key) = &self.idempotency {
+            request = request.header("idempotency-key", key);
+        }
+        let response = request.send(body.to_string()).map_err(|e| e.to_string())?;
+        let header = |name: &str| {
+            let value = response.headers().get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or_default().to_string()
+        };
+        let (verdict, replica) = (header("x-verdict"), header("x-fake"));
+        let status = response.status().as_u16();
+        seen.replica = replica;
+        let mut reader = response.into_body().into_reader();
+        let (mut text, mut buffer) = (Vec::new(), [0u8; 4096]);
+        let mut last = self.due;
+        loop {
+            let n = reader.read(&mut buffer).map_err(|e| e.to_string())?;
+            if n == 0 {
+                break;
+            }
+            let now = Instant::now();
+            match text.is_empty() {
+                true => seen.first = now - self.due,
+                false => seen.gaps.push(now - last),
+            }
+            last = now;
+            text.extend_from_slice(buffer.get(..n).unwrap_or_default());
+        }
+        if !verdict.is_empty() {
+            return Ok(format!("{verdict} ({status})"));
+        }
+        let right = bn_fake::expected(&self.prompt, self.tokens);
+        Ok(if text == right.as_bytes() {
+            "whole"
+        } else {
+            "wrong"
+        }
+        .into())
+    }
+}
+
+fn report(args: &Args, seen: &[Seen], cpu: f64) -> CliResult {
+    let whole: Vec<&Seen> = seen.iter().filter(|s| s.end == "whole").collect();
+    let firsts = histogram(whole.iter().map(|s| s.first))?;
+    let gaps = histogram(whole.iter().flat_map(|s| s.gaps.iter().copied()))?;
+    let mut times = table(&["time in ms", "50%", "95%", "99%", "most"]);
+    for (name, h) in [("first token", &firsts), ("between tokens", &gaps)] {
+        let at = |q: f64| format!("{:.1}", h.value_at_quantile(q) as f64 / 1e3);
+        times.add_row([name.into(), at(0.5), at(0.95), at(0.99), at(1.0)]);
+    }
+    println!("{times}\n");
+    let mut ends: IndexMap<&str, usize> = IndexMap::new();
+    let mut replicas: IndexMap<&str, usize> = IndexMap::new();
+    for s in seen {
+        *ends.entry(&s.end).or_default() += 1;
+    }
+    for s in &whole {
+        *replicas.entry(&s.replica).or_default() += 1;
+    }
+    ends.sort_unstable_by(|_, a, _, b| b.cmp(a));
+    for (end, count) in &ends {
+        println!("{count:>7} {end}");
+    }
+    let most = replicas.values().copied().max().unwrap_or(0) as f64;
+    let mean = whole.len() as f64 / replicas.len().max(1) as f64;
+    println!(
+        "\n{} replicas, busiest over mean {:.2}",
+        replicas.len(),
+        most / mean.max(1.0)
+    );
+    if !args.count.is_empty() {
+        let each = cpu / seen.len().max(1) as f64;
+        println!(
+            "processor time of {} processes: {:.2} ms a request",
+            args.count.len(),
+            each * 1e3
+        );
+    }
+    let wrong = ends.get("wrong").copied().unwrap_or(0);
+    match wrong {
+        0 => Ok(()),
+        n => Err(Error::Failed {
+            reason: format!("{n} wrong answers"),
+        }),
+    }
+}
+
+fn histogram(times: impl Iterator<Item = Duration>) -> CliResult<Histogram<u64>> {
+    let made = Histogram::new_with_bounds(1, MOST_MICROS, DIGITS);
+    let mut h = made.map_err(|e| Error::Failed {
+        reason: e.to_string(),
+    })?;
+    for t in times {
+        h.saturating_record((t.as_micros() as u64).max(1));
+    }
+    Ok(h)
+}
--- a/crates/cli/src/cmd/ctl.rs
+++ b/crates/cli/src/cmd/ctl.rs
@@ -79,6 +79,21 @@
     Ok(())
 }
 
+/// Sends one command under a fresh number; fails where it is not accepted.
+pub(crate) fn post_command(at: &str, operator: &str, text: &str) -> CliResult {
+    let (number, token) = (clock_number(), "once");
+    let body = json!({ "operator": operator, "number": number, "token": token, "text": text });
+    let reply = http::post(
+        &format!("http://{at}/v1/command"),
+        &body.to_string(),
+        TIMEOUT,
+    )?;
+    match reply.status {
+        200 => Ok(()),
+        _ => Err(Error::Refused { reason: reply.text }),
+    }
+}
+
 /// Microseconds since 1970: grows, and two operators hardly ever meet.
 fn clock_number() -> u64 {
     SystemTime::now()
--- a/crates/cli/tests/answers.rs
+++ b/crates/cli/tests/answers.rs
@@ -10,7 +10,7 @@
 use bn_net::Net;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::finish::Kind;
-use bn_wire::messages::{Attach, Finish, Piece, Started};
+use bn_wire::messages::{Attach, Finish, Piece, Profile, Started};
 use googletest::prelude::*;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -209,10 +209,13 @@
 fn attach(name: &str, clock: Duration) -> Attach {
     Attach {
         agent_ms: clock.as_millis() as u64,
-        name: name.into(),
-        service: name.into(),
-        capacity: 4,
         healthy: true,
+        profile: Some(Profile {
+            name: name.into(),
+            service: name.into(),
+            capacity: 4,
+            ..Profile::default()
+        }),
         ..Attach::default()
     }
 }
--- a/crates/fake/src/serve.rs
+++ b/crates/fake/src/serve.rs
@@ -263,7 +263,11 @@
                 out,
             };
             shared.engine().add(job);
-            Response::new(BodyExt::boxed(StreamBody::new(Tokens(tokens))))
+            let mut response = Response::new(BodyExt::boxed(StreamBody::new(Tokens(tokens))));
+            if let Ok(name) = shared.name.parse() {
+                response.headers_mut().insert("x-fake", name);
+            }
+            response
         }
     }
 }
--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -189,7 +189,10 @@
                 version,
                 from,
                 until,
-                map: self.settled.map.clone(),
+                map: match report.version == self.settled.version {
+                    true => String::new(),
+                    false => self.settled.map.clone(),
+                },
             });
         }
         let order = |kind| Order {
--- a/crates/group/src/rank.rs
+++ b/crates/group/src/rank.rs
@@ -32,7 +32,7 @@
         from: Step,
         /// First step that is not granted.
         until: Step,
-        /// The map, as text, for a rank that has not loaded it.
+        /// The map, as text, for a rank that may not have loaded it; else empty.
         map: String,
     },
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -76,6 +76,7 @@
     /// Queues a message. `false` says that it was not queued, so no byte of it was
     /// or will be sent; `true` says nothing about arrival.
     pub fn send(&self, to: SocketAddr, body: Body) -> bool {
+        let kind = kind(&body);
         let envelope = Envelope {
             from: self.0.id.clone(),
             incarnation: self.0.incarnation,
@@ -85,6 +86,7 @@
         let bytes = envelope.encode_to_vec();
         metrics::counter!("link_messages").increment(1);
         metrics::counter!("link_bytes").increment(bytes.len() as u64);
+        metrics::counter!("link_kind_bytes", "kind" => kind).increment(bytes.len() as u64);
         let sent = self
             .link(to)
             .is_some_and(|l| l.try_send(&bytes[..]).is_ok());
@@ -114,6 +116,28 @@
     }
 }
 
+/// Name of a message's kind, for counters.
+fn kind(body: &Body) -> &'static str {
+    match body {
+        Body::Attach(_) => "attach",
+        Body::AgentLease(_) => "agent_lease",
+        Body::Dispatch(_) => "dispatch",
+        Body::Cancel(_) => "cancel",
+        Body::Started(_) => "started",
+        Body::Piece(_) => "piece",
+        Body::Finish(_) => "finish",
+        Body::LeaseAsk(_) => "lease_ask",
+        Body::LeaseGrant(_) => "lease_grant",
+        Body::Proposal(_) => "proposal",
+        Body::Outcome(_) => "outcome",
+        Body::Quorum(_) => "quorum",
+        Body::ClaimAsk(_) => "claim_ask",
+        Body::ClaimAnswer(_) => "claim_answer",
+        Body::SwitchOrder(_) => "switch_order",
+        Body::SwitchReport(_) => "switch_report",
+    }
+}
+
 fn open(address: SocketAddr) -> nng::Result<Socket> {
     let socket = Socket::new(Protocol::Pull0)?;
     socket.set_opt::<RecvMaxSize>(LARGEST_MESSAGE)?;
@@ -138,7 +162,10 @@
             Err(_) => continue,
         };
         match Envelope::decode(&bytes[..]) {
-            Ok(envelope) => sink(envelope),
+            Ok(envelope) => {
+                metrics::counter!("link_received_bytes").increment(bytes.len() as u64);
+                sink(envelope);
+            }
             Err(_) => metrics::counter!("link_undecodable").increment(1),
         }
     }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -9,8 +9,9 @@
 
 use crate::Result;
 use crate::clock::ms;
+use crate::entry::digest_of;
 use crate::run::Common;
-use announce::Announcement;
+use announce::{Announcement, Load};
 use bn_claim::{Gate, RunKey};
 use bn_conf::Agent as Conf;
 use bn_group::{Order, OrderKind, Rank};
@@ -18,7 +19,7 @@
 use bn_wire::messages::finish::Kind;
 use bn_wire::messages::switch_order::Kind as OrderWire;
 use bn_wire::messages::{
-    AgentLease, Attach, Dispatch, Envelope, Finish, SwitchOrder, SwitchReport,
+    AgentLease, Attach, Dispatch, Envelope, Finish, Profile, SwitchOrder, SwitchReport,
 };
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use indexmap::{IndexMap, IndexSet};
@@ -30,12 +31,16 @@
 
 const TICK: Duration = Duration::from_millis(20);
 const GROUP: usize = 256;
+/// After so long without any entry's answer the list of entries is in doubt.
+const LOST: Duration = Duration::from_secs(10);
 /// Between two reports to each entry.
-const REPORT: Duration = Duration::from_millis(500);
+const REPORT: Duration = Duration::from_secs(1);
 /// A backend server that has not announced itself for this long is not served.
 const SILENCE: Duration = Duration::from_secs(3);
 /// Entries that never answer are asked this often, so that they cost little.
 const SEEK: Duration = Duration::from_secs(2);
+/// Between two reports of a rank, unless something changed.
+const RANK_REPORT: Duration = Duration::from_secs(1);
 
 /// What the agent thread is told.
 pub(crate) enum Event {
@@ -54,6 +59,8 @@
 struct Attached {
     due: Duration,
     heard: Option<Duration>,
+    /// It has the profile of this start.
+    knows: bool,
 }
 
 /// The agent role's state.
@@ -70,6 +77,12 @@
     orders: Sender<orders::Errand>,
     /// Where the control leader listens.
     leader: Option<SocketAddr>,
+    /// Digest of the entries it was told to report to.
+    entries_digest: u32,
+    /// Revision of the list of entries it follows.
+    followed: u64,
+    /// When the leader was last told of the rank, and what.
+    rank_told: (Duration, u64, u64),
     /// Requests that run, each with its flag of being cancelled.
     running: HashMap<RunKey, Arc<AtomicBool>>,
     stopping: bool,
@@ -92,6 +105,9 @@
             orders: orders::start(common.events.clone()),
             common,
             leader: None,
+            entries_digest: 0,
+            followed: 0,
+            rank_told: (Duration::ZERO, 0, 0),
             running: HashMap::new(),
             stopping: false,
         }
@@ -161,6 +177,7 @@
         self.backend = Some(announcement);
         self.announced = now;
         if first || changed {
+            self.entries.values_mut().for_each(|e| e.knows = false);
             self.report(true);
         }
         self.report_rank();
@@ -189,6 +206,10 @@
         let now = self.now();
         if let Some(entry) = self.entries.get_mut(&inbox) {
             entry.heard = Some(now);
+            entry.knows = !lease.unknown;
+        }
+        if lease.unknown {
+            return self.report(true);
         }
         let until = Duration::from_millis(lease.agent_ms + lease.lease_ms);
         let before = (self.gate.drained, self.gate.leased(now));
@@ -207,23 +228,39 @@
         self.follow_entries(lease);
     }
 
-    /// Reports to the entries that are settled, and to the seeds for as long as
-    /// nothing is.
+    /// Reports to the entries it is told. An entry that lags behind must not pull it
+    /// back to an older list.
     fn follow_entries(&mut self, lease: &AgentLease) {
         let wanted: IndexSet<SocketAddr> = lease
             .entries
             .iter()
             .filter_map(|a| a.parse().ok())
             .collect();
-        if wanted.is_empty() {
+        if wanted.is_empty() || lease.revision < self.followed {
             return;
         }
+        self.followed = lease.revision;
+        self.entries_digest = digest_of(&lease.entries);
         for address in &wanted {
             self.entries.entry(*address).or_default();
         }
-        let seeds = &self.seeds;
-        self.entries
-            .retain(|a, _| wanted.contains(a) || seeds.contains(a));
+        self.entries.retain(|a, _| wanted.contains(a));
+    }
+
+    /// Where every entry it knows has been silent for long, the list may be out of
+    /// date: it turns to the entries of its settings again.
+    fn return_to_seeds(&mut self, now: Duration) {
+        let latest = self
+            .entries
+            .values()
+            .filter_map(|e| e.heard)
+            .max()
+            .unwrap_or_default();
+        if now > latest + LOST {
+            for seed in &self.seeds {
+                self.entries.entry(*seed).or_default();
+            }
+        }
     }
 
     fn on_dispatch(&mut self, inbox: SocketAddr, incarnation: u64, dispatch: Dispatch) {
@@ -259,9 +296,17 @@
         std::thread::spawn(move || work.run());
     }
 
-    /// Tells the leader where the engine stands. After each announcement, so that the
-    /// leader hears nothing of an engine that is gone.
-    fn report_rank(&self) {
+    /// Tells the leader where the engine stands. After an announcement only, so that
+    /// the leader hears nothing of an engine that is gone.
+    fn report_rank(&mut self) {
+        let now = self.now();
+        let (at, prepared, version) = self.rank_told;
+        let r = self.rank.report();
+        let same = (prepared, version) == (r.prepared, r.version);
+        if same && now < at + RANK_REPORT {
+            return;
+        }
+        self.rank_told = (now, r.prepared, r.version);
         let Some(backend) = self.backend.as_ref().filter(|b| b.steps.is_some()) else {
             return;
         };
@@ -313,6 +358,7 @@
     /// Tells each entry that is due, or every entry, how things stand.
     fn report(&mut self, all: bool) {
         let now = self.now();
+        self.return_to_seeds(now);
         let Some(backend) = &self.backend else { return };
         let due: Vec<_> = self
             .entries
@@ -323,41 +369,44 @@
         if due.is_empty() {
             return;
         }
-        let attach = self.attach(now, backend);
+        let attach = self.attach(now, &backend.load);
+        let profile = self.profile(backend);
         for address in due {
             let Some(entry) = self.entries.get_mut(&address) else {
                 continue;
             };
             let answers = entry.heard.is_some_and(|at| now < at + SILENCE);
-            entry.due = now
-                + if answers {
-                    REPORT
-                } else {
-                    SEEK.min(REPORT * 2)
-                };
-            self.common.net.send(address, Body::Attach(attach.clone()));
+            entry.due = now + if answers { REPORT } else { SEEK };
+            let mut attach = attach.clone();
+            attach.profile = (!entry.knows).then(|| profile.clone());
+            self.common.net.send(address, Body::Attach(attach));
         }
     }
 
-    fn attach(&self, now: Duration, backend: &Announcement) -> Attach {
-        let load = &backend.load;
+    fn attach(&self, now: Duration, load: &Load) -> Attach {
         Attach {
             agent_ms: ms(now),
-            name: backend.name.clone(),
-            service: backend.service.clone(),
-            group: backend.group.clone(),
-            rank: backend.rank,
-            domain: self.common.domain.clone(),
-            capacity: backend.capacity,
             running: self.running.len() as u32,
             queued: 0,
             tokens: load.tokens,
-            fences: backend.fences,
             leaving: self.gate.leaves(),
             // Without a lease it would turn everything away.
             healthy: now < self.announced + SILENCE && self.gate.leased(now),
-            fence: self.gate.fence,
             report_age_ms: 0,
+            entries: self.entries_digest,
+            profile: None,
+        }
+    }
+
+    fn profile(&self, backend: &Announcement) -> Profile {
+        Profile {
+            name: backend.name.clone(),
+            service: backend.service.clone(),
+            group: backend.group.clone(),
+            rank: backend.rank,
+            domain: self.common.domain.clone(),
+            capacity: backend.capacity,
+            fences: backend.fences,
             resumes: backend.resumes,
         }
     }
--- a/crates/node/src/entry/claims.rs
+++ b/crates/node/src/entry/claims.rs
@@ -4,7 +4,7 @@
 use super::{Entry, Sender};
 use crate::clock::wall;
 use crate::verdict::Refusal;
-use bn_claim::{Answer, Chain, Outcome, choose, minted};
+use bn_claim::{Answer, Chain, HOLDERS, Outcome, choose, minted};
 use bn_wire::messages::claim_answer::Kind;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{ClaimAnswer, ClaimAsk};
@@ -26,7 +26,7 @@
             .entries
             .iter()
             .map(|(i, e)| (i.as_str(), e.domain.as_str()));
-        let holders = choose(&key, entries)
+        let holders = choose(&key, HOLDERS, entries)
             .into_iter()
             .map(String::from)
             .collect();
--- a/crates/node/src/entry/lease.rs
+++ b/crates/node/src/entry/lease.rs
@@ -169,6 +169,7 @@
 
     fn configuration_changed(&mut self) {
         self.router.drained = self.state.drained.clone();
+        self.attach_lists.clear();
         self.holder.new_epoch(wall(), self.state.claim_epoch);
         metrics::gauge!("revision").set(self.state.revision as f64);
     }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod operators;
 mod request;
 
+pub(crate) use agents::digest_of;
 pub(crate) use operators::{command_page, table_json};
 
 use crate::Result;
@@ -62,6 +63,8 @@
     router: Router,
     budget: Budget,
     agents: IndexMap<String, agents::Agent>,
+    /// For each backend server the entries its agent reports to, and their digest.
+    attach_lists: HashMap<String, (Vec<String>, u32)>,
     requests: HashMap<RequestId, request::Request>,
     attempts: HashMap<AttemptId, request::Attempt>,
     /// Requests that wait for room, in order.
@@ -88,6 +91,7 @@
             router: Router::default(),
             budget: Budget::default(),
             agents: IndexMap::new(),
+            attach_lists: HashMap::new(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
             queue: VecDeque::new(),
--- a/crates/node/src/pages.rs
+++ b/crates/node/src/pages.rs
@@ -39,7 +39,12 @@
         request.uri().path().to_string(),
     );
     match (method.as_str(), path.as_str()) {
-        ("GET", "/metrics") => text(200, PLAIN, pages.metrics.render()),
+        ("GET", "/metrics") => {
+            let used = bn_trace::usage();
+            metrics::gauge!("process_cpu_seconds").set(used.cpu_seconds);
+            metrics::gauge!("process_resident_bytes").set(used.resident_bytes as f64);
+            text(200, PLAIN, pages.metrics.render())
+        }
         ("GET", "/healthz") => text(200, PLAIN, "ok\n".into()),
         ("GET", "/v1/events") => {
             let events = serde_json::to_string(&pages.events.recent()).unwrap_or_default();
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -2,11 +2,14 @@
 //! time line. Counters come first; a log line or event marks a change of state.
 
 mod events;
+mod usage;
 
 pub use events::{Event, Events, merge, read_lines, to_chrome, to_text};
 
 use log::LevelFilter;
 use metrics_exporter_prometheus::PrometheusBuilder;
+pub use usage::{Usage, usage};
+
 pub use metrics_exporter_prometheus::PrometheusHandle as Metrics;
 use snafu::{ResultExt, Snafu};
 
--- /dev/null
+++ b/crates/trace/src/usage.rs
@@ -0,0 +1,41 @@
+//! What this process has used, from the system's own counters (Linux).
+
+use std::fs;
+
+/// Clock ticks a second in `/proc`; fixed on Linux.
+const TICKS: f64 = 100.0;
+const PAGE_BYTES: u64 = 4096;
+/// Fields of `/proc/self/stat` after the name, from 0: user and system time.
+const USER: usize = 11;
+const SYSTEM: usize = 12;
+
+/// Processor time and memory of this process.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Usage {
+    /// Processor time in seconds, user and system.
+    pub cpu_seconds: f64,
+    /// Resident memory in bytes.
+    pub resident_bytes: u64,
+}
+
+/// Reads it; zeros where the system does not tell.
+pub fn usage() -> Usage {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or("");
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |i: usize| {
+        fields
+            .get(i)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|p| p.parse::<u64>().ok());
+    Usage {
+        cpu_seconds: (ticks(USER) + ticks(SYSTEM)) / TICKS,
+        resident_bytes: pages.unwrap_or(0) * PAGE_BYTES,
+    }
+}
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -55,12 +55,38 @@
         SwitchReport(super::SwitchReport),
     }
 }
-/// Agent to entry, each second and at every change: who I am and how loaded.
+/// Agent to entry, each second and at every change: how loaded, and who, where the
+/// entry does not know it yet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Attach {
     /// the agent's monotonic clock
     #[prost(uint64, tag = "1")]
     pub agent_ms: u64,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint32, tag = "3")]
+    pub queued: u32,
+    /// tokens batched and queued, as the backend server reports
+    #[prost(uint64, tag = "4")]
+    pub tokens: u64,
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    #[prost(bool, tag = "6")]
+    pub healthy: bool,
+    #[prost(uint64, tag = "7")]
+    pub report_age_ms: u64,
+    /// digest of the entries it reports to
+    #[prost(fixed32, tag = "8")]
+    pub entries: u32,
+    #[prost(message, optional, tag = "9")]
+    pub profile: ::core::option::Option<Profile>,
+}
+/// What of a backend server hardly ever changes.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Profile {
+    /// id of the backend server
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub service: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
@@ -72,30 +98,11 @@
     /// requests that run at once
     #[prost(uint32, tag = "6")]
     pub capacity: u32,
-    #[prost(uint32, tag = "7")]
-    pub running: u32,
-    #[prost(uint32, tag = "8")]
-    pub queued: u32,
-    /// tokens batched and queued, as the backend server reports
-    #[prost(uint64, tag = "9")]
-    pub tokens: u64,
-    /// the backend server checks fencing numbers itself
-    #[prost(bool, tag = "10")]
+    /// it checks fencing numbers itself
+    #[prost(bool, tag = "7")]
     pub fences: bool,
-    #[prost(bool, tag = "11")]
-    pub leaving: bool,
-    #[prost(bool, tag = "12")]
-    pub healthy: bool,
-    /// highest fencing number seen
-    #[prost(uint64, tag = "13")]
-    pub fence: u64,
-    #[prost(uint64, tag = "14")]
-    pub report_age_ms: u64,
-    /// id of the backend server
-    #[prost(string, tag = "15")]
-    pub name: ::prost::alloc::string::String,
-    /// can start an answer at an offset
-    #[prost(bool, tag = "16")]
+    /// it can start an answer at an offset
+    #[prost(bool, tag = "8")]
     pub resumes: bool,
 }
 /// Entry to agent, in answer to each Attach while the entry holds a lease itself.
@@ -113,7 +120,10 @@
     /// an operator's drain holds for this backend server
     #[prost(bool, tag = "5")]
     pub drained: bool,
-    /// inbox addresses of all entries
+    /// send the profile
+    #[prost(bool, tag = "6")]
+    pub unknown: bool,
+    /// inboxes to report to; empty: as before
     #[prost(string, repeated, tag = "7")]
     pub entries: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// inbox of the control leader
