Account rates over all entries, fair queues, urgent room, routing baselines

Cause: nothing bounded an account; whatever waited went first come, first served.

Change: crate `limit`: the leader splits an account's rate over entries by demand under their leases, token buckets at the entries, a queue with urgent first and fair shares that refuses early; a part of each backend server's room is kept for urgent requests. `entry.policy` names the routing baselines.

Found by the first test of the split: sums of 104 to 110 against a rate of 100. Sequence: a grant is lost, so an entry goes on with an older and larger part while the leader counts the newer one.

--- a/crates/cli/src/cmd/bench/control.rs
+++ b/crates/cli/src/cmd/bench/control.rs
@@ -145,7 +145,7 @@
             let ask = LeaseAsk {
                 sent_ms: start.elapsed().as_millis() as u64 + 1,
                 revision: revision.load(Ordering::Relaxed),
-                leaving: false,
+                ..LeaseAsk::default()
             };
             net.send(leader, Body::LeaseAsk(ask));
             let _ = rx.recv_timeout(RENEW);
--- a/crates/cli/tests/bed/run.rs
+++ b/crates/cli/tests/bed/run.rs
@@ -453,8 +453,8 @@
     }
 
     /// The records judge every outcome of the load: nothing refused as not run ran,
-    /// no key ran twice, nobody got another's answer; `cut=` and `refused=` bound
-    /// how many answers were cut and refused.
+    /// no key ran twice, nobody got another's answer; `cut=` and `refused=` bound how
+    /// many answers were cut and refused, `least=` and `most=` how many were whole.
     fn judged(&mut self, bounds: &HashMap<String, String>) -> Done {
         let lines = self.system.records();
         let runs = |a: &Ask| {
@@ -484,7 +484,11 @@
             }
         }
         let bound = |name| number(bounds, name, u64::MAX);
-        if cut > bound("cut") || refused > bound("refused") || whole == 0 {
+        let (least, most) = (number(bounds, "least", 1), bound("most"));
+        if whole < least || whole > most {
+            return Err(format!("{whole} whole, {refused} refused, {cut} cut"));
+        }
+        if cut > bound("cut") || refused > bound("refused") {
             let others = self
                 .outcomes
                 .iter()
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -11,6 +11,14 @@
 const DEFAULT_GRANT_STEPS: u64 = 2000;
 const DEFAULT_MAX_BODY: usize = 1 << 20;
 const LARGEST_MAX_BODY: u32 = 64 << 20;
+/// Routing policies: the first is the project's, the others are baselines.
+pub const POLICIES: [&str; 5] = [
+    "predicted",
+    "random",
+    "round_robin",
+    "least_reported",
+    "two_choices",
+];
 const LEVELS: [&str; 4] = ["error", "warn", "info", "debug"];
 
 /// One thing wrong with a settings file.
@@ -75,6 +83,8 @@
     pub ttl: Duration,
     /// Largest request body, in bytes.
     pub max_body: usize,
+    /// How it routes: one of [`POLICIES`].
+    pub policy: String,
 }
 
 /// A control process and its inbox.
@@ -231,6 +241,17 @@
         let value = raw.max_body_bytes.to_string();
         faults.add("entry.max_body_bytes", value, "give at most 67108864");
     }
+    let policy = match raw.policy.as_str() {
+        "" => POLICIES[0],
+        named => named,
+    };
+    if !POLICIES.contains(&policy) {
+        faults.add(
+            "entry.policy",
+            policy,
+            &format!("give one of {}", POLICIES.join(", ")),
+        );
+    }
     let max_body = match raw.max_body_bytes {
         0 => DEFAULT_MAX_BODY,
         n => n as usize,
@@ -244,6 +265,7 @@
         control: faults.addresses("entry.control", &raw.control),
         ttl,
         max_body,
+        policy: policy.to_string(),
     }
 }
 
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -16,7 +16,7 @@
     "127.0.0.1:2", "entry": {"callers": "127.0.0.1:3", "control": ["127.0.0.1:1"]}}"#;
 
 /// A part of the right settings, what stands there instead, the fields at fault.
-const FAULTS: [(&str, &str, &[&str]); 7] = [
+const FAULTS: [(&str, &str, &[&str]); 8] = [
     (r#""e1""#, r#""""#, &["id"]),
     (r#""e1""#, r#""e 1""#, &["id"]),
     (r#""127.0.0.1:1", "op"#, r#""localhost:1", "op"#, &["inbox"]),
@@ -26,6 +26,11 @@
         r#"["127.0.0.1:1", "x"]"#,
         &["entry.control[1]"],
     ),
+    (
+        r#""entry": {"#,
+        r#""entry": {"policy": "best", "#,
+        &["entry.policy"],
+    ),
     (
         r#""entry": {"#,
         r#""entry": {"max_body_bytes": 99999999, "#,
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -3,9 +3,10 @@
 
 use super::Control;
 use crate::clock::ms;
+use bn_limit::{PartAsk, Split};
 use bn_quorum::Payload;
 use bn_wire::messages::envelope::Body;
-use bn_wire::messages::{LeaseAsk, LeaseGrant, LogEntry};
+use bn_wire::messages::{AccountRate, LeaseAsk, LeaseGrant, LogEntry};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,12 +29,14 @@
 pub(crate) struct Leases {
     holders: IndexMap<String, Holder>,
     since: Duration,
+    split: Split,
 }
 
 impl Leases {
     /// A new leader: leases of an earlier one are unknown and may hold for a while.
     pub(crate) fn start(&mut self, now: Duration) {
         self.holders.clear();
+        self.split = Split::default();
         self.since = now;
     }
 
@@ -98,7 +101,8 @@
                 .events
                 .note("lease", format!("first lease to {from}"));
         }
-        self.grant(now, inbox, ask.revision, ask.sent_ms);
+        let parts = self.parts(now, from, ask);
+        self.grant(now, inbox, ask.revision, ask.sent_ms, parts);
     }
 
     /// Sends every holder what it lacks; the lease itself is not lengthened, since
@@ -112,7 +116,7 @@
             .map(|h| (h.inbox, h.acked))
             .collect();
         for (inbox, acked) in targets {
-            self.grant(now, inbox, acked, 0);
+            self.grant(now, inbox, acked, 0, Vec::new());
         }
     }
 
@@ -121,7 +125,46 @@
         self.quorum.members().get(leader)?.address.parse().ok()
     }
 
-    fn grant(&self, now: Duration, inbox: SocketAddr, revision: u64, sent_ms: u64) {
+    /// This entry's parts of the rates of the accounts it has demand for. Parts that
+    /// an earlier leader gave are unknown and hold for a lease: until they have lapsed
+    /// nothing is given, or the sum could pass an account's rate.
+    fn parts(&mut self, now: Duration, entry: &str, ask: &LeaseAsk) -> Vec<AccountRate> {
+        if now < self.leases.since + LEASE {
+            return Vec::new();
+        }
+        let entries = self.state.entries.len();
+        let mut parts = Vec::new();
+        for asked in &ask.demand {
+            let Some(account) = self.state.accounts.get(&asked.account) else {
+                continue;
+            };
+            let part = PartAsk {
+                account: &asked.account,
+                entry,
+                demand: f64::from(asked.rate),
+                rate: account.rate,
+                entries,
+                until: now + LEASE,
+                number: ask.sent_ms,
+                acted: ask.acted_ms,
+            };
+            let rate = self.leases.split.ask(now, &part) as f32;
+            parts.push(AccountRate {
+                account: asked.account.clone(),
+                rate,
+            });
+        }
+        parts
+    }
+
+    fn grant(
+        &self,
+        now: Duration,
+        inbox: SocketAddr,
+        revision: u64,
+        sent_ms: u64,
+        parts: Vec<AccountRate>,
+    ) {
         let names = self.state.entries.keys().cloned();
         let mut grant = LeaseGrant {
             sent_ms,
@@ -129,6 +172,7 @@
             revision: self.state.revision,
             fence: self.quorum.term(),
             away: self.leases.away(now, names),
+            parts,
             ..LeaseGrant::default()
         };
         match self
--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -4,6 +4,7 @@
 use super::request::{Phase, Request};
 use crate::caller::{Answer, Arrival};
 use crate::verdict::Refusal;
+use bn_limit::unasked;
 use std::time::Duration;
 
 /// When a caller should try another entry.
@@ -47,7 +48,7 @@
     }
 
     /// The account, and whether the request may be repeated.
-    fn admit(&self, arrival: &Arrival) -> Result<(String, bool), Refusal> {
+    fn admit(&mut self, arrival: &Arrival) -> Result<(String, bool), Refusal> {
         let now = self.now();
         if !self.lease.valid(now) {
             return Err(
@@ -71,7 +72,13 @@
             return Err(Refusal::not_run(503, "this entry is full").retry(ELSEWHERE));
         }
         let repeatable = service.repeatable && arrival.idempotency.is_none();
-        Ok((name.clone(), repeatable))
+        let (name, rate) = (name.clone(), account.rate);
+        let first = unasked(rate, self.state.entries.len());
+        self.buckets.admit(now, &name, first).map_err(|wait| {
+            metrics::counter!("limited", "account" => name.clone()).increment(1);
+            Refusal::not_run(429, "this account's rate is used up").retry(wait)
+        })?;
+        Ok((name, repeatable))
     }
 
     /// Ends a request without a (whole) answer, at once.
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -4,9 +4,12 @@
 use super::request::{Attempt, Phase};
 use crate::clock::ms;
 use crate::verdict::{Refusal, Verdict};
+use bn_limit::Entry as Waiting;
 use bn_route::Ask;
+use bn_state::Priority;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{Cancel, Dispatch, Header};
+use rand::RngExt;
 use std::time::Duration;
 
 /// An agent must start a request within this time, by its own clock.
@@ -21,63 +24,119 @@
 impl Entry {
     /// Tries to dispatch a request; queues it where no backend server has room.
     pub(super) fn place(&mut self, id: u64) {
-        let now = self.now();
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let ask = Ask {
+        let Some(ask) = self.ask_of(id) else { return };
+        let waits = self.queues.get(&ask.service).is_some_and(|q| !q.is_empty());
+        let urgent = ask.urgent;
+        // Others wait already: going past them would be unfair, unless it is urgent.
+        if (waits && !urgent) || !self.try_place(id, &ask) {
+            self.wait_for_room(id, &ask);
+        }
+    }
+
+    fn ask_of(&self, id: u64) -> Option<Ask> {
+        let request = self.requests.get(&id)?;
+        Some(Ask {
             service: request.arrival.service.clone(),
             prefix: request.arrival.prefix,
             tried: request.tried.clone(),
             resume: request.head_sent,
-        };
+            urgent: request.arrival.priority == Priority::Urgent,
+        })
+    }
+
+    fn try_place(&mut self, id: u64, ask: &Ask) -> bool {
+        let now = self.now();
         let mut rng = self.rng.clone();
-        let mut draw = |below: usize| rand::RngExt::random_range(&mut rng, 0..below.max(1));
-        let picked = self.router.pick(now, &ask, &mut draw);
+        let picked = self
+            .router
+            .pick(now, ask, |below| rng.random_range(0..below.max(1)));
         self.rng = rng;
         match picked {
-            Some(backend) => self.dispatch(id, &backend),
-            None => self.wait_for_room(id, &ask),
+            Some(backend) => {
+                if let Some(queue) = self.queues.get_mut(&ask.service) {
+                    queue.note_start(now);
+                }
+                self.dispatch(id, &backend);
+                true
+            }
+            None => false,
         }
     }
 
     fn wait_for_room(&mut self, id: u64, ask: &Ask) {
         let now = self.now();
         let serving = self.router.in_service(now, &ask.service);
-        let left = serving.filter(|(b, _)| !ask.tried.contains(*b)).count();
-        if left == 0 {
-            let reason = "no backend server can take it";
-            return self.give_up(id, 503, reason);
+        if serving.filter(|(b, _)| !ask.tried.contains(*b)).count() == 0 {
+            return self.give_up(id, 503, "no backend server can take it");
         }
-        if self.queue.len() >= MOST_QUEUED {
-            return self.give_up(id, 503, "the queue is full");
-        }
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.phase = Phase::Queued;
-            self.queue.push_back(id);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let share = self
+            .state
+            .accounts
+            .get(&request.account)
+            .map_or(1, |a| a.share);
+        let waiting = Waiting {
+            id,
+            account: request.account.clone(),
+            priority: request.arrival.priority as u32,
+            share,
+            deadline: request.deadline,
+        };
+        request.phase = Phase::Queued;
+        let queue = self.queues.entry(ask.service.clone()).or_default();
+        if let Err(wait) = queue.push(now, waiting, MOST_QUEUED) {
+            metrics::counter!("refused_early").increment(1);
+            let reason = "it could not start before its deadline, or the queue is full";
+            self.give_up_until(id, 503, reason, wait.max(COME_BACK));
         }
     }
 
-    /// The final answer to a request that will not be tried (again).
-    pub(super) fn give_up(&mut self, id: u64, status: u16, reason: &str) {
+    fn give_up_until(&mut self, id: u64, status: u16, reason: &str, retry: Duration) {
         let ran = self.requests.get(&id).is_some_and(|r| r.may_have_run);
         let refusal = match ran {
             true => Refusal::may_have_run(status, reason),
-            false => Refusal::not_run(status, reason).retry(COME_BACK),
+            false => Refusal::not_run(status, reason).retry(retry),
         };
         self.refuse(id, refusal);
     }
 
-    /// Tries the waiting requests again, oldest of the highest priority first.
-    pub(super) fn serve_queue(&mut self, _now: Duration) {
-        let mut waiting: Vec<_> = self.queue.drain(..).collect();
-        let urgency = |id: &u64| self.requests.get(id).map(|r| r.arrival.priority);
-        waiting.sort_by_key(|id| std::cmp::Reverse(urgency(id)));
-        for id in waiting {
-            self.place(id);
+    /// The final answer to a request that will not be tried (again).
+    pub(super) fn give_up(&mut self, id: u64, status: u16, reason: &str) {
+        self.give_up_until(id, status, reason, COME_BACK);
+    }
+
+    /// Starts waiting requests while there is room: urgent first, then by fair share.
+    pub(super) fn serve_queue(&mut self, now: Duration) {
+        let services: Vec<String> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.drop_ended(&service);
+            while let Some(id) = self.start_next(&service) {
+                if let Some(queue) = self.queues.get_mut(&service) {
+                    queue.started(now, id);
+                }
+            }
         }
     }
 
+    /// Requests that ended otherwise, by deadline or because the caller left.
+    fn drop_ended(&mut self, service: &str) {
+        let requests = &self.requests;
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.remove(|e| !requests.contains_key(&e.id));
+        }
+    }
+
+    fn start_next(&mut self, service: &str) -> Option<u64> {
+        let order = self.queues.get(service)?.order();
+        // What the first in line has tried already may still have room for others.
+        order.into_iter().find(|id| {
+            self.ask_of(*id)
+                .is_some_and(|ask| self.try_place(*id, &ask))
+        })
+    }
+
     fn dispatch(&mut self, id: u64, backend: &str) {
         let now = self.now();
         let attempt = self.number();
--- a/crates/node/src/entry/lease.rs
+++ b/crates/node/src/entry/lease.rs
@@ -2,10 +2,11 @@
 
 use super::Entry;
 use crate::clock::{ms, wall};
+use bn_limit::Rate;
 use bn_state::{Command, State};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::log_entry::Kind;
-use bn_wire::messages::{self as wire, LeaseAsk, LeaseGrant, LogEntry};
+use bn_wire::messages::{self as wire, AccountRate, LeaseAsk, LeaseGrant, LogEntry};
 use prost::Message;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,6 +31,9 @@
     /// Entries that callers should not be sent to.
     pub(crate) away: Vec<String>,
     held: bool,
+    demand_due: Duration,
+    /// `sent_ms` of the latest grant acted on.
+    acted_ms: u64,
 }
 
 impl Lease {
@@ -44,6 +48,8 @@
             fence: 0,
             away: Vec::new(),
             held: false,
+            demand_due: Duration::ZERO,
+            acted_ms: 0,
         }
     }
 
@@ -99,12 +105,27 @@
             sent_ms: ms(now).max(1),
             revision: self.state.revision,
             leaving: self.stopping.is_some(),
+            demand: self.demand(now),
+            acted_ms: self.lease.acted_ms,
         };
         if let Some(target) = self.lease.target() {
             self.common.net.send(target, Body::LeaseAsk(ask));
         }
     }
 
+    /// Demand goes out with the renewals only: a look too soon would say little.
+    fn demand(&mut self, now: Duration) -> Vec<AccountRate> {
+        if now < self.lease.demand_due {
+            return Vec::new();
+        }
+        self.lease.demand_due = now + RENEW.mul_f64(0.9);
+        let rate = |(account, rate): (String, f64)| AccountRate {
+            account,
+            rate: rate as f32,
+        };
+        self.buckets.demand(now).into_iter().map(rate).collect()
+    }
+
     pub(super) fn on_grant(&mut self, grant: LeaseGrant) {
         let now = self.now();
         if !grant.refusal.is_empty() {
@@ -129,6 +150,11 @@
             self.lease.until = self.lease.until.max(until);
             self.lease.granted = now;
             self.lease.away = grant.away;
+            self.lease.acted_ms = self.lease.acted_ms.max(grant.sent_ms);
+            for part in grant.parts {
+                let rate = f64::from(part.rate);
+                self.buckets.grant(&part.account, Rate { rate, until });
+            }
             if self.lease.leader.is_none() {
                 self.lease.leader = self.lease.target();
             }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -18,7 +18,8 @@
 use crate::run::Common;
 use bn_claim::Holder;
 use bn_conf::Entry as Conf;
-use bn_route::{Budget, Router};
+use bn_limit::{Buckets, Queue};
+use bn_route::{Budget, Policy, Router};
 use bn_state::State;
 use bn_wire::messages::Envelope;
 use bn_wire::messages::envelope::Body;
@@ -26,7 +27,7 @@
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -67,8 +68,9 @@
     attach_lists: HashMap<String, (Vec<String>, u32)>,
     requests: HashMap<RequestId, request::Request>,
     attempts: HashMap<AttemptId, request::Attempt>,
-    /// Requests that wait for room, in order.
-    queue: VecDeque<RequestId>,
+    /// Requests that wait for room, by service.
+    queues: IndexMap<String, Queue>,
+    buckets: Buckets,
     claims: HashMap<u64, RequestId>,
     holder: Holder,
     calls: HashMap<u64, operators::Open>,
@@ -88,13 +90,17 @@
             common,
             conf: conf.clone(),
             state: State::default(),
-            router: Router::default(),
+            router: Router {
+                policy: Policy::named(&conf.policy),
+                ..Router::default()
+            },
             budget: Budget::default(),
             agents: IndexMap::new(),
             attach_lists: HashMap::new(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
-            queue: VecDeque::new(),
+            queues: IndexMap::new(),
+            buckets: Buckets::default(),
             claims: HashMap::new(),
             calls: HashMap::new(),
             last_number: 0,
@@ -180,7 +186,8 @@
         self.retry_calls(now);
         self.serve_queue(now);
         metrics::gauge!("requests_open").set(self.requests.len() as f64);
-        metrics::gauge!("requests_queued").set(self.queue.len() as f64);
+        let queued: usize = self.queues.values().map(Queue::len).sum();
+        metrics::gauge!("requests_queued").set(queued as f64);
     }
 
     fn begin_stop(&mut self) {
--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -45,6 +45,7 @@
     pub heard: Duration,
     /// Ejection and return.
     pub health: Health,
+    last_sent: Duration,
     /// This entry's requests there: attempt to time sent.
     sent: HashMap<u64, Duration>,
     /// Requests that ended lately: time sent, time ended.
@@ -54,6 +55,7 @@
 impl Backend {
     /// Notes a request sent.
     pub fn send(&mut self, now: Duration, attempt: u64) {
+        self.last_sent = now;
         self.sent.insert(attempt, now);
     }
 
@@ -71,6 +73,11 @@
         }
     }
 
+    /// When this entry last sent a request there.
+    pub fn last_sent(&self) -> Duration {
+        self.last_sent
+    }
+
     /// Requests of this entry that are there now.
     pub fn mine(&self) -> usize {
         self.sent.len()
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -12,8 +12,10 @@
 const SAMPLE: usize = 3;
 /// Affinity holds up to this pressure over the mean: bounded load.
 const AFFINITY_SLACK: f64 = 0.25;
-/// Waiting room of a backend server, as a part of its capacity.
-const ROOM: f64 = 1.25;
+/// Requests a backend server is given, as a part of its capacity.
+const ROOM: f64 = 1.0;
+/// The same with what is kept for urgent requests, which go first in its batch.
+const URGENT_ROOM: f64 = 1.25;
 
 /// What a request needs.
 #[derive(Debug, Clone, Default)]
@@ -26,6 +28,8 @@
     pub tried: Vec<BackendId>,
     /// Only one that can start an answer at an offset.
     pub resume: bool,
+    /// It may use the room that is kept for urgent requests.
+    pub urgent: bool,
 }
 
 /// How candidates are compared.
@@ -49,6 +53,24 @@
     }
 }
 
+impl Policy {
+    /// The policy of that name; an unknown one is the project's own.
+    pub fn named(name: &str) -> Policy {
+        let baseline = |sample, cost| Policy {
+            sample,
+            cost,
+            affinity: false,
+        };
+        match name {
+            "random" => baseline(1, |_, _| 0.0),
+            "round_robin" => baseline(0, |b, _| b.last_sent().as_secs_f64()),
+            "least_reported" => baseline(0, least_reported),
+            "two_choices" => baseline(2, least_reported),
+            _ => Policy::default(),
+        }
+    }
+}
+
 /// Predicted wait: corrected load over the capacity that health allows.
 pub fn predicted(backend: &Backend, now: Duration) -> f64 {
     (backend.pressure() + 1.0 / f64::from(backend.report.capacity.max(1)))
@@ -169,10 +191,11 @@
         now: Duration,
         ask: &'a Ask,
     ) -> impl Iterator<Item = (&'a BackendId, &'a Backend)> {
+        let room = if ask.urgent { URGENT_ROOM } else { ROOM };
         self.in_service(now, &ask.service).filter(move |(id, b)| {
             !ask.tried.contains(*id)
                 && (b.report.resumes || !ask.resume)
-                && b.pressure() < ROOM * b.health.share(now)
+                && b.pressure() < room * b.health.share(now)
         })
     }
 
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -256,7 +256,7 @@
         }
     }
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LeaseAsk {
     /// the entry's clock
     #[prost(uint64, tag = "1")]
@@ -267,6 +267,20 @@
     /// a planned stop: send it no new callers
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    /// requests a second that came, by account
+    #[prost(message, repeated, tag = "4")]
+    pub demand: ::prost::alloc::vec::Vec<AccountRate>,
+    /// `sent_ms` of the latest grant acted on
+    #[prost(uint64, tag = "5")]
+    pub acted_ms: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AccountRate {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    /// requests a second
+    #[prost(float, tag = "2")]
+    pub rate: f32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LeaseGrant {
@@ -296,6 +310,9 @@
     /// entries that leave or hold no lease
     #[prost(string, repeated, tag = "9")]
     pub away: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// what this entry may admit under the lease
+    #[prost(message, repeated, tag = "10")]
+    pub parts: ::prost::alloc::vec::Vec<AccountRate>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Proposal {
--- a/crates/wire/src/gen/bn.settings.rs
+++ b/crates/wire/src/gen/bn.settings.rs
@@ -55,6 +55,9 @@
     pub addresses_ttl_ms: u64,
     #[prost(uint32, tag = "4")]
     pub max_body_bytes: u32,
+    /// of routing; empty: predicted
+    #[prost(string, tag = "5")]
+    pub policy: ::prost::alloc::string::String,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
