TLS for callers and operators

Cause: callers' keys and operators' new keys travelled in the clear.

Change: `tls` in the settings (certificate and key, PEM); the one HTTP server takes it for callers and pages; a handshake has the header's time limit. `--ca FILE` for ctl, demo, bench, timeline. Between the system's own processes requests still travel in the clear, without the callers' keys.

--- a/crates/cli/src/cmd/bench/load.rs
+++ b/crates/cli/src/cmd/bench/load.rs
@@ -76,7 +76,7 @@
         return Ok(args.direct.clone());
     }
     first_address(&args.ask)?;
-    let text = http::get(&format!("http://{}/v1/addresses", args.ask), TIMEOUT)?.text;
+    let text = http::get(&http::url(&args.ask, "/v1/addresses"), TIMEOUT)?.text;
     let value: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
     let all = value
         .get("addresses")
@@ -111,7 +111,7 @@
         };
         let request = Request {
             url: match args.direct.is_empty() {
-                true => format!("http://{target}/svc/{}/v1/run", args.service),
+                true => http::url(target, &format!("/svc/{}/v1/run", args.service)),
                 false => format!("http://{target}/v1/run"),
             },
             key: args.key.clone(),
--- a/crates/cli/src/cmd/bench/page.rs
+++ b/crates/cli/src/cmd/bench/page.rs
@@ -17,7 +17,7 @@
 
 /// Reads the page at an operators' address.
 pub(crate) fn read(address: &str) -> CliResult<Counters> {
-    let text = http::get(&format!("http://{address}/metrics"), TIMEOUT)?.text;
+    let text = http::get(&http::url(address, "/metrics"), TIMEOUT)?.text;
     let value = |name: &str| {
         let line = text.lines().find(|l| l.split(' ').next() == Some(name));
         line.and_then(|l| l.rsplit(' ').next()?.parse().ok())
--- a/crates/cli/src/cmd/ctl.rs
+++ b/crates/cli/src/cmd/ctl.rs
@@ -58,7 +58,7 @@
     let body = json!({
         "operator": args.operator, "number": number, "token": token, "text": text,
     });
-    let url = format!("http://{}/v1/command", args.at);
+    let url = http::url(&args.at, "/v1/command");
     let reply = http::post(&url, &body.to_string(), TIMEOUT)?;
     if reply.status == 504 {
         eprintln!("resend with: --number {number} --token {token}");
@@ -83,11 +83,7 @@
 pub(crate) fn post_command(at: &str, operator: &str, text: &str) -> CliResult {
     let (number, token) = (clock_number(), "once");
     let body = json!({ "operator": operator, "number": number, "token": token, "text": text });
-    let reply = http::post(
-        &format!("http://{at}/v1/command"),
-        &body.to_string(),
-        TIMEOUT,
-    )?;
+    let reply = http::post(&http::url(at, "/v1/command"), &body.to_string(), TIMEOUT)?;
     match reply.status {
         200 => Ok(()),
         _ => Err(Error::Refused { reason: reply.text }),
--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -149,7 +149,7 @@
     let start = Instant::now();
     let text = r#"show backends where state = serving"#;
     let body = serde_json::json!({"operator": "demo", "number": 0, "token": "", "text": text});
-    let url = format!("http://{}/v1/command", args.ctl);
+    let url = http::url(&args.ctl, "/v1/command");
     loop {
         let reply = http::post(&url, &body.to_string(), TIMEOUT).ok();
         let value = reply.and_then(|r| serde_json::from_str::<Value>(&r.text).ok());
@@ -194,7 +194,7 @@
 
 /// Asks the system which address to use.
 pub(crate) fn first_address(ask: &str) -> CliResult<String> {
-    let url = format!("http://{ask}/v1/addresses");
+    let url = http::url(ask, "/v1/addresses");
     let reply = http::get(&url, TIMEOUT)?;
     let value: Option<Value> = serde_json::from_str(&reply.text).ok();
     let first = value
@@ -208,7 +208,7 @@
 }
 
 fn send(entry: &str, probe: &Probe<'_>) -> Seen {
-    let url = format!("http://{entry}/svc/{}/v1/run", probe.service);
+    let url = http::url(entry, &format!("/svc/{}/v1/run", probe.service));
     let start = Instant::now();
     let mut request = http::agent(TIMEOUT).post(&url);
     for (name, value) in &probe.headers {
--- a/crates/cli/src/cmd/timeline.rs
+++ b/crates/cli/src/cmd/timeline.rs
@@ -39,7 +39,7 @@
 }
 
 fn live(address: &str) -> CliResult<Vec<Event>> {
-    let url = format!("http://{address}/v1/events");
+    let url = http::url(address, "/v1/events");
     let reply = http::get(&url, TIMEOUT)?;
     serde_json::from_str(&reply.text).map_err(|e| Error::Http {
         url,
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -1,8 +1,12 @@
 //! The commands' HTTP client.
 
-use crate::error::{CliResult, Error};
+use crate::error::{CliResult, Error, IoSnafu};
+use snafu::ResultExt;
 use std::io::Read;
+use std::path::Path;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
+use ureq::tls::{Certificate, RootCerts, TlsConfig};
 
 /// Status and body of a short exchange.
 pub(crate) struct Reply {
@@ -10,9 +14,38 @@
     pub(crate) text: String,
 }
 
+/// Certificate of the authority that signed the system's; none: plain TCP.
+static AUTHORITY: OnceLock<Certificate<'static>> = OnceLock::new();
+
+/// Makes every later request go by TLS, trusting the certificate in this PEM file.
+pub(crate) fn trust(path: &Path) -> CliResult {
+    let what = path.display().to_string();
+    let pem = std::fs::read(path).context(IoSnafu { what: what.clone() })?;
+    let cert = Certificate::from_pem(&pem).map_err(|e| Error::Failed {
+        reason: format!("{what}: {e}"),
+    })?;
+    let _ = AUTHORITY.set(cert);
+    Ok(())
+}
+
+/// The URL of a page of the system.
+pub(crate) fn url(address: &str, path: &str) -> String {
+    let scheme = if AUTHORITY.get().is_some() {
+        "https"
+    } else {
+        "http"
+    };
+    format!("{scheme}://{address}{path}")
+}
+
 /// An agent that reports statuses and never follows or pools.
 pub(crate) fn agent(timeout: Duration) -> ureq::Agent {
+    let roots = AUTHORITY.get().cloned().into_iter().collect::<Vec<_>>();
+    let tls = TlsConfig::builder()
+        .root_certs(RootCerts::Specific(Arc::new(roots)))
+        .build();
     ureq::Agent::config_builder()
+        .tls_config(tls)
         .http_status_as_error(false)
         .max_redirects(0)
         .max_idle_connections(0)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -15,6 +15,9 @@
     about = "Load balancer for expert-parallel model groups"
 )]
 struct Cli {
+    /// Connect by TLS and trust the certificate in this PEM file.
+    #[arg(long, global = true)]
+    ca: Option<std::path::PathBuf>,
     #[command(subcommand)]
     command: Command,
 }
@@ -38,7 +41,20 @@
 }
 
 fn main() -> ExitCode {
-    let done = match Cli::parse().command {
+    let cli = Cli::parse();
+    let trusted = cli.ca.as_deref().map_or(Ok(()), http::trust);
+    let done = trusted.and_then(|()| dispatch(cli.command));
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(e.code())
+        }
+    }
+}
+
+fn dispatch(command: Command) -> error::CliResult {
+    match command {
         Command::Run(args) => cmd::run::run(&args),
         Command::Check(args) => cmd::check::run(&args),
         Command::Ctl(args) => cmd::ctl::run(&args),
@@ -46,12 +62,5 @@
         Command::Demo(args) => cmd::demo::run(&args),
         Command::Bench(args) => cmd::bench::run(&args),
         Command::Fake(args) => cmd::fake::run(args),
-    };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("{e}");
-            ExitCode::from(e.code())
-        }
     }
 }
--- a/crates/cli/tests/bed/run.rs
+++ b/crates/cli/tests/bed/run.rs
@@ -98,6 +98,7 @@
             ttl_ms: number(settings, "ttl", 1000),
             capacity: count("capacity", 16),
             group: count("group", 0) == 1,
+            tls: false,
         };
         Play {
             system: System::new(size),
--- a/crates/cli/tests/bed/system.rs
+++ b/crates/cli/tests/bed/system.rs
@@ -39,6 +39,8 @@
     pub(crate) capacity: usize,
     /// The engines are ranks of one lock-step group.
     pub(crate) group: bool,
+    /// Callers and operators connect by TLS.
+    pub(crate) tls: bool,
 }
 
 impl Default for Size {
@@ -51,6 +53,7 @@
             ttl_ms: 1000,
             capacity: 16,
             group: false,
+            tls: false,
         }
     }
 }
@@ -170,6 +173,17 @@
         fs::write(self.path("seed.bn"), text).unwrap();
     }
 
+    /// The certificate that callers and operators trust.
+    pub(crate) fn certificate(&self) -> PathBuf {
+        self.path("cert.pem")
+    }
+
+    fn write_certificate(&self, name: &str) {
+        let made = rcgen::generate_simple_self_signed([self.host(name)]).unwrap();
+        fs::write(self.certificate(), made.cert.pem()).unwrap();
+        fs::write(self.path("key.pem"), made.signing_key.serialize_pem()).unwrap();
+    }
+
     fn control_inboxes(&self) -> Vec<String> {
         (1..=self.size.control)
             .map(|i| self.at(&format!("e{i}"), INBOX))
@@ -183,6 +197,10 @@
             "callers": self.callers(&name), "control": self.control_inboxes(),
             "addresses_ttl_ms": self.size.ttl_ms,
         });
+        if self.size.tls {
+            self.write_certificate(&name);
+            settings["tls"] = json!({ "cert": self.certificate(), "key": self.path("key.pem") });
+        }
         if i <= self.size.control {
             let peer = |n: usize| {
                 let id = format!("e{n}");
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -51,6 +51,8 @@
     pub listen: SocketAddr,
     /// Where it listens for operators, metrics and announcements.
     pub operators: SocketAddr,
+    /// Certificate for callers and operators; none: plain TCP.
+    pub tls: Option<Tls>,
     /// What it logs, and where.
     pub log: Logging,
     /// The entry role.
@@ -61,6 +63,15 @@
     pub agent: Option<Agent>,
 }
 
+/// A certificate chain and its key, PEM files.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tls {
+    /// The chain.
+    pub cert: PathBuf,
+    /// The key.
+    pub key: PathBuf,
+}
+
 /// Logs and the time line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Logging {
@@ -204,6 +215,7 @@
             other => faults.address("listen", other),
         },
         operators: faults.address("operators", &raw.operators),
+        tls: raw.tls.as_ref().map(|t| tls(t, &mut faults)),
         log: logging(raw.log.unwrap_or_default(), &mut faults),
         entry: raw.entry.map(|e| entry(&e, &mut faults)),
         control: raw.control.map(|c| control(&c, &raw.id, &mut faults)),
@@ -220,6 +232,18 @@
     }
 }
 
+fn tls(raw: &wire::TlsSettings, faults: &mut Faults) -> Tls {
+    for (field, value) in [("tls.cert", &raw.cert), ("tls.key", &raw.key)] {
+        if value.is_empty() {
+            faults.add(field, "", "give a PEM file");
+        }
+    }
+    Tls {
+        cert: PathBuf::from(&raw.cert),
+        key: PathBuf::from(&raw.key),
+    }
+}
+
 fn logging(raw: wire::LogSettings, faults: &mut Faults) -> Logging {
     let level = if raw.level.is_empty() {
         "info".to_string()
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -3,7 +3,7 @@
 
 mod check;
 
-pub use check::{Agent, Control, Entry, Fault, Logging, POLICIES, Peer, Settings, parse};
+pub use check::{Agent, Control, Entry, Fault, Logging, POLICIES, Peer, Settings, Tls, parse};
 
 use snafu::Snafu;
 use std::path::PathBuf;
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -17,6 +17,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
+use tokio_rustls::TlsAcceptor;
 
 /// Pieces of one answer that wait for a slow caller; past that it is cut.
 pub(crate) const ANSWER_RING: usize = 1024;
@@ -66,9 +67,14 @@
 }
 
 /// Serves callers on their own thread, until the process ends.
-pub(crate) fn serve(listener: TcpListener, ring: Sender<Event>, max_body: usize) -> io::Result<()> {
+pub(crate) fn serve(
+    listener: TcpListener,
+    tls: Option<TlsAcceptor>,
+    ring: Sender<Event>,
+    max_body: usize,
+) -> io::Result<()> {
     let shared = Arc::new(Shared { ring, max_body });
-    server::serve(listener, "callers", move |request| {
+    server::serve(listener, "callers", tls, move |request| {
         handle(request, shared.clone())
     })
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod pages;
 mod run;
 mod server;
+mod tls;
 mod verdict;
 
 pub use run::{Running, start};
@@ -61,6 +62,14 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// A certificate or its key cannot be used.
+    #[snafu(display("{}: {reason}", path.display()))]
+    Tls {
+        /// The file.
+        path: std::path::PathBuf,
+        /// What is wrong.
+        reason: String,
+    },
     /// A role's thread ended where it should not.
     #[snafu(display("the {role} thread ended"))]
     Ended {
--- a/crates/node/src/pages.rs
+++ b/crates/node/src/pages.rs
@@ -9,6 +9,7 @@
 use snafu::ResultExt;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use tokio_rustls::TlsAcceptor;
 
 /// Largest body taken, in bytes.
 const LARGEST_BODY: usize = 1 << 20;
@@ -26,11 +27,11 @@
 }
 
 /// Serves the pages on their own thread, until the process ends.
-pub(crate) fn serve(address: SocketAddr, pages: Pages) -> Result<()> {
+pub(crate) fn serve(address: SocketAddr, tls: Option<TlsAcceptor>, pages: Pages) -> Result<()> {
     let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
     let pages = Arc::new(pages);
     let handle = move |request| page(pages.clone(), request);
-    server::serve(listener, "pages", handle).context(ListenSnafu { address })
+    server::serve(listener, "pages", tls, handle).context(ListenSnafu { address })
 }
 
 async fn page(pages: Arc<Pages>, request: Request<Incoming>) -> Response<Body> {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -4,7 +4,7 @@
 use crate::control::Control;
 use crate::entry::{self, Entry};
 use crate::pages::{self, Pages};
-use crate::{ListenSnafu, Result, agent, caller, control};
+use crate::{ListenSnafu, Result, agent, caller, control, tls};
 use bn_conf::Settings;
 use bn_net::Net;
 use bn_trace::Events;
@@ -109,6 +109,7 @@
         clock: Clock::start(),
         events: events.clone(),
     };
+    let tls = settings.tls.as_ref().map(tls::acceptor).transpose()?;
     events.note("start", format!("{} in {}", settings.id, settings.domain));
     let mut running = Running {
         stops: Vec::new(),
@@ -130,7 +131,7 @@
         let listener = TcpListener::bind(conf.callers).context(ListenSnafu {
             address: conf.callers,
         })?;
-        caller::serve(listener, tx.clone(), conf.max_body).context(ListenSnafu {
+        caller::serve(listener, tls.clone(), tx.clone(), conf.max_body).context(ListenSnafu {
             address: conf.callers,
         })?;
         extra.push(entry::command_page(tx.clone()));
@@ -154,6 +155,7 @@
     }
     pages::serve(
         settings.operators,
+        tls,
         Pages {
             events,
             metrics,
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -17,6 +17,8 @@
 use std::io;
 use std::net::TcpListener;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_rustls::TlsAcceptor;
 
 /// A peer must have sent its whole header by then; so an idle connection ends too.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -39,7 +41,12 @@
 }
 
 /// Serves on its own thread, until the process ends.
-pub(crate) fn serve<F, A>(listener: TcpListener, name: &str, handle: F) -> io::Result<()>
+pub(crate) fn serve<F, A>(
+    listener: TcpListener,
+    name: &str,
+    tls: Option<TlsAcceptor>,
+    handle: F,
+) -> io::Result<()>
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
@@ -51,14 +58,14 @@
     std::thread::Builder::new()
         .name(name.into())
         .spawn(move || {
-            if let Err(e) = runtime.block_on(accept(listener, handle)) {
+            if let Err(e) = runtime.block_on(accept(listener, tls, handle)) {
                 log::error!("http: {e}");
             }
         })?;
     Ok(())
 }
 
-async fn accept<F, A>(listener: TcpListener, handle: F) -> io::Result<()>
+async fn accept<F, A>(listener: TcpListener, tls: Option<TlsAcceptor>, handle: F) -> io::Result<()>
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
@@ -77,25 +84,41 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        let handle = handle.clone();
+        let (handle, tls) = (handle.clone(), tls.clone());
         tokio::spawn(async move {
-            let service = service_fn(|request| {
-                let answer = handle(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_TIMEOUT)
-                .max_buf_size(LARGEST_HEADER)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if served.is_err() {
-                metrics::counter!("http_connection_errors").increment(1);
+            match tls {
+                None => connection(stream, handle).await,
+                // A peer that never ends its handshake would hold the connection.
+                Some(tls) => match tokio::time::timeout(HEADER_TIMEOUT, tls.accept(stream)).await {
+                    Ok(Ok(stream)) => connection(stream, handle).await,
+                    _ => metrics::counter!("http_handshake_errors").increment(1),
+                },
             }
         });
     }
 }
 
+async fn connection<S, F, A>(stream: S, handle: F)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Response<Body>> + Send + 'static,
+{
+    let service = service_fn(|request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(LARGEST_HEADER)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if served.is_err() {
+        metrics::counter!("http_connection_errors").increment(1);
+    }
+}
+
 /// The whole body, bounded in size and time.
 pub(crate) async fn whole_body(body: Incoming, most: usize) -> Result<Vec<u8>, BodyFault> {
     let collected = Limited::new(body, most).collect();
--- a/crates/wire/src/gen/bn.settings.rs
+++ b/crates/wire/src/gen/bn.settings.rs
@@ -24,10 +24,24 @@
     pub control: ::core::option::Option<ControlSettings>,
     #[prost(message, optional, tag = "8")]
     pub agent: ::core::option::Option<AgentSettings>,
+    /// present: callers and operators connect by TLS only
+    #[prost(message, optional, tag = "10")]
+    pub tls: ::core::option::Option<TlsSettings>,
     /// where the inbox listens, if not at `inbox` itself
     #[prost(string, tag = "9")]
     pub listen: ::prost::alloc::string::String,
 }
+/// Certificate for callers and operators, whose keys travel; PEM files.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TlsSettings {
+    /// chain
+    #[prost(string, tag = "1")]
+    pub cert: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub key: ::prost::alloc::string::String,
+}
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
