--- a/crates/group/tests/switches.rs
+++ b/crates/group/tests/switches.rs
@@ -469,3 +469,42 @@
     expect_that!(actions.len(), eq(1));
     expect_true!(matches!(actions[0], Action::Cancel { .. }));
 }
+
+/// Symptom: a step runs on two maps. Sequence: a rank misses every grant of the version
+/// in force, prepares the next in time and gets its first grant. Cause: it counts as
+/// ready though it does not know where the version in force began.
+#[gtest]
+fn a_rank_that_missed_the_last_switch_is_not_ready_for_the_next() {
+    let settled = Settled {
+        version: 2,
+        from: 500,
+        map: "2".into(),
+        wanted: Some((3, "3".into())),
+        ranks: 2,
+    };
+    let mut leader = Coordinator::new(1, WINDOW, settled);
+    let report = |version| bn_group::RankReport {
+        fence: 1,
+        prepared: 3,
+        version,
+        granted: 900,
+        ..Default::default()
+    };
+    let commits = |actions: Vec<Action>| {
+        actions
+            .iter()
+            .filter(|a| matches!(a, Action::Commit { .. }))
+            .count()
+    };
+    let now = Duration::from_millis(10);
+    // The first look only notices that a map is wanted.
+    leader.tick(now);
+    let early = [
+        leader.report(now, 0, report(2)),
+        leader.report(now, 1, report(1)),
+    ];
+    let ready = leader.report(now, 1, report(2));
+
+    expect_that!(early.map(commits), eq([0, 0]));
+    expect_that!(commits(ready), eq(1));
+}
