Try: parts of answers gathered into one message for each entry

Cause: docs/CAPACITY.md, an entry spends 0.056 ms a token, a core a node at full size.

Ruled out: the gathering itself failing; with 16 replicas and 6 entries only about one request of a replica goes to one entry at a time, so there is little to gather, and the hand-over to another thread costs each part.

At 24 replicas behind 4 entries with 16 requests each it may; to be tried with a load of that shape.

--- a/crates/node/src/agent/engine.rs
+++ b/crates/node/src/agent/engine.rs
@@ -1,30 +1,27 @@
 //! One request at the backend server, on its own thread: asked once, streamed back.
 
 use super::Event;
+use super::outbox::Outbox;
 use crate::http_client;
 use bn_claim::RunKey;
-use bn_net::Net;
-use bn_wire::messages::envelope::Body;
 use bn_wire::messages::finish::Kind;
+use bn_wire::messages::part::Kind as Part;
 use bn_wire::messages::{Dispatch, Finish, Header, Piece, Started};
 use crossbeam::channel::Sender;
 use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Largest piece, in bytes.
 const PIECE: usize = 16 * 1024;
-/// How long a full link is waited for before the answer is given up.
-const LINK_PATIENCE: Duration = Duration::from_secs(2);
-const LINK_PAUSE: Duration = Duration::from_millis(1);
 /// Headers of the backend server's answer that callers get.
 const PASSED: [&str; 4] = ["content-type", "cache-control", "x-fake", "retry-after"];
 
 /// A request to run.
 pub(crate) struct Work {
-    pub(crate) net: Net,
+    pub(crate) outbox: Outbox,
     pub(crate) ring: Sender<Event>,
     pub(crate) base: String,
     pub(crate) entry: SocketAddr,
@@ -51,14 +48,15 @@
             reason: end.reason,
             running: 0,
         };
-        self.send(Body::Finish(finish));
+        self.outbox.send(self.entry, Part::Finish(finish));
         let _ = self.ring.send(Event::Ended(self.key));
     }
 
     fn ask(&self) -> End {
-        self.send(Body::Started(Started {
+        let started = Started {
             attempt: self.dispatch.attempt,
-        }));
+        };
+        self.outbox.send(self.entry, Part::Started(started));
         match self.request() {
             Ok(response) => self.stream(response),
             Err(ureq::Error::Io(e)) if e.kind() == ErrorKind::ConnectionRefused => {
@@ -122,7 +120,7 @@
                 };
                 first = false;
                 offset += read as u64;
-                if !self.send(Body::Piece(piece)) {
+                if !self.outbox.send(self.entry, Part::Piece(piece)) {
                     return end(
                         Kind::MayHaveRun,
                         offset,
@@ -135,21 +133,6 @@
             }
         }
     }
-
-    /// Waits a while for room on the link, so that a burst slows this request down
-    /// and loses nothing of it.
-    fn send(&self, body: Body) -> bool {
-        let start = Instant::now();
-        loop {
-            if self.net.send(self.entry, body.clone()) {
-                return true;
-            }
-            if start.elapsed() > LINK_PATIENCE || self.cancelled.load(Ordering::Relaxed) {
-                return false;
-            }
-            std::thread::sleep(LINK_PAUSE);
-        }
-    }
 }
 
 fn end(kind: Kind, length: u64, reason: &str) -> End {
