--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -126,7 +126,6 @@
         Body::Started(_) => "started",
         Body::Piece(_) => "piece",
         Body::Finish(_) => "finish",
-        Body::Parts(_) => "parts",
         Body::LeaseAsk(_) => "lease_ask",
         Body::LeaseGrant(_) => "lease_grant",
         Body::Proposal(_) => "proposal",
--- a/crates/node/src/agent/engine.rs
+++ b/crates/node/src/agent/engine.rs
@@ -1,27 +1,30 @@
 //! One request at the backend server, on its own thread: asked once, streamed back.
 
 use super::Event;
-use super::outbox::Outbox;
 use crate::http_client;
 use bn_claim::RunKey;
+use bn_net::Net;
+use bn_wire::messages::envelope::Body;
 use bn_wire::messages::finish::Kind;
-use bn_wire::messages::part::Kind as Part;
 use bn_wire::messages::{Dispatch, Finish, Header, Piece, Started};
 use crossbeam::channel::Sender;
 use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Largest piece, in bytes.
 const PIECE: usize = 16 * 1024;
+/// How long a full link is waited for before the answer is given up.
+const LINK_PATIENCE: Duration = Duration::from_secs(2);
+const LINK_PAUSE: Duration = Duration::from_millis(1);
 /// Headers of the backend server's answer that callers get.
 const PASSED: [&str; 4] = ["content-type", "cache-control", "x-fake", "retry-after"];
 
 /// A request to run.
 pub(crate) struct Work {
-    pub(crate) outbox: Outbox,
+    pub(crate) net: Net,
     pub(crate) ring: Sender<Event>,
     pub(crate) base: String,
     pub(crate) entry: SocketAddr,
@@ -48,15 +51,14 @@
             reason: end.reason,
             running: 0,
         };
-        self.outbox.send(self.entry, Part::Finish(finish));
+        self.send(Body::Finish(finish));
         let _ = self.ring.send(Event::Ended(self.key));
     }
 
     fn ask(&self) -> End {
-        let started = Started {
+        self.send(Body::Started(Started {
             attempt: self.dispatch.attempt,
-        };
-        self.outbox.send(self.entry, Part::Started(started));
+        }));
         match self.request() {
             Ok(response) => self.stream(response),
             Err(ureq::Error::Io(e)) if e.kind() == ErrorKind::ConnectionRefused => {
@@ -120,7 +122,7 @@
                 };
                 first = false;
                 offset += read as u64;
-                if !self.outbox.send(self.entry, Part::Piece(piece)) {
+                if !self.send(Body::Piece(piece)) {
                     return end(
                         Kind::MayHaveRun,
                         offset,
@@ -133,6 +135,21 @@
             }
         }
     }
+
+    /// Waits a while for room on the link, so that a burst slows this request down
+    /// and loses nothing of it.
+    fn send(&self, body: Body) -> bool {
+        let start = Instant::now();
+        loop {
+            if self.net.send(self.entry, body.clone()) {
+                return true;
+            }
+            if start.elapsed() > LINK_PATIENCE || self.cancelled.load(Ordering::Relaxed) {
+                return false;
+            }
+            std::thread::sleep(LINK_PAUSE);
+        }
+    }
 }
 
 fn end(kind: Kind, length: u64, reason: &str) -> End {
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -4,7 +4,6 @@
 mod announce;
 mod engine;
 mod orders;
-mod outbox;
 
 pub(crate) use announce::announce_page;
 
@@ -24,7 +23,6 @@
 };
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use indexmap::{IndexMap, IndexSet};
-use outbox::Outbox;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -77,7 +75,6 @@
     /// The engine's place in its group.
     rank: Rank,
     orders: Sender<orders::Errand>,
-    outbox: Outbox,
     /// Where the control leader listens.
     leader: Option<SocketAddr>,
     /// Digest of the entries it was told to report to.
@@ -106,7 +103,6 @@
             gate: Gate::default(),
             rank: Rank::new(common.net.incarnation()),
             orders: orders::start(common.events.clone()),
-            outbox: Outbox::new(common.net.clone()),
             common,
             leader: None,
             entries_digest: 0,
@@ -289,7 +285,7 @@
         let flag = Arc::new(AtomicBool::new(false));
         self.running.insert(key, flag.clone());
         let work = engine::Work {
-            outbox: self.outbox.clone(),
+            net: self.common.net.clone(),
             ring: self.ring.clone(),
             base: format!("http://{}", backend.address),
             entry: inbox,
--- a/crates/node/src/entry/answers.rs
+++ b/crates/node/src/entry/answers.rs
@@ -5,18 +5,9 @@
 use crate::caller::Answer;
 use crate::verdict::Verdict;
 use bn_wire::messages::finish::Kind;
-use bn_wire::messages::part::Kind as Part;
 use bn_wire::messages::{Finish, Piece};
 
 impl Entry {
-    pub(super) fn on_part(&mut self, from: &Sender, part: Part) {
-        match part {
-            Part::Started(started) => self.on_started(from, started.attempt),
-            Part::Piece(piece) => self.on_piece(from, piece),
-            Part::Finish(finish) => self.on_finish(from, &finish),
-        }
-    }
-
     pub(super) fn on_started(&mut self, from: &Sender, attempt: u64) {
         if let Some(a) = self.attempts.get_mut(&attempt)
             && a.incarnation == from.incarnation
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -169,13 +169,6 @@
             Body::Started(started) => self.on_started(&from, started.attempt),
             Body::Piece(piece) => self.on_piece(&from, piece),
             Body::Finish(finish) => self.on_finish(&from, &finish),
-            Body::Parts(parts) => {
-                parts
-                    .parts
-                    .into_iter()
-                    .filter_map(|p| p.kind)
-                    .for_each(|p| self.on_part(&from, p));
-            }
             Body::LeaseGrant(grant) => self.on_grant(grant),
             Body::Outcome(outcome) => self.on_outcome(outcome),
             Body::ClaimAsk(ask) => self.on_claim_ask(&from, &ask),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -179,7 +179,6 @@
                 | Body::Started(_)
                 | Body::Piece(_)
                 | Body::Finish(_)
-                | Body::Parts(_)
                 | Body::LeaseGrant(_)
                 | Body::Outcome(_)
                 | Body::ClaimAsk(_)
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -13,7 +13,7 @@
     pub inbox: ::prost::alloc::string::String,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22, 23, 30, 40, 41, 50, 51"
+        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -35,8 +35,6 @@
         Piece(super::Piece),
         #[prost(message, tag = "16")]
         Finish(super::Finish),
-        #[prost(message, tag = "17")]
-        Parts(super::Parts),
         #[prost(message, tag = "20")]
         LeaseAsk(super::LeaseAsk),
         #[prost(message, tag = "21")]
@@ -258,30 +256,6 @@
         }
     }
 }
-/// Parts of several answers to one entry, in order. All tokens of a step come at once;
-/// one message for them costs one wake-up.
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct Parts {
-    #[prost(message, repeated, tag = "1")]
-    pub parts: ::prost::alloc::vec::Vec<Part>,
-}
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct Part {
-    #[prost(oneof = "part::Kind", tags = "1, 2, 3")]
-    pub kind: ::core::option::Option<part::Kind>,
-}
-/// Nested message and enum types in `Part`.
-pub mod part {
-    #[derive(Clone, PartialEq, ::prost::Oneof)]
-    pub enum Kind {
-        #[prost(message, tag = "1")]
-        Started(super::Started),
-        #[prost(message, tag = "2")]
-        Piece(super::Piece),
-        #[prost(message, tag = "3")]
-        Finish(super::Finish),
-    }
-}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LeaseAsk {
     /// the entry's clock
