Fresh counts from agents, full backend servers send requests back in line

The refusals were agents' turn-aways for want of room: reports are a second apart, six entries fill a backend server meanwhile, and each turn-away spent a retry. Ruled out: ejection (no failures), the queue (it never got them).

Change: agents tell with each end how many requests still run, entries take that as the report; a request that found its backend server full goes back in line and spends no retry.

--- a/crates/claim/src/gate.rs
+++ b/crates/claim/src/gate.rs
@@ -3,6 +3,8 @@
 use std::collections::{HashSet, VecDeque};
 use std::time::Duration;
 
+/// Refusal for want of room.
+pub const FULL: &str = "full";
 /// Attempts remembered, so that a second arrival or an early cancel is known.
 const REMEMBERED: usize = 8192;
 /// Requests taken over the capacity; the engine queues them.
@@ -74,7 +76,7 @@
             // It was told off or given up meanwhile: running it now would make a
             // not-run untrue.
             () if now > not_after => Some("too late to start"),
-            () if running as f64 >= room => Some("full"),
+            () if running as f64 >= room => Some(FULL),
             () if self.known.contains(&key) => Some("known already"),
             () => None,
         };
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -9,7 +9,7 @@
 mod holders;
 
 pub use chain::{Chain, ChainId, Outcome};
-pub use gate::{Gate, RunKey};
+pub use gate::{FULL, Gate, RunKey};
 pub use holder::{Answer, Holder};
 pub use holders::{HOLDERS, choose, minted};
 
--- a/crates/cli/tests/answers.rs
+++ b/crates/cli/tests/answers.rs
@@ -39,6 +39,7 @@
         length,
         reason,
         running: 0,
+        full: false,
     })
 }
 
--- a/crates/cli/tests/bed/mod.rs
+++ b/crates/cli/tests/bed/mod.rs
@@ -2,6 +2,7 @@
 //! scripted scenarios, and the records of the fakes as the judge.
 
 mod calls;
+mod expect;
 mod operate;
 mod relay;
 mod run;
--- a/crates/node/src/agent/engine.rs
+++ b/crates/node/src/agent/engine.rs
@@ -11,7 +11,7 @@
 use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// Largest piece, in bytes.
@@ -31,6 +31,8 @@
     pub(crate) key: RunKey,
     pub(crate) dispatch: Dispatch,
     pub(crate) cancelled: Arc<AtomicBool>,
+    /// Requests that run at this backend server.
+    pub(crate) running: Arc<AtomicU32>,
 }
 
 /// How it ended.
@@ -49,7 +51,9 @@
             kind: end.kind.into(),
             length: end.length,
             reason: end.reason,
-            running: 0,
+            // This one has ended.
+            running: self.running.load(Ordering::Relaxed).saturating_sub(1),
+            full: false,
         };
         self.send(Body::Finish(finish));
         let _ = self.ring.send(Event::Ended(self.key));
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -4,43 +4,32 @@
 mod announce;
 mod engine;
 mod orders;
+mod report;
 
 pub(crate) use announce::announce_page;
 
 use crate::Result;
-use crate::clock::ms;
-use crate::entry::digest_of;
 use crate::run::Common;
-use announce::{Announcement, Load};
-use bn_claim::{Gate, RunKey};
+use announce::Announcement;
+use bn_claim::{FULL, Gate, RunKey};
 use bn_conf::Agent as Conf;
 use bn_group::{Order, OrderKind, Rank};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::finish::Kind;
 use bn_wire::messages::switch_order::Kind as OrderWire;
-use bn_wire::messages::{
-    AgentLease, Attach, Dispatch, Envelope, Finish, Profile, SwitchOrder, SwitchReport,
-};
+use bn_wire::messages::{Dispatch, Envelope, Finish, SwitchOrder};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(20);
 const GROUP: usize = 256;
-/// After so long without any entry's answer the list of entries is in doubt.
-const LOST: Duration = Duration::from_secs(10);
-/// Between two reports to each entry.
-const REPORT: Duration = Duration::from_secs(1);
 /// A backend server that has not announced itself for this long is not served.
 const SILENCE: Duration = Duration::from_secs(3);
-/// Entries that never answer are asked this often, so that they cost little.
-const SEEK: Duration = Duration::from_secs(2);
-/// Between two reports of a rank, unless something changed.
-const RANK_REPORT: Duration = Duration::from_secs(1);
 
 /// What the agent thread is told.
 pub(crate) enum Event {
@@ -85,6 +74,8 @@
     rank_told: (Duration, u64, u64),
     /// Requests that run, each with its flag of being cancelled.
     running: HashMap<RunKey, Arc<AtomicBool>>,
+    /// How many they are, for their threads to tell.
+    count: Arc<AtomicU32>,
     stopping: bool,
 }
 
@@ -109,6 +100,7 @@
             followed: 0,
             rank_told: (Duration::ZERO, 0, 0),
             running: HashMap::new(),
+            count: Arc::default(),
             stopping: false,
         }
     }
@@ -142,6 +134,8 @@
             Event::Message(envelope) => self.message(*envelope),
             Event::Ended(key) => {
                 self.running.remove(&key);
+                self.count
+                    .store(self.running.len() as u32, Ordering::Relaxed);
             }
             Event::Stop => {
                 self.stopping = true;
@@ -202,67 +196,6 @@
         }
     }
 
-    fn on_lease(&mut self, inbox: SocketAddr, lease: &AgentLease) {
-        let now = self.now();
-        if let Some(entry) = self.entries.get_mut(&inbox) {
-            entry.heard = Some(now);
-            entry.knows = !lease.unknown;
-        }
-        if lease.unknown {
-            return self.report(true);
-        }
-        let until = Duration::from_millis(lease.agent_ms + lease.lease_ms);
-        let before = (self.gate.drained, self.gate.leased(now));
-        self.gate
-            .lease(until, lease.fence, lease.revision, lease.drained);
-        if self.gate.drained != before.0 {
-            self.common
-                .events
-                .note("drain", format!("drained: {}", self.gate.drained));
-        }
-        if before != (self.gate.drained, self.gate.leased(now)) {
-            self.report(true);
-        }
-        self.rank.learn(lease.fence);
-        self.leader = lease.leader.parse().ok().or(self.leader);
-        self.follow_entries(lease);
-    }
-
-    /// Reports to the entries it is told. An entry that lags behind must not pull it
-    /// back to an older list.
-    fn follow_entries(&mut self, lease: &AgentLease) {
-        let wanted: IndexSet<SocketAddr> = lease
-            .entries
-            .iter()
-            .filter_map(|a| a.parse().ok())
-            .collect();
-        if wanted.is_empty() || lease.revision < self.followed {
-            return;
-        }
-        self.followed = lease.revision;
-        self.entries_digest = digest_of(&lease.entries);
-        for address in &wanted {
-            self.entries.entry(*address).or_default();
-        }
-        self.entries.retain(|a, _| wanted.contains(a));
-    }
-
-    /// Where every entry it knows has been silent for long, the list may be out of
-    /// date: it turns to the entries of its settings again.
-    fn return_to_seeds(&mut self, now: Duration) {
-        let latest = self
-            .entries
-            .values()
-            .filter_map(|e| e.heard)
-            .max()
-            .unwrap_or_default();
-        if now > latest + LOST {
-            for seed in &self.seeds {
-                self.entries.entry(*seed).or_default();
-            }
-        }
-    }
-
     fn on_dispatch(&mut self, inbox: SocketAddr, incarnation: u64, dispatch: Dispatch) {
         let now = self.now();
         let key = (incarnation, dispatch.attempt);
@@ -284,6 +217,8 @@
         let Some(backend) = backend else { return };
         let flag = Arc::new(AtomicBool::new(false));
         self.running.insert(key, flag.clone());
+        self.count
+            .store(self.running.len() as u32, Ordering::Relaxed);
         let work = engine::Work {
             net: self.common.net.clone(),
             ring: self.ring.clone(),
@@ -292,39 +227,11 @@
             key,
             dispatch,
             cancelled: flag,
+            running: self.count.clone(),
         };
         std::thread::spawn(move || work.run());
     }
 
-    /// Tells the leader where the engine stands. After an announcement only, so that
-    /// the leader hears nothing of an engine that is gone.
-    fn report_rank(&mut self) {
-        let now = self.now();
-        let (at, prepared, version) = self.rank_told;
-        let r = self.rank.report();
-        let same = (prepared, version) == (r.prepared, r.version);
-        if same && now < at + RANK_REPORT {
-            return;
-        }
-        self.rank_told = (now, r.prepared, r.version);
-        let Some(backend) = self.backend.as_ref().filter(|b| b.steps.is_some()) else {
-            return;
-        };
-        let r = self.rank.report();
-        let report = SwitchReport {
-            group: backend.group.clone(),
-            rank: backend.rank,
-            fence: r.fence,
-            next: r.next,
-            granted: r.granted,
-            version: r.version,
-            prepared: r.prepared,
-        };
-        if let Some(leader) = self.leader {
-            self.common.net.send(leader, Body::SwitchReport(report));
-        }
-    }
-
     /// Passes an order on to the engine, if it is one of the latest leader known.
     fn on_order(&mut self, raw: SwitchOrder) {
         let Some(engine) = self.backend.as_ref().map(|b| b.address) else {
@@ -351,65 +258,10 @@
             length: 0,
             reason: reason.into(),
             running: self.running.len() as u32,
+            full: reason == FULL,
         };
         self.common.net.send(inbox, Body::Finish(finish));
     }
-
-    /// Tells each entry that is due, or every entry, how things stand.
-    fn report(&mut self, all: bool) {
-        let now = self.now();
-        self.return_to_seeds(now);
-        let Some(backend) = &self.backend else { return };
-        let due: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| all || now >= e.due)
-            .map(|(a, _)| *a)
-            .collect();
-        if due.is_empty() {
-            return;
-        }
-        let attach = self.attach(now, &backend.load);
-        let profile = self.profile(backend);
-        for address in due {
-            let Some(entry) = self.entries.get_mut(&address) else {
-                continue;
-            };
-            let answers = entry.heard.is_some_and(|at| now < at + SILENCE);
-            entry.due = now + if answers { REPORT } else { SEEK };
-            let mut attach = attach.clone();
-            attach.profile = (!entry.knows).then(|| profile.clone());
-            self.common.net.send(address, Body::Attach(attach));
-        }
-    }
-
-    fn attach(&self, now: Duration, load: &Load) -> Attach {
-        Attach {
-            agent_ms: ms(now),
-            running: self.running.len() as u32,
-            queued: 0,
-            tokens: load.tokens,
-            leaving: self.gate.leaves(),
-            // Without a lease it would turn everything away.
-            healthy: now < self.announced + SILENCE && self.gate.leased(now),
-            report_age_ms: 0,
-            entries: self.entries_digest,
-            profile: None,
-        }
-    }
-
-    fn profile(&self, backend: &Announcement) -> Profile {
-        Profile {
-            name: backend.name.clone(),
-            service: backend.service.clone(),
-            group: backend.group.clone(),
-            rank: backend.rank,
-            domain: self.common.domain.clone(),
-            capacity: backend.capacity,
-            fences: backend.fences,
-            resumes: backend.resumes,
-        }
-    }
 }
 
 fn order_in(raw: SwitchOrder) -> Option<Order> {
--- /dev/null
+++ b/crates/node/src/agent/report.rs
@@ -0,0 +1,168 @@
+//! What an agent tells entries and the control leader, and the leases it gets back.
+
+use super::announce::{Announcement, Load};
+use super::{Agent, SILENCE};
+use crate::clock::ms;
+use crate::entry::digest_of;
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{AgentLease, Attach, Profile, SwitchReport};
+use indexmap::IndexSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Between two reports to each entry.
+const REPORT: Duration = Duration::from_secs(1);
+/// After so long without any entry's answer the list of entries is in doubt.
+const LOST: Duration = Duration::from_secs(10);
+/// Entries that never answer are asked this often, so that they cost little.
+const SEEK: Duration = Duration::from_secs(2);
+/// Between two reports of a rank, unless something changed.
+const RANK_REPORT: Duration = Duration::from_secs(1);
+
+impl Agent {
+    pub(super) fn on_lease(&mut self, inbox: SocketAddr, lease: &AgentLease) {
+        let now = self.now();
+        if let Some(entry) = self.entries.get_mut(&inbox) {
+            entry.heard = Some(now);
+            entry.knows = !lease.unknown;
+        }
+        if lease.unknown {
+            return self.report(true);
+        }
+        let until = Duration::from_millis(lease.agent_ms + lease.lease_ms);
+        let before = (self.gate.drained, self.gate.leased(now));
+        self.gate
+            .lease(until, lease.fence, lease.revision, lease.drained);
+        if self.gate.drained != before.0 {
+            self.common
+                .events
+                .note("drain", format!("drained: {}", self.gate.drained));
+        }
+        if before != (self.gate.drained, self.gate.leased(now)) {
+            self.report(true);
+        }
+        self.rank.learn(lease.fence);
+        self.leader = lease.leader.parse().ok().or(self.leader);
+        self.follow_entries(lease);
+    }
+
+    /// Reports to the entries it is told. An entry that lags behind must not pull it
+    /// back to an older list.
+    fn follow_entries(&mut self, lease: &AgentLease) {
+        let wanted: IndexSet<SocketAddr> = lease
+            .entries
+            .iter()
+            .filter_map(|a| a.parse().ok())
+            .collect();
+        if wanted.is_empty() || lease.revision < self.followed {
+            return;
+        }
+        self.followed = lease.revision;
+        self.entries_digest = digest_of(&lease.entries);
+        for address in &wanted {
+            self.entries.entry(*address).or_default();
+        }
+        self.entries.retain(|a, _| wanted.contains(a));
+    }
+
+    /// Where every entry it knows has been silent for long, the list may be out of
+    /// date: it turns to the entries of its settings again.
+    fn return_to_seeds(&mut self, now: Duration) {
+        let latest = self
+            .entries
+            .values()
+            .filter_map(|e| e.heard)
+            .max()
+            .unwrap_or_default();
+        if now > latest + LOST {
+            for seed in &self.seeds {
+                self.entries.entry(*seed).or_default();
+            }
+        }
+    }
+
+    /// Tells the leader where the engine stands. After an announcement only, so that
+    /// the leader hears nothing of an engine that is gone.
+    pub(super) fn report_rank(&mut self) {
+        let now = self.now();
+        let (at, prepared, version) = self.rank_told;
+        let r = self.rank.report();
+        let same = (prepared, version) == (r.prepared, r.version);
+        if same && now < at + RANK_REPORT {
+            return;
+        }
+        self.rank_told = (now, r.prepared, r.version);
+        let Some(backend) = self.backend.as_ref().filter(|b| b.steps.is_some()) else {
+            return;
+        };
+        let r = self.rank.report();
+        let report = SwitchReport {
+            group: backend.group.clone(),
+            rank: backend.rank,
+            fence: r.fence,
+            next: r.next,
+            granted: r.granted,
+            version: r.version,
+            prepared: r.prepared,
+        };
+        if let Some(leader) = self.leader {
+            self.common.net.send(leader, Body::SwitchReport(report));
+        }
+    }
+
+    /// Tells each entry that is due, or every entry, how things stand.
+    pub(super) fn report(&mut self, all: bool) {
+        let now = self.now();
+        self.return_to_seeds(now);
+        let Some(backend) = &self.backend else { return };
+        let due: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| all || now >= e.due)
+            .map(|(a, _)| *a)
+            .collect();
+        if due.is_empty() {
+            return;
+        }
+        let attach = self.attach(now, &backend.load);
+        let profile = self.profile(backend);
+        for address in due {
+            let Some(entry) = self.entries.get_mut(&address) else {
+                continue;
+            };
+            let answers = entry.heard.is_some_and(|at| now < at + SILENCE);
+            entry.due = now + if answers { REPORT } else { SEEK };
+            let mut attach = attach.clone();
+            attach.profile = (!entry.knows).then(|| profile.clone());
+            self.common.net.send(address, Body::Attach(attach));
+        }
+    }
+
+    fn attach(&self, now: Duration, load: &Load) -> Attach {
+        Attach {
+            agent_ms: ms(now),
+            running: self.running.len() as u32,
+            queued: 0,
+            tokens: load.tokens,
+            leaving: self.gate.leaves(),
+            // Without a lease it would turn everything away.
+            healthy: now < self.announced + SILENCE && self.gate.leased(now),
+            report_age_ms: 0,
+            entries: self.entries_digest,
+            profile: None,
+        }
+    }
+
+    fn profile(&self, backend: &Announcement) -> Profile {
+        Profile {
+            name: backend.name.clone(),
+            service: backend.service.clone(),
+            group: backend.group.clone(),
+            rank: backend.rank,
+            domain: self.common.domain.clone(),
+            capacity: backend.capacity,
+            fences: backend.fences,
+            resumes: backend.resumes,
+        }
+    }
+}
--- a/crates/node/src/entry/answers.rs
+++ b/crates/node/src/entry/answers.rs
@@ -66,6 +66,8 @@
         if a.incarnation != from.incarnation {
             return;
         }
+        let now = self.common.clock.now();
+        self.router.running(now, &a.backend, finish.running);
         let sent = self.requests.get(&a.request).map_or(0, |r| r.sent);
         match finish.kind() {
             Kind::Whole if finish.length == sent => self.end_whole(finish.attempt),
@@ -73,6 +75,7 @@
                 let reason = "the end of the answer came before all of it";
                 self.fail_attempt(finish.attempt, Verdict::MayHaveRun, reason);
             }
+            Kind::NotRun if finish.full => self.back_in_line(finish.attempt),
             Kind::NotRun => self.turned_away(finish.attempt, &finish.reason),
             _ => self.fail_attempt(finish.attempt, Verdict::MayHaveRun, &finish.reason),
         }
@@ -90,6 +93,21 @@
         }
     }
 
+    /// Other entries filled the backend server since its last report. The request waits
+    /// for room again; it costs no retry, or a busy hour would use up the budget.
+    fn back_in_line(&mut self, attempt: u64) {
+        let now = self.now();
+        let Some(a) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        self.router.ended(now, &a.backend, attempt, None);
+        metrics::counter!("found_full").increment(1);
+        if let Some(request) = self.requests.get_mut(&a.request) {
+            request.tried.retain(|b| *b != a.backend);
+            self.place(a.request);
+        }
+    }
+
     /// The agent says that it did not run it: no fault of the backend server's.
     fn turned_away(&mut self, attempt: u64, reason: &str) {
         let now = self.now();
--- a/crates/node/src/entry/operators.rs
+++ b/crates/node/src/entry/operators.rs
@@ -139,10 +139,10 @@
     fn show(&self, show: &Show) -> (u16, String) {
         let table = match show.table.as_str() {
             "backends" => Some(self.backends_table()),
+            "lease" => Some(self.lease_table()),
             name => settled_table(&self.state, name),
         };
-        let known =
-            "services, accounts, entries, groups, drained, commands, backends, members, leases";
+        let known = "services, accounts, entries, groups, drained, commands, backends, lease, members, leases";
         let Some(table) = table else {
             return (
                 400,
@@ -155,6 +155,20 @@
         }
     }
 
+    /// This entry's own lease: the leader may count one whose grant is still on its way.
+    fn lease_table(&self) -> Table {
+        let now = self.now();
+        let mut t = Table::new(&["entry", "held", "left_ms", "revision", "fence"]);
+        t.rows.push(vec![
+            self.common.id.clone().into(),
+            self.lease.valid(now).into(),
+            (self.lease.left(now).as_millis() as f64).into(),
+            (self.state.revision as f64).into(),
+            (self.lease.fence as f64).into(),
+        ]);
+        t
+    }
+
     fn backends_table(&self) -> Table {
         let now = self.now();
         let mut t = Table::new(&[
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -173,6 +173,15 @@
         }
     }
 
+    /// A backend server's agent tells how many requests run there now: fresher than
+    /// the last report, which may be a second old.
+    pub fn running(&mut self, now: Duration, id: &str, running: u32) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.report.running = running;
+            backend.report.as_of = now;
+        }
+    }
+
     /// Drops what has been silent for so long that it cannot come back unnoticed.
     pub fn forget(&mut self, now: Duration, after: Duration) -> Vec<BackendId> {
         let old = |b: &Backend| now > b.heard + after && b.mine() == 0;
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -210,6 +210,9 @@
     /// requests that still run here
     #[prost(uint32, tag = "5")]
     pub running: u32,
+    /// not run for want of room only
+    #[prost(bool, tag = "6")]
+    pub full: bool,
 }
 /// Nested message and enum types in `Finish`.
 pub mod finish {
