Steps are reserved in the log before they are granted; a clean end for processes

Cause 1: six thousand schedules of switches in place of 400 broke the promise (`step 620 ran on 1 and 2`). Sequence: a rank runs ahead on its grants and dies with its agent; a new leader knows of none of its steps and commits the next map below them. Change: the leader reserves steps in the log before it grants them, and a switch starts at the reservation or later. Only the leader may say commit= or reserve=; until now an operator could have committed a switch at a step of his own. With old leaders that go on *and* leases that lag, which a leader's own lease excludes, it still breaks (`step 4850 ran on 4 and 6`, trial of 3,000).

Cause 2: one process of 25 aborted (134) at the end of a graceful stop, once: `pthread_mutex_lock: Invalid argument`. The links' C library tears down its locks at exit while its threads use them. Change: processes end without exit handlers.

Cause 3: the first streamed answer after a start took 1.8 s. Ranks report once a second and only the reporting one was answered.

--- a/crates/cli/src/cmd/run.rs
+++ b/crates/cli/src/cmd/run.rs
@@ -34,5 +34,12 @@
             }
         }
     });
-    Ok(running.wait()?)
+    let ended = running.wait();
+    if let Err(e) = &ended {
+        eprintln!("{e}");
+    }
+    // The links' C library tears its locks down at an ordinary exit while its threads
+    // still use them: now and then the process aborted after a graceful stop. Nothing is
+    // buffered by now, so it ends without those handlers.
+    signal_hook::low_level::exit(i32::from(ended.is_err()))
 }
--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -26,6 +26,9 @@
     /// The map that operators or the policy want next, with its version: a number
     /// that no other map had, so that what is prepared cannot be mistaken.
     pub wanted: Option<(Version, String)>,
+    /// Steps that may have been granted, by any leader: a bound in the log. Ranks and
+    /// leaders forget what was granted when they die.
+    pub reserved: Step,
     /// Ranks of the group.
     pub ranks: u32,
 }
@@ -42,6 +45,11 @@
         /// Its first step.
         from: Step,
     },
+    /// Propose to the log: steps below this one may be granted from now on.
+    Reserve {
+        /// First step that may not.
+        until: Step,
+    },
     /// Propose to the log that the wanted map is given up.
     Cancel {
         /// The version.
@@ -71,6 +79,8 @@
     reports: IndexMap<RankId, (Duration, RankReport)>,
     /// Highest step bound that this leader granted.
     granted: Step,
+    /// When a reservation was proposed last.
+    reserved_at: Option<Duration>,
 }
 
 impl Coordinator {
@@ -85,28 +95,60 @@
             phase,
             reports,
             granted: 0,
+            reserved_at: None,
         }
     }
 
     /// Takes what the log says now.
     pub fn settle(&mut self, settled: Settled) {
-        if settled != self.settled {
+        let same_map =
+            (settled.version, &settled.wanted) == (self.settled.version, &self.settled.wanted);
+        if !same_map {
             self.phase = Phase::Steady;
-            self.settled = settled;
         }
+        if settled.reserved > self.settled.reserved {
+            self.reserved_at = None;
+        }
+        self.settled = settled;
     }
 
     /// Takes a rank's report; answers with what it needs.
     pub fn report(&mut self, now: Duration, rank: RankId, report: RankReport) -> Vec<Action> {
+        let waited = !self.all_present(now);
         self.reports.insert(rank, (now, report));
         let mut actions = self.advance(now);
-        actions.extend(self.orders_for(now, rank));
+        // Ranks that reported earlier were given nothing while this one was missing;
+        // their next report may be a second away.
+        let ranks: Vec<RankId> = match waited && self.all_present(now) {
+            true => self.reports.keys().copied().collect(),
+            false => vec![rank],
+        };
+        for rank in ranks {
+            actions.extend(self.orders_for(now, rank));
+        }
         actions
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
-        self.advance(now)
+        let mut actions = self.advance(now);
+        actions.extend(self.reserve(now));
+        actions
+    }
+
+    /// Asks for more steps in good time, but not while a commit is on its way: the next
+    /// version starts at what was reserved before it.
+    fn reserve(&mut self, now: Duration) -> Option<Action> {
+        let (_, slowest) = self.slowest().filter(|_| self.all_present(now))?;
+        let early = self.reserved_at.is_some_and(|at| now < at + AGAIN);
+        let enough = slowest + self.window + self.window / 2 <= self.settled.reserved;
+        if enough || early || matches!(self.phase, Phase::Committing(..)) {
+            return None;
+        }
+        self.reserved_at = Some(now);
+        Some(Action::Reserve {
+            until: slowest + self.window * 2,
+        })
     }
 
     /// The rank that holds the group back, and its next step.
@@ -148,7 +190,7 @@
                 .map(|(_, r)| r.granted)
                 .max()
                 .unwrap_or(0);
-            let from = granted.max(self.granted);
+            let from = granted.max(self.granted).max(self.settled.reserved);
             self.phase = Phase::Committing(from, now);
             return vec![Action::Commit { version, from }];
         }
@@ -213,7 +255,7 @@
             return None;
         }
         let (_, slowest) = self.slowest()?;
-        let until = slowest + self.window;
+        let until = (slowest + self.window).min(self.settled.reserved);
         Some(match self.phase {
             Phase::Committing(from, _) => until.min(from),
             _ => until,
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -7,7 +7,7 @@
 mod split;
 
 pub use bucket::{Buckets, Rate};
-pub use queue::{Entry, Queue};
+pub use queue::{Queue, Waiting};
 pub use split::{PartAsk, Split, unasked};
 
 /// Name of a client account.
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -8,7 +8,7 @@
 
 /// A request that waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Entry {
+pub struct Waiting {
     /// Its number.
     pub id: u64,
     /// Its account.
@@ -23,7 +23,7 @@
 
 #[derive(Debug, Clone, Default)]
 struct Line {
-    waiting: VecDeque<Entry>,
+    waiting: VecDeque<Waiting>,
     /// Service received, over the share; the account with the least goes next.
     served: f64,
 }
@@ -59,7 +59,7 @@
 
     /// Takes a request in, or says how long it would wait if that is past its
     /// deadline or the queue is full.
-    pub fn push(&mut self, now: Duration, entry: Entry, most: usize) -> Result<(), Duration> {
+    pub fn push(&mut self, now: Duration, entry: Waiting, most: usize) -> Result<(), Duration> {
         let wait = self.expected_wait(&entry);
         if self.length >= most || now + wait > entry.deadline {
             return Err(wait);
@@ -79,7 +79,7 @@
     }
 
     /// How long a request would wait: those before it, at the pace of late.
-    pub fn expected_wait(&self, entry: &Entry) -> Duration {
+    pub fn expected_wait(&self, entry: &Waiting) -> Duration {
         let ahead = |((priority, account), line): (&(u32, AccountId), &Line)| {
             let waiting = line.waiting.len() as f64;
             match priority.cmp(&entry.priority) {
@@ -143,7 +143,7 @@
     }
 
     /// Takes out requests for which `over` says so, such as past deadlines.
-    pub fn remove(&mut self, mut over: impl FnMut(&Entry) -> bool) -> Vec<u64> {
+    pub fn remove(&mut self, mut over: impl FnMut(&Waiting) -> bool) -> Vec<u64> {
         let mut gone = Vec::new();
         for line in self.lines.values_mut() {
             line.waiting.retain(|e| {
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -43,6 +43,10 @@
     Stop,
 }
 
+/// What makes a rank's report due at once when it changes: the leader, the fencing
+/// number, the versions that the engine loaded and knows.
+type RankTold = (Option<SocketAddr>, u64, u64, u64);
+
 /// One entry this agent reports to.
 #[derive(Default)]
 struct Attached {
@@ -71,7 +75,7 @@
     /// Revision of the list of entries it follows.
     followed: u64,
     /// When the leader was last told of the rank, and what.
-    rank_told: (Duration, u64, u64),
+    rank_told: (Duration, RankTold),
     /// Requests that run, each with its flag of being cancelled.
     running: HashMap<RunKey, Arc<AtomicBool>>,
     /// How many they are, for their threads to tell.
@@ -98,7 +102,7 @@
             leader: None,
             entries_digest: 0,
             followed: 0,
-            rank_told: (Duration::ZERO, 0, 0),
+            rank_told: (Duration::ZERO, RankTold::default()),
             running: HashMap::new(),
             count: Arc::default(),
             stopping: false,
--- a/crates/node/src/agent/report.rs
+++ b/crates/node/src/agent/report.rs
@@ -85,13 +85,13 @@
     /// the leader hears nothing of an engine that is gone.
     pub(super) fn report_rank(&mut self) {
         let now = self.now();
-        let (at, prepared, version) = self.rank_told;
         let r = self.rank.report();
-        let same = (prepared, version) == (r.prepared, r.version);
-        if same && now < at + RANK_REPORT {
+        let told = (self.leader, r.fence, r.prepared, r.version);
+        let (at, before) = self.rank_told;
+        if told == before && now < at + RANK_REPORT {
             return;
         }
-        self.rank_told = (now, r.prepared, r.version);
+        self.rank_told = (now, told);
         let Some(backend) = self.backend.as_ref().filter(|b| b.steps.is_some()) else {
             return;
         };
--- a/crates/node/src/control/groups.rs
+++ b/crates/node/src/control/groups.rs
@@ -102,6 +102,9 @@
                     self.common.events.note("switch", detail);
                     self.propose_own(format!("switch group {group} commit={version} step={from}"));
                 }
+                Action::Reserve { until } => {
+                    self.propose_own(format!("switch group {group} reserve={until}"));
+                }
                 Action::Cancel { version, reason } => {
                     let detail = format!("{group}: version {version} given up: {reason}");
                     self.common.events.note("switch", detail);
@@ -135,6 +138,7 @@
             .wanted
             .as_ref()
             .map(|(version, map)| (*version, map.to_string())),
+        reserved: group.reserved,
         ranks: group.ranks,
     }
 }
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -4,7 +4,7 @@
 use super::request::{Attempt, Phase};
 use crate::clock::ms;
 use crate::verdict::{Refusal, Verdict};
-use bn_limit::Entry as Waiting;
+use bn_limit::Waiting;
 use bn_route::Ask;
 use bn_state::Priority;
 use bn_wire::messages::envelope::Body;
@@ -120,11 +120,18 @@
         }
     }
 
-    /// Requests that ended otherwise, by deadline or because the caller left.
+    /// Takes out requests that do not wait here any more: their deadline passed, the
+    /// caller left, or they run already. One that stayed in line while it runs would be
+    /// dispatched a second time.
     fn drop_ended(&mut self, service: &str) {
         let requests = &self.requests;
         if let Some(queue) = self.queues.get_mut(service) {
-            queue.remove(|e| !requests.contains_key(&e.id));
+            let waits = |id: &u64| {
+                requests
+                    .get(id)
+                    .is_some_and(|r| matches!(r.phase, Phase::Queued))
+            };
+            queue.remove(|w| !waits(&w.id));
         }
     }
 
--- a/crates/state/src/apply.rs
+++ b/crates/state/src/apply.rs
@@ -106,11 +106,14 @@
         let seen = std::mem::take(&mut self.seen);
         let mut next = self.clone();
         self.seen = seen;
+        let leads = command.operator == LEADER;
         for (i, statement) in statements.iter().enumerate() {
             let at = |reason| Refusal::Statement {
                 position: i + 1,
                 reason,
             };
+            // An operator's commit at a step of his own would mix maps.
+            need(leads || !is_leaders(statement), "only the leader says this").map_err(at)?;
             next.statement(statement).map_err(at)?;
         }
         if !next.entries.keys().eq(self.entries.keys()) {
@@ -212,6 +215,7 @@
             map,
             wanted: None,
             versions: 1,
+            reserved: 0,
         };
         self.groups.insert(name.into(), group);
         Ok(())
@@ -275,9 +279,10 @@
     }
 
     /// `map=` asks for a switch; the leader then prepares it and commits it with
-    /// `commit=` at a step, or gives it up with `cancel=`.
+    /// `commit=` at a step, or gives it up with `cancel=`; `reserve=` bounds what it
+    /// may grant.
     fn switch(&mut self, name: &str, sets: &[Setting]) -> Result<(), String> {
-        known(sets, &["map", "commit", "step", "cancel"])?;
+        known(sets, &["map", "commit", "step", "cancel", "reserve"])?;
         let group = self
             .groups
             .get_mut(name)
@@ -285,6 +290,10 @@
         if let Some(version) = optional::<u64>(sets, "cancel")? {
             return group.take_wanted(version).map(drop);
         }
+        if let Some(until) = optional::<u64>(sets, "reserve")? {
+            group.reserved = group.reserved.max(until);
+            return Ok(());
+        }
         if let Some(version) = optional::<u64>(sets, "commit")? {
             let step: u64 = wanted(sets, "step")?;
             need(
@@ -363,6 +372,11 @@
     Ok(())
 }
 
+fn is_leaders(statement: &Statement) -> bool {
+    let own = |s: &Setting| ["commit", "reserve"].contains(&s.name.as_str());
+    matches!(statement, Statement::Switch(_, sets) if sets.iter().any(own))
+}
+
 fn need(holds: bool, reason: &str) -> Result<(), String> {
     if holds { Ok(()) } else { Err(reason.into()) }
 }
--- a/crates/state/src/model.rs
+++ b/crates/state/src/model.rs
@@ -107,6 +107,8 @@
     pub wanted: Option<(u64, ExpertMap)>,
     /// Latest version handed out; none is used twice.
     pub versions: u64,
+    /// Steps below this one may have been granted.
+    pub reserved: u64,
 }
 
 /// What became of a numbered command.
--- a/crates/state/src/wire.rs
+++ b/crates/state/src/wire.rs
@@ -167,6 +167,7 @@
         wanted_version: wanted.map_or(0, |(version, _)| *version),
         wanted_map: wanted.map(|(_, map)| map.to_string()).unwrap_or_default(),
         versions: g.versions,
+        reserved: g.reserved,
     }
 }
 
@@ -184,6 +185,7 @@
         map: read(&g.map)?,
         wanted,
         versions: g.versions,
+        reserved: g.reserved,
     };
     Ok((g.name, group))
 }
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -561,6 +561,9 @@
     /// latest version handed out
     #[prost(uint64, tag = "9")]
     pub versions: u64,
+    /// steps below it may have been granted
+    #[prost(uint64, tag = "10")]
+    pub reserved: u64,
 }
 /// A command that was seen, with what became of it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- /dev/null
+++ b/examples/local/names.sh
@@ -0,0 +1,2 @@
+engine=notice-gen
+plain=kiosk-ctl
--- a/examples/local/route.sh
+++ b/examples/route.sh
@@ -1,13 +1,13 @@
 #!/usr/bin/env bash
 # Live comparison of routing policies: the same seeded load through the local system
 # under each, with load reports a second late, one slow and one stalled engine.
-# Usage: examples/local/route.sh [SECONDS] [RATES]; set BN_BIN to a release build.
+# Usage: examples/route.sh [SECONDS] [RATES]; set BN_BIN to a release build.
 set -uo pipefail
 bin=${BN_BIN:-target/release/buckthornnotch}
 seconds=${1:-8}
 rates=${2:-"100 170 240"}
 for policy in predicted two_choices least_reported round_robin random; do
-  BN_POLICY=$policy BN_CAPACITY=4 BN_SLOW=n3 BN_BIN=$bin examples/local/run.sh >/dev/null 2>&1 &
+  BN_POLICY=$policy BN_CAPACITY=4 BN_SLOW=n3 BN_BIN=$bin examples/run.sh >/dev/null 2>&1 &
   system=$!
   until "$bin" demo --backends 19 >/dev/null 2>&1; do sleep 1; done
   for rate in $rates; do
--- /dev/null
+++ b/examples/ventilprova/names.sh
@@ -0,0 +1,2 @@
+engine=drafting-llm
+plain=cert-registry
