--- a/crates/group/tests/switches.rs
+++ b/crates/group/tests/switches.rs
@@ -582,3 +582,87 @@
     });
     expect_that!(from, some(eq(1200)));
 }
+
+/// A leader of fencing number 4 whose switch to version 2 both ranks have prepared, but
+/// for rank 1, which reports as given; and what the leader does then.
+fn with_second_rank(report: bn_group::RankReport) -> (Coordinator, Vec<Action>) {
+    let settled = Settled {
+        version: 1,
+        from: 0,
+        map: "1".into(),
+        wanted: Some((2, "2".into())),
+        reserved: 1200,
+        ranks: 2,
+    };
+    let mut leader = Coordinator::new(4, WINDOW, settled);
+    let now = Duration::from_millis(10);
+    let ready = bn_group::RankReport {
+        fence: 4,
+        version: 1,
+        prepared: 2,
+        ..Default::default()
+    };
+    leader.tick(now);
+    leader.report(now, 0, ready);
+    let actions = leader.report(now, 1, report);
+    (leader, actions)
+}
+
+/// Symptom: a rank takes a late grant of an old leader after the switch was fixed.
+/// Sequence: it prepared under the old leader. Cause: it counts as ready though it never
+/// heard of the new one.
+#[gtest]
+fn a_rank_that_follows_an_older_leader_is_not_ready() {
+    let old = bn_group::RankReport {
+        fence: 3,
+        version: 1,
+        prepared: 2,
+        ..Default::default()
+    };
+
+    let (_, actions) = with_second_rank(old);
+
+    expect_false!(actions.iter().any(|a| matches!(a, Action::Commit { .. })));
+}
+
+/// Symptom: steps past the switch run on the old map. Sequence: the commit is on its way
+/// into the log, the slowest rank moves on. Cause: grants go on past it meanwhile.
+#[gtest]
+fn no_step_past_a_proposed_commit_is_granted() {
+    let ready = bn_group::RankReport {
+        fence: 4,
+        version: 1,
+        prepared: 2,
+        ..Default::default()
+    };
+    let (mut leader, _) = with_second_rank(ready.clone());
+    let reserved = Settled {
+        version: 1,
+        from: 0,
+        map: "1".into(),
+        wanted: Some((2, "2".into())),
+        reserved: 9000,
+        ranks: 2,
+    };
+    leader.settle(reserved);
+    let far = bn_group::RankReport {
+        next: 1100,
+        granted: 1200,
+        ..ready
+    };
+    leader.report(Duration::from_millis(20), 0, far.clone());
+
+    let actions = leader.report(Duration::from_millis(20), 1, far);
+
+    let until = actions.iter().find_map(|a| match a {
+        Action::Send(
+            _,
+            Order {
+                kind: OrderKind::Grant { until, .. },
+                ..
+            },
+        ) => Some(*until),
+        _ => None,
+    });
+    expect_that!(until, some(eq(1200)));
+}
