A resumed answer with another status never looks whole

A repeatable request that was cut half way goes on at another backend server; if that one answered with an error, its page went behind the first half and the answer closed as whole. Ruled out: offsets and the end marker (both fit).

Change: the status of the head sent is kept; a piece with another one fails the attempt, so the answer goes on at a third or the connection breaks. Also: one refusal in control/propose in place of two.

--- a/crates/cli/tests/answers.rs
+++ b/crates/cli/tests/answers.rs
@@ -43,9 +43,9 @@
     })
 }
 
-/// What an agent sends for an attempt whose right answer is given in two halves, and
+/// What an agent sends for an attempt that starts at an offset, whose right answer is given in two halves, and
 /// whether as itself or (`false`) as another start of itself.
-type Script = fn(u64, &str, &str) -> Vec<(bool, Body)>;
+type Script = fn(u64, u64, &str, &str) -> Vec<(bool, Body)>;
 
 fn mine(bodies: Vec<Body>) -> Vec<(bool, Body)> {
     bodies.into_iter().map(|b| (true, b)).collect()
@@ -55,7 +55,7 @@
 const CASES: [(&str, Script, &str); 10] = [
     (
         "in order",
-        |n, a, b| {
+        |n, _, a, b| {
             let half = a.len() as u64;
             mine(vec![
                 piece(n, 0, a),
@@ -67,7 +67,7 @@
     ),
     (
         "a piece twice",
-        |n, a, b| {
+        |n, _, a, b| {
             let half = a.len() as u64;
             mine(vec![
                 piece(n, 0, a),
@@ -80,7 +80,7 @@
     ),
     (
         "a piece lost",
-        |n, a, b| {
+        |n, _, a, b| {
             let half = a.len() as u64;
             mine(vec![
                 piece(n, 0, a),
@@ -92,7 +92,7 @@
     ),
     (
         "out of order",
-        |n, a, b| {
+        |n, _, a, b| {
             let half = a.len() as u64;
             mine(vec![
                 piece(n, half, b),
@@ -104,7 +104,7 @@
     ),
     (
         "the end before all",
-        |n, a, _| {
+        |n, _, a, _| {
             let half = a.len() as u64;
             mine(vec![piece(n, 0, a), finish(n, Kind::Whole, half * 2)])
         },
@@ -112,7 +112,7 @@
     ),
     (
         "a piece for another attempt",
-        |n, a, b| {
+        |n, _, a, b| {
             let half = a.len() as u64;
             mine(vec![
                 piece(n, 0, a),
@@ -125,7 +125,7 @@
     ),
     (
         "a piece of an earlier start",
-        |n, a, b| {
+        |n, _, a, b| {
             let half = a.len() as u64;
             vec![
                 (true, piece(n, 0, a)),
@@ -138,7 +138,7 @@
     ),
     (
         "an end of an earlier start",
-        |n, a, b| {
+        |n, _, a, b| {
             let half = a.len() as u64;
             vec![
                 (true, piece(n, 0, a)),
@@ -151,10 +151,10 @@
     ),
     (
         "not run",
-        |n, _, _| mine(vec![finish(n, Kind::NotRun, 0)]),
+        |n, _, _, _| mine(vec![finish(n, Kind::NotRun, 0)]),
         "not-run",
     ),
-    ("silence", |_, _, _| vec![], "may-have-run"),
+    ("silence", |_, _, _, _| vec![], "may-have-run"),
 ];
 
 /// An agent that follows a script, and a second one that uses its name wrongly.
@@ -163,7 +163,13 @@
 }
 
 impl Scripted {
-    fn start(name: &str, address: SocketAddr, entry: SocketAddr, script: Script) -> Scripted {
+    fn start(
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        entry: SocketAddr,
+        script: Script,
+    ) -> Scripted {
         let (first, second) = (
             bn_fake::expected("q", TOKENS),
             TOKENS / 2 * bn_fake::TOKEN_BYTES,
@@ -180,7 +186,7 @@
                 return;
             };
             me.send(entry, Body::Started(Started { attempt: d.attempt }));
-            for (as_me, body) in script(d.attempt, &a, &b) {
+            for (as_me, body) in script(d.attempt, d.resume_at, &a, &b) {
                 if as_me {
                     me.send(entry, body)
                 } else {
@@ -195,11 +201,14 @@
         let earlier = Net::open(name, 10, other, other, |_| {}).unwrap();
         *slot.lock().unwrap() = Some((me.clone(), earlier));
         let stop = Arc::new(AtomicBool::new(false));
-        let (stopped, name) = (stop.clone(), name.to_string());
+        let (stopped, name, service) = (stop.clone(), name.to_string(), service.to_string());
         thread::spawn(move || {
             let start = Instant::now();
             while !stopped.load(Ordering::Relaxed) {
-                me.send(entry, Body::Attach(attach(&name, start.elapsed())));
+                me.send(
+                    entry,
+                    Body::Attach(attach(&name, &service, start.elapsed())),
+                );
                 thread::sleep(Duration::from_millis(100));
             }
         });
@@ -207,14 +216,15 @@
     }
 }
 
-fn attach(name: &str, clock: Duration) -> Attach {
+fn attach(name: &str, service: &str, clock: Duration) -> Attach {
     Attach {
         agent_ms: clock.as_millis() as u64,
         healthy: true,
         profile: Some(Profile {
             name: name.into(),
-            service: name.into(),
+            service: service.into(),
             capacity: 4,
+            resumes: true,
             ..Profile::default()
         }),
         ..Attach::default()
@@ -248,7 +258,7 @@
     for (i, (what, script, fate)) in CASES.into_iter().enumerate() {
         let name = format!("s{i}");
         let address = system.spare(i).parse().unwrap();
-        let agent = Scripted::start(&name, address, entry, script);
+        let agent = Scripted::start(&name, &name, address, entry, script);
         rows(&system, "e1", "show entries", 1, WITHIN).unwrap();
         bed::command(&system, "e1", &format!("create service {name} engine=true")).unwrap();
         let serving = format!("show backends where backend = {name} and state = serving");
@@ -267,3 +277,56 @@
         expect_that!(name, eq(fate), "{what}: {got:?}");
     }
 }
+
+/// Symptom: a caller gets half of its answer and an error page behind it, closed as
+/// whole. Sequence: an answer is cut half way, goes on at another backend server, and
+/// that one answers with an error. Cause: the second answer's status is not looked at.
+#[gtest]
+fn a_resumed_answer_with_another_status_never_looks_whole() {
+    let mut system = System::new(Size {
+        entries: 1,
+        control: 1,
+        ..Size::default()
+    });
+    system.start("e1");
+    let entry: SocketAddr = system.inbox("e1").parse().unwrap();
+    let script: Script = |n, resume_at, a, _| {
+        let half = a.len() as u64;
+        if resume_at == 0 {
+            return mine(vec![piece(n, 0, a), finish(n, Kind::MayHaveRun, half)]);
+        }
+        let page = Piece {
+            attempt: n,
+            offset: half,
+            data: "overloaded".into(),
+            status: 503,
+            headers: vec![],
+        };
+        mine(vec![Body::Piece(page), finish(n, Kind::Whole, half + 10)])
+    };
+    let agents: Vec<Scripted> = ["r1", "r2"]
+        .iter()
+        .enumerate()
+        .map(|(i, name)| {
+            let address = system.spare(20 + i).parse().unwrap();
+            Scripted::start(name, "resumed", address, entry, script)
+        })
+        .collect();
+    rows(&system, "e1", "show entries", 1, WITHIN).unwrap();
+    bed::command(&system, "e1", "create service resumed engine=true").unwrap();
+    rows(
+        &system,
+        "e1",
+        "show backends where state = serving",
+        2,
+        WITHIN,
+    )
+    .unwrap();
+
+    let got = send(&ask(&system, "resumed"));
+
+    agents
+        .iter()
+        .for_each(|a| a.stop.store(true, Ordering::Relaxed));
+    expect_true!(matches!(got, Fate::Cut(_)), "{got:?}");
+}
--- a/crates/node/src/control/propose.rs
+++ b/crates/node/src/control/propose.rs
@@ -3,7 +3,7 @@
 
 use super::{Control, shown};
 use bn_query::{Statement, Table, select};
-use bn_state::{Command, LEADER, Refusal};
+use bn_state::{Command, LEADER};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Outcome, Proposal};
 use prost::Message;
@@ -47,15 +47,7 @@
         let command = Command::from(raw);
         if command.operator == LEADER {
             let reason = format!("operator {LEADER:?} is the leader itself");
-            return self.reply(
-                inbox,
-                Outcome {
-                    call,
-                    in_force: true,
-                    reason,
-                    ..Outcome::default()
-                },
-            );
+            return self.refuse(inbox, call, reason);
         }
         if let Some(outcome) = self.leader_query(&command.text) {
             let (table, reason) = match outcome {
@@ -80,7 +72,7 @@
                 inbox,
                 accepted: true,
             }),
-            Some(Err(refusal)) => self.refuse(inbox, call, &refusal),
+            Some(Err(refusal)) => self.refuse(inbox, call, refusal.to_string()),
             None => {
                 let bytes = wire::Command::from(&command).encode_to_vec();
                 match self.quorum.propose(bytes) {
@@ -129,7 +121,7 @@
                     .collect();
                 self.waits.0.retain(|w| !is_it(w));
                 for (inbox, call) in told {
-                    self.refuse(inbox, call, refusal);
+                    self.refuse(inbox, call, refusal.to_string());
                 }
             }
         }
@@ -153,8 +145,7 @@
         }
     }
 
-    fn refuse(&self, inbox: SocketAddr, call: u64, refusal: &Refusal) {
-        let reason = refusal.to_string();
+    fn refuse(&self, inbox: SocketAddr, call: u64, reason: String) {
         self.reply(
             inbox,
             Outcome {
--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -31,6 +31,7 @@
                     repeatable,
                     may_have_run: false,
                     head_sent: false,
+                    status: 0,
                     sent: 0,
                     arrival,
                 };
--- a/crates/node/src/entry/answers.rs
+++ b/crates/node/src/entry/answers.rs
@@ -32,9 +32,16 @@
             let reason = "a piece of the answer was lost";
             return self.fail_attempt(piece.attempt, Verdict::MayHaveRun, reason);
         }
+        // An answer that goes on elsewhere may meet an error there: its page behind the
+        // first half would close as a whole answer that nobody gave.
+        if request.head_sent && piece.status != request.status {
+            let reason = "the answer went on with another status";
+            return self.fail_attempt(piece.attempt, Verdict::MayHaveRun, reason);
+        }
         let mut told = true;
         if !request.head_sent {
             request.head_sent = true;
+            request.status = piece.status;
             let pairs = piece
                 .headers
                 .into_iter()
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -32,6 +32,8 @@
     pub(crate) may_have_run: bool,
     /// The head of the answer went to the caller.
     pub(crate) head_sent: bool,
+    /// Status in that head.
+    pub(crate) status: u32,
     /// Bytes of the answer that went to the caller.
     pub(crate) sent: u64,
 }
