--- a/crates/cli/src/cmd/run.rs
+++ b/crates/cli/src/cmd/run.rs
@@ -1,12 +1,14 @@
 //! `buckthornnotch run --settings FILE`: one process, until SIGTERM or SIGINT. Both
-//! begin a graceful stop; a second one ends it at once.
+//! begin a graceful stop; a second one ends it at once. SIGHUP reads the settings anew.
 
 use crate::error::{CliResult, IoSnafu};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use bn_conf::{Coordinator, Gateway, Settings};
+use bn_trace::{Lines, Metrics};
+use serde_json::json;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use snafu::ResultExt;
-use std::path::PathBuf;
-use std::sync::Arc;
+use std::path::{Path, PathBuf};
 
 /// Exit code after a second signal.
 const CUT: i32 = 130;
@@ -21,20 +23,11 @@
 
 pub(crate) fn run(args: &Args) -> CliResult {
     let conf = bn_conf::load(&args.settings)?;
-    bn_trace::start_log(&conf.id, &conf.log.level, conf.log.json)?;
-    let metrics = bn_trace::start_metrics()?;
-    let mut signals = Signals::new([SIGTERM, SIGINT]).context(IoSnafu { what: "signals" })?;
-    let running = bn_node::start(&conf, metrics)?;
-    let stopper = Arc::new(running.stopper());
-    std::thread::spawn(move || {
-        for (i, _) in signals.forever().enumerate() {
-            match i {
-                0 => stopper(),
-                _ => std::process::exit(CUT),
-            }
-        }
-    });
-    let ended = running.wait();
+    let ended = match (&conf.gateway, &conf.coordinator) {
+        (Some(gateway), _) => run_gateway(&conf, gateway)?,
+        (_, Some(coordinator)) => run_coordinator(&conf, coordinator, &args.settings)?,
+        _ => run_node(&conf)?,
+    };
     if let Err(e) = &ended {
         eprintln!("{e}");
     }
@@ -43,3 +36,83 @@
     // buffered by now, so it ends without those handlers.
     signal_hook::low_level::exit(i32::from(ended.is_err()))
 }
+
+/// How a role ended; its error is shown.
+type Ended = Result<(), String>;
+
+fn run_node(conf: &Settings) -> CliResult<Ended> {
+    bn_trace::start_log(&conf.id, &conf.log.level, conf.log.json)?;
+    let metrics = bn_trace::start_metrics()?;
+    let running = bn_node::start(conf, metrics)?;
+    let stopper = running.stopper();
+    on_signals(stopper, || {})?;
+    Ok(running.wait().map_err(|e| e.to_string()))
+}
+
+fn run_gateway(conf: &Settings, gateway: &Gateway) -> CliResult<Ended> {
+    let (lines, metrics) = start_lines(conf)?;
+    let handle = bn_gateway::start(conf, gateway, lines.clone())?;
+    bn_node::serve_metrics(conf.operators, metrics)?;
+    lines.put("started", json!({ "role": "gateway", "domain": conf.domain }));
+    let reload = move || lines.put("reloaded", json!({ "changed": [] }));
+    on_signals(handle.stopper(), reload)?;
+    Ok(handle.wait().map_err(|e| e.to_string()))
+}
+
+fn run_coordinator(conf: &Settings, coordinator: &Coordinator, file: &Path) -> CliResult<Ended> {
+    let (lines, metrics) = start_lines(conf)?;
+    let (ring, thread) = bn_coordinator::start(conf, coordinator, lines.clone())?;
+    bn_node::serve_metrics(conf.operators, metrics)?;
+    lines.put("started", json!({ "role": "coordinator", "domain": conf.domain }));
+    let stop = ring.clone();
+    let stopper = move || send(&stop, bn_coordinator::Event::Stop);
+    let file = file.to_path_buf();
+    let reload = move || match bn_conf::load(&file).map(|c| c.coordinator) {
+        Ok(Some(c)) => {
+            lines.put("reloaded", json!({ "changed": ["coordinator.seeds"] }));
+            send(&ring, bn_coordinator::Event::Seeds(c.seeds));
+        }
+        Ok(None) => log::error!("the settings have no coordinator section any more"),
+        Err(e) => log::error!("settings not reloaded: {e}"),
+    };
+    on_signals(stopper, reload)?;
+    let ended = thread.join();
+    Ok(ended
+        .map_err(|_| "the coordinator's thread failed".to_string())
+        .and_then(|e| e.map_err(|e| e.to_string())))
+}
+
+fn send(ring: &crossbeam::channel::Sender<bn_coordinator::Event>, event: bn_coordinator::Event) {
+    if ring.send(event).is_err() {
+        log::info!("the coordinator has ended already");
+    }
+}
+
+fn start_lines(conf: &Settings) -> CliResult<(Lines, Metrics)> {
+    let lines = Lines::start(&conf.id).context(IoSnafu { what: "log writer" })?;
+    bn_trace::start_lines_log(&conf.log.level, &lines)?;
+    Ok((lines, bn_trace::start_metrics()?))
+}
+
+/// Handles signals on a thread of their own.
+fn on_signals(
+    stop: impl Fn() + Send + 'static,
+    reload: impl Fn() + Send + 'static,
+) -> CliResult {
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).context(IoSnafu { what: "signals" })?;
+    std::thread::spawn(move || {
+        let mut stopping = false;
+        for signal in signals.forever() {
+            match (signal, stopping) {
+                (SIGHUP, _) => reload(),
+                (_, false) => {
+                    stopping = true;
+                    stop();
+                }
+                (_, true) => std::process::exit(CUT),
+            }
+        }
+    });
+    Ok(())
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -11,6 +11,10 @@
     #[snafu(display("{source}"), context(false))]
     Node { source: bn_node::Error },
     #[snafu(display("{source}"), context(false))]
+    Gateway { source: bn_gateway::Error },
+    #[snafu(display("{source}"), context(false))]
+    Coordinator { source: bn_coordinator::Error },
+    #[snafu(display("{source}"), context(false))]
     Trace { source: bn_trace::Error },
     #[snafu(display("{what}: {source}"))]
     Io {
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -1,5 +1,6 @@
 //! The checked settings and the checks.
 
+use crate::roles::{self, Coordinator, Gateway};
 use crate::{Error, Result};
 use bn_wire::settings as wire;
 use std::fmt;
@@ -39,7 +40,7 @@
 }
 
 /// Checked settings of one process.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Id of this process, unique in the system.
     pub id: String,
@@ -61,6 +62,10 @@
     pub control: Option<Control>,
     /// The agent role.
     pub agent: Option<Agent>,
+    /// Callers straight to backend servers.
+    pub gateway: Option<Gateway>,
+    /// Settled documents and registrations.
+    pub coordinator: Option<Coordinator>,
 }
 
 /// A certificate chain and its key, PEM files.
@@ -154,10 +159,10 @@
 
 /// Collects faults, so that one run reports them all.
 #[derive(Default)]
-struct Faults(Vec<Fault>);
+pub(crate) struct Faults(Vec<Fault>);
 
 impl Faults {
-    fn add(&mut self, field: impl Into<String>, value: impl Into<String>, remedy: &str) {
+    pub(crate) fn add(&mut self, field: impl Into<String>, value: impl Into<String>, remedy: &str) {
         self.0.push(Fault {
             field: field.into(),
             value: value.into(),
@@ -177,7 +182,7 @@
     }
 
     /// An address, or a fault and a stand-in that is never used.
-    fn address(&mut self, field: &str, value: &str) -> SocketAddr {
+    pub(crate) fn address(&mut self, field: &str, value: &str) -> SocketAddr {
         value.parse().unwrap_or_else(|_| {
             self.add(
                 field,
@@ -188,7 +193,7 @@
         })
     }
 
-    fn addresses(&mut self, field: &str, values: &[String]) -> Vec<SocketAddr> {
+    pub(crate) fn addresses(&mut self, field: &str, values: &[String]) -> Vec<SocketAddr> {
         if values.is_empty() {
             self.add(field, "[]", "give at least one address");
         }
@@ -200,9 +205,16 @@
 fn settings(raw: wire::Settings, mut faults: Faults) -> Result<Settings> {
     faults.name("id", &raw.id);
     faults.name("domain", &raw.domain);
-    if raw.entry.is_none() && raw.control.is_none() && raw.agent.is_none() {
+    let roles = [
+        raw.entry.is_some(),
+        raw.control.is_some(),
+        raw.agent.is_some(),
+        raw.gateway.is_some(),
+        raw.coordinator.is_some(),
+    ];
+    if !roles.contains(&true) {
         faults.add(
-            "entry, control, agent",
+            "entry, control, agent, gateway, coordinator",
             "",
             "give the section of at least one role",
         );
@@ -222,6 +234,10 @@
         agent: raw.agent.map(|a| Agent {
             entries: faults.addresses("agent.entries", &a.entries),
         }),
+        gateway: raw.gateway.map(|g| roles::gateway(&g, &mut faults)),
+        coordinator: raw
+            .coordinator
+            .map(|c| roles::coordinator(&c, &mut faults)),
         id: raw.id,
         domain: raw.domain,
     };
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -2,9 +2,12 @@
 //! as a whole, turned into domain types. Every fault names field, value and remedy.
 
 mod check;
+mod roles;
 
 pub use check::{Agent, Control, Entry, Fault, Logging, POLICIES, Peer, Settings, Tls, parse};
 
+pub use roles::{Coordinator, Gateway};
+
 use snafu::Snafu;
 use std::path::PathBuf;
 
--- /dev/null
+++ b/crates/conf/src/roles.rs
@@ -0,0 +1,85 @@
+//! Settings of the gateway and coordinator roles.
+
+use crate::check::Faults;
+use bn_wire::settings as wire;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Time for a graceful stop where the settings name none.
+const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+/// Window of the retry budget where the settings name none.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(10);
+
+/// Settings of the gateway role.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Gateway {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether it takes callers.
+    pub readiness: SocketAddr,
+    /// Addresses of some coordinators; their ports do not matter.
+    pub seeds: Vec<SocketAddr>,
+    /// From the signal to stop to the forced end.
+    pub grace: Duration,
+    /// Second tries in the window, as a part of its requests.
+    pub retry_ratio: f64,
+    /// Second tries in the window beyond that, over all gateways together.
+    pub retry_slack: u32,
+    /// Window of the retry budget.
+    pub retry_window: Duration,
+}
+
+/// Settings of the coordinator role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Coordinator {
+    /// Where operators and backend servers call.
+    pub control: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory: SocketAddr,
+    /// Addresses of some coordinators; their ports do not matter.
+    pub seeds: Vec<SocketAddr>,
+    /// The whole system starts for the first time: the seeds form the log.
+    pub first: bool,
+    /// The data folder.
+    pub data: PathBuf,
+    /// Disks that may be lost at once.
+    pub losses: u32,
+}
+
+pub(crate) fn gateway(raw: &wire::GatewaySettings, faults: &mut Faults) -> Gateway {
+    if !(0.0..=1.0).contains(&raw.retry_ratio) {
+        let value = raw.retry_ratio.to_string();
+        faults.add("gateway.retry_ratio", value, "give a part from 0 to 1");
+    }
+    Gateway {
+        callers: faults.address("gateway.callers", &raw.callers),
+        readiness: faults.address("gateway.readiness", &raw.readiness),
+        seeds: faults.addresses("gateway.seeds", &raw.seeds),
+        grace: millis(raw.grace_ms, DEFAULT_GRACE),
+        retry_ratio: raw.retry_ratio,
+        retry_slack: raw.retry_slack,
+        retry_window: millis(raw.retry_window_ms, DEFAULT_WINDOW),
+    }
+}
+
+pub(crate) fn coordinator(raw: &wire::CoordinatorSettings, faults: &mut Faults) -> Coordinator {
+    if raw.data.is_empty() {
+        faults.add("coordinator.data", "", "give the data folder");
+    }
+    Coordinator {
+        control: faults.address("coordinator.control", &raw.control),
+        directory: faults.address("coordinator.directory", &raw.directory),
+        seeds: faults.addresses("coordinator.seeds", &raw.seeds),
+        first: raw.first,
+        data: PathBuf::from(&raw.data),
+        losses: raw.losses,
+    }
+}
+
+fn millis(ms: u64, default: Duration) -> Duration {
+    match ms {
+        0 => default,
+        ms => Duration::from_millis(ms),
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/core.rs
@@ -0,0 +1,426 @@
+//! The thread that owns the log, the settled document and the registrations.
+
+use crate::directory::Directory;
+use crate::{DecodeSnafu, ListenSnafu, Result, http, members, news, reads, settling};
+use bn_conf::{Coordinator as Conf, Settings};
+use bn_net::Net;
+use bn_quorum::{Entry, Member, Message, Output, Payload, Quorum, Restored, Role, Setup, Timing};
+use bn_registry::Registry;
+use bn_settle::Plan;
+use bn_store::{Disk, Loaded, Store};
+use bn_trace::Lines;
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{self as wire, Envelope};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use prost::Message as _;
+use serde_json::json;
+use snafu::{OptionExt, ResultExt};
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// Longest wait for an event: the precision of heartbeats and elections.
+const TICK: Duration = Duration::from_millis(20);
+/// Events that wait for the thread.
+const RING: usize = 8192;
+/// Events taken before one write: group commit.
+const GROUP: usize = 256;
+/// Bytes of documents in the log after which a snapshot replaces it. A document with
+/// hundreds of routes has 150 KB; the disk has 128 MB, the process about as much memory.
+const SNAPSHOT_BYTES: usize = 2 << 20;
+/// Entries kept in memory behind a snapshot, for followers that lag a little.
+const KEPT: u64 = 8;
+/// The log's durations. Instances have a twentieth of a core or more, so that a heartbeat
+/// may be handled tens of milliseconds late; a new leader is there within two seconds.
+const TIMING: Timing = Timing {
+    heartbeat: Duration::from_millis(120),
+    election: Duration::from_millis(700),
+    lease: Duration::from_millis(500),
+};
+
+/// What the thread is told.
+pub enum Event {
+    /// A message of another process.
+    Message(Box<Envelope>),
+    /// A backend server announced itself.
+    Announce(bn_registry::Record, oneshot::Sender<()>),
+    /// A backend server left.
+    Leave(String, oneshot::Sender<()>),
+    /// An operator's checked document.
+    Settle(Box<Plan>, Vec<u8>, oneshot::Sender<bool>),
+    /// An operator reads the document in force; answered with none where unsure.
+    Read(oneshot::Sender<Option<Vec<u8>>>),
+    /// A caller asks for addresses.
+    Resolve(oneshot::Sender<Vec<SocketAddr>>),
+    /// The settings name other seeds.
+    Seeds(Vec<SocketAddr>),
+    /// Begin a graceful stop.
+    Stop,
+}
+
+/// The document in force, as it was sent in.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct Settled {
+    pub(crate) version: u64,
+    pub(crate) document: Vec<u8>,
+}
+
+/// All state of a coordinator.
+pub(crate) struct Core {
+    pub(crate) net: Net,
+    pub(crate) lines: Lines,
+    start: Instant,
+    pub(crate) inbox: SocketAddr,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) losses: u32,
+    pub(crate) quorum: Quorum,
+    store: Store,
+    identity: u64,
+    pub(crate) settled: Settled,
+    applied: u64,
+    logged_bytes: usize,
+    pub(crate) registry: Registry,
+    pub(crate) directory: Directory,
+    pub(crate) peers: news::Peers,
+    pub(crate) waits: settling::Waits,
+    pub(crate) reads: reads::Reads,
+    pub(crate) members: members::Upkeep,
+    role: Role,
+}
+
+/// Starts a coordinator; its thread ends at [`Event::Stop`] or when its disk fails.
+pub fn start(
+    settings: &Settings,
+    conf: &Conf,
+    lines: Lines,
+) -> Result<(Sender<Event>, std::thread::JoinHandle<Result<()>>)> {
+    let (ring, events) = bounded(RING);
+    let sink = ring.clone();
+    let id = settings.inbox.ip().to_string();
+    let incarnation = rand::random::<u64>() | 1;
+    let net = Net::open(&id, incarnation, settings.inbox, settings.listen, move |e| {
+        if sink.try_send(Event::Message(Box::new(e))).is_err() {
+            metrics::counter!("ring_lost_total").increment(1);
+        }
+    })?;
+    let core = Core::open(settings, conf, net, lines)?;
+    for address in [conf.control, conf.directory] {
+        let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
+        http::serve(listener, ring.clone()).context(ListenSnafu { address })?;
+    }
+    let thread = std::thread::spawn(move || core.run(&events));
+    Ok((ring, thread))
+}
+
+impl Core {
+    fn open(settings: &Settings, conf: &Conf, net: Net, lines: Lines) -> Result<Core> {
+        let fresh = rand::random::<u64>() | 1;
+        let (mut store, mut loaded) = Store::open(&conf.data, fresh, Disk::default())?;
+        let identity = loaded.identity;
+        let empty = loaded.snapshot.is_none() && loaded.entries.is_empty();
+        let seeds = inboxes(&conf.seeds, settings.inbox.port());
+        if empty && conf.first {
+            // The first voters must outlast a restart, at which the settings no longer
+            // say that the system is new: else a restarted voter would know nobody.
+            let first = first_members(&seeds);
+            store.snapshot(&(&first).into(), Vec::new())?;
+            loaded.snapshot = Some((&first).into());
+        }
+        lines.put(
+            "data_opened",
+            json!({
+                "identity": format!("{identity:016x}"), "empty": empty, "first": conf.first,
+                "entries": loaded.entries.len(), "torn_bytes": loaded.cut_bytes,
+            }),
+        );
+        let restored = restored(loaded)?;
+        let (settled, applied) = match &restored.snapshot {
+            Some(s) => (decode(&s.state)?, s.index),
+            None => (Settled::default(), 0),
+        };
+        let setup = Setup {
+            id: settings.inbox.ip().to_string(),
+            identity,
+            first: Default::default(),
+            timing: TIMING,
+            seed: rand::random(),
+        };
+        let start = Instant::now();
+        let quorum = Quorum::new(setup, restored, start.elapsed());
+        Ok(Core {
+            role: quorum.role(),
+            net,
+            lines,
+            start,
+            inbox: settings.inbox,
+            seeds,
+            losses: conf.losses,
+            quorum,
+            store,
+            identity,
+            settled,
+            applied,
+            logged_bytes: 0,
+            registry: Registry::default(),
+            directory: Directory::default(),
+            peers: Default::default(),
+            waits: Default::default(),
+            reads: Default::default(),
+            members: Default::default(),
+        })
+    }
+
+    fn run(mut self, ring: &Receiver<Event>) -> Result<()> {
+        loop {
+            match ring.recv_timeout(TICK) {
+                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return Ok(()),
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            for event in ring.try_iter().take(GROUP) {
+                match event {
+                    Event::Stop => return Ok(()),
+                    event => self.take(event),
+                }
+            }
+            let now = self.now();
+            self.quorum.tick(now);
+            self.flush()?;
+            self.note_role();
+            self.answer_reads(now);
+            self.press_settling(now);
+            self.keep_members(now);
+            self.ask_peers(now);
+            self.flush()?;
+        }
+    }
+
+    /// Time since this process started.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    pub(crate) fn identity(&self) -> u64 {
+        self.identity
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Message(m) => self.take_message(now, *m),
+            Event::Announce(record, done) => {
+                self.on_announce(now, record);
+                answered(done.send(()));
+            }
+            Event::Leave(id, done) => {
+                self.on_leave(now, &id);
+                answered(done.send(()));
+            }
+            Event::Settle(plan, document, done) => self.on_settle(now, &plan, document, done),
+            Event::Read(done) => self.on_read(now, done),
+            Event::Resolve(done) => answered(done.send(self.directory.addresses(now))),
+            Event::Seeds(seeds) => {
+                self.seeds = inboxes(&seeds, self.inbox.port());
+                self.lines.put("seeds_changed", json!({ "seeds": self.seeds }));
+            }
+            Event::Stop => {}
+        }
+    }
+
+    fn take_message(&mut self, now: Duration, envelope: Envelope) {
+        let Ok(inbox) = envelope.inbox.parse::<SocketAddr>() else {
+            return;
+        };
+        match envelope.body {
+            Some(Body::Quorum(m)) => {
+                if let Ok(message) = Message::try_from(m) {
+                    self.quorum.receive(now, &envelope.from, message);
+                }
+            }
+            Some(Body::NewsAsk(ask)) => self.on_news_ask(now, inbox, &ask),
+            Some(Body::News(news)) => self.on_news(now, inbox, envelope.incarnation, news),
+            Some(Body::DocumentAsk(ask)) => self.on_document_ask(now, inbox, ask),
+            Some(Body::DocumentAnswer(answer)) => self.on_document_answer(&answer),
+            Some(Body::ReadAsk(ask)) => self.on_read_ask(now, inbox, &ask),
+            Some(Body::ReadAnswer(answer)) => self.on_read_answer(&answer),
+            Some(Body::JoinAsk(ask)) => self.on_join_ask(inbox, &ask),
+            _ => {}
+        }
+    }
+
+    /// Stores, then sends, then applies, until nothing is left to do. A message that
+    /// left before the sync could acknowledge what a crash then forgets.
+    pub(crate) fn flush(&mut self) -> Result<()> {
+        loop {
+            let out = self.quorum.take();
+            if out == Output::default() {
+                return Ok(());
+            }
+            self.persist(&out)?;
+            for (to, message) in &out.messages {
+                self.send_member(to, message);
+            }
+            for entry in out.committed {
+                self.apply(entry);
+            }
+            self.compact()?;
+        }
+    }
+
+    fn persist(&mut self, out: &Output) -> Result<()> {
+        if let Some(snapshot) = &out.snapshot {
+            self.store.snapshot(&snapshot.into(), Vec::new())?;
+            self.applied = snapshot.index;
+            self.adopt(decode(&snapshot.state)?);
+        }
+        if out.hard.is_none() && out.cut_from.is_none() && out.append.is_empty() {
+            return Ok(());
+        }
+        let batch = wire::Batch {
+            hard: out.hard.as_ref().map(Into::into),
+            cut_from: out.cut_from.unwrap_or(0),
+            entries: out.append.iter().map(Into::into).collect(),
+        };
+        let began = self.now();
+        self.store.append(&batch)?;
+        metrics::histogram!("log_commit_seconds").record(self.now() - began);
+        Ok(())
+    }
+
+    fn send_member(&self, to: &str, message: &Message) {
+        let member = self.quorum.members().get(to);
+        let known = member.and_then(|m| m.address.parse::<SocketAddr>().ok());
+        // A leader may not be among the members that this replica knows yet.
+        let port = self.inbox.port();
+        let assumed = to.parse().ok().map(|ip| SocketAddr::new(ip, port));
+        if let Some(address) = known.or(assumed) {
+            self.net.send(address, Body::Quorum(message.into()));
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        self.applied = entry.index;
+        match entry.payload {
+            Payload::Empty => {}
+            Payload::Members(m) => {
+                let named = m.iter().map(|(id, m)| json!({ "id": id, "voter": m.voter }));
+                let named: Vec<_> = named.collect();
+                self.lines
+                    .put("members", json!({ "index": entry.index, "members": named }));
+            }
+            Payload::Command(bytes) => {
+                self.logged_bytes += bytes.len();
+                match decode(&bytes) {
+                    Ok(settled) => self.adopt(settled),
+                    // Every replica passes over it alike.
+                    Err(e) => log::error!("entry {}: {e}", entry.index),
+                }
+            }
+        }
+    }
+
+    /// Takes a committed document; an older one than is in force changes nothing.
+    fn adopt(&mut self, settled: Settled) {
+        let older = settled.version <= self.settled.version;
+        self.lines.put(
+            "document_committed",
+            json!({
+                "version": settled.version, "bytes": settled.document.len(),
+                "index": self.applied, "in_force": !older,
+            }),
+        );
+        if !older {
+            self.settled = settled;
+            self.push_document();
+        }
+        self.finish_settling();
+    }
+
+    fn compact(&mut self) -> Result<()> {
+        if self.logged_bytes < SNAPSHOT_BYTES {
+            return Ok(());
+        }
+        let state = encode(&self.settled);
+        if let Some(snapshot) = self.quorum.compact_keeping(self.applied, state, KEPT) {
+            let rest = self.quorum.held_after(snapshot.index);
+            let rest = rest.iter().map(Into::into).collect();
+            self.store.snapshot(&(&snapshot).into(), rest)?;
+            self.logged_bytes = 0;
+            self.lines
+                .put("snapshot_taken", json!({ "index": snapshot.index }));
+        }
+        Ok(())
+    }
+
+    fn note_role(&mut self) {
+        let role = self.quorum.role();
+        if role == self.role {
+            return;
+        }
+        self.role = role;
+        let fields = json!({
+            "role": format!("{role:?}"), "term": self.quorum.term(),
+            "leader": self.quorum.leader(),
+        });
+        self.lines.put("role", fields);
+    }
+}
+
+/// A peer that asked over HTTP may be gone by now; that changes nothing here.
+pub(crate) fn answered<T>(sent: std::result::Result<(), T>) {
+    if sent.is_err() {
+        metrics::counter!("answers_unwanted_total").increment(1);
+    }
+}
+
+/// Inboxes of coordinators, from any of their addresses: ports are the same everywhere.
+fn inboxes(seeds: &[SocketAddr], port: u16) -> Vec<SocketAddr> {
+    seeds
+        .iter()
+        .map(|s| SocketAddr::new(s.ip(), port))
+        .collect()
+}
+
+fn first_members(seeds: &[SocketAddr]) -> bn_quorum::Snapshot {
+    let member = |inbox: &SocketAddr| {
+        let member = Member {
+            identity: 0,
+            address: inbox.to_string(),
+            voter: true,
+        };
+        (inbox.ip().to_string(), member)
+    };
+    bn_quorum::Snapshot {
+        members: seeds.iter().map(member).collect(),
+        state: encode(&Settled::default()),
+        ..bn_quorum::Snapshot::default()
+    }
+}
+
+pub(crate) fn encode(settled: &Settled) -> Vec<u8> {
+    let ask = wire::DocumentAsk {
+        call: 0,
+        version: settled.version,
+        document: settled.document.clone(),
+    };
+    ask.encode_to_vec()
+}
+
+fn decode(bytes: &[u8]) -> Result<Settled> {
+    let ask = wire::DocumentAsk::decode(bytes).ok();
+    let ask = ask.context(DecodeSnafu { what: "document" })?;
+    Ok(Settled {
+        version: ask.version,
+        document: ask.document,
+    })
+}
+
+fn restored(loaded: Loaded) -> Result<Restored> {
+    let entries = loaded.entries.into_iter().map(Entry::try_from);
+    let entries = entries.collect::<std::result::Result<_, _>>();
+    Ok(Restored {
+        hard: loaded.hard.into(),
+        snapshot: loaded.snapshot.map(Into::into),
+        entries: entries.ok().context(DecodeSnafu { what: "log entry" })?,
+    })
+}
--- /dev/null
+++ b/crates/coordinator/src/lib.rs
@@ -0,0 +1,52 @@
+//! The coordinator process: settles documents in a replicated log, keeps registrations of
+//! backend servers, and tells callers which gateways there are.
+//!
+//! One thread owns all state (`core`); HTTP and the inbox reach it over a bounded ring.
+
+mod core;
+mod directory;
+mod http;
+mod members;
+mod news;
+mod reads;
+mod settling;
+
+pub use self::core::{Event, start};
+pub use self::directory::Directory;
+
+use snafu::Snafu;
+
+/// Why a coordinator could not start, or had to end.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Error {
+    /// The inbox could not be opened.
+    #[snafu(display("{source}"), context(false))]
+    Net {
+        /// What the links said.
+        source: bn_net::Error,
+    },
+    /// A socket could not be opened.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Where.
+        address: std::net::SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The data folder cannot be used, or a write failed.
+    #[snafu(display("{source}"), context(false))]
+    Store {
+        /// What it said.
+        source: bn_store::Error,
+    },
+    /// What the data folder holds does not decode.
+    #[snafu(display("undecodable {what}"))]
+    Decode {
+        /// What it was.
+        what: &'static str,
+    },
+}
+
+/// Result of starting and running.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/coordinator/src/news.rs
@@ -0,0 +1,196 @@
+//! Telling gateways and other coordinators what is new, and hearing it from the latter.
+//!
+//! News is pushed at a change and asked for again and again, so that a lost push costs
+//! half a second at most. A link may go silent without a reset, in one direction alone;
+//! then asks stay unanswered, the asker opens its link anew and says so in its next ask,
+//! and the other side opens its own anew.
+
+use crate::core::Core;
+use bn_registry::{Change, Condition, Record};
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{self as wire, Registration};
+use indexmap::IndexMap;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Between two asks of one peer. Pushes carry what is urgent.
+const ASK_GAP: Duration = Duration::from_millis(500);
+/// Asks without an answer after which the link is taken for dead: 1.5 s.
+const SILENT_ASKS: u32 = 3;
+
+/// Another coordinator, as far as news goes.
+#[derive(Debug, Clone, Default)]
+struct Peer {
+    source: u64,
+    mark: u64,
+    unanswered: u32,
+}
+
+/// All other coordinators by inbox.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Peers {
+    rows: IndexMap<SocketAddr, Peer>,
+    due: Duration,
+}
+
+impl Core {
+    /// Inboxes of all other coordinators that this one knows of.
+    pub(crate) fn others(&self) -> Vec<SocketAddr> {
+        let members = self.quorum.members().values();
+        let known = members.filter_map(|m| m.address.parse().ok());
+        let mut all: Vec<SocketAddr> = known.chain(self.seeds.iter().copied()).collect();
+        all.sort_unstable();
+        all.dedup();
+        all.retain(|a| *a != self.inbox);
+        all
+    }
+
+    pub(crate) fn on_announce(&mut self, now: Duration, record: Record) {
+        let id = record.id.clone();
+        let change = self.registry.take(now, record);
+        self.spread(&id, change, "announced");
+    }
+
+    pub(crate) fn on_leave(&mut self, now: Duration, id: &str) {
+        let change = self.registry.leave(now, id);
+        self.spread(id, change, "left");
+    }
+
+    fn spread(&mut self, id: &str, change: Change, source: &str) {
+        let Some(record) = self.registry.get(id).filter(|_| change == Change::News) else {
+            return;
+        };
+        self.lines.put("backend_server", told(record, source));
+        let news = wire::News {
+            changed: vec![record.into()],
+            ..self.plain_news()
+        };
+        for inbox in self.directory.inboxes().chain(self.others()) {
+            self.net.send(inbox, Body::News(news.clone()));
+        }
+    }
+
+    /// Tells every gateway of the document in force.
+    pub(crate) fn push_document(&self) {
+        let news = wire::News {
+            document: self.settled.document.clone(),
+            ..self.plain_news()
+        };
+        for inbox in self.directory.inboxes() {
+            self.net.send(inbox, Body::News(news.clone()));
+        }
+    }
+
+    fn plain_news(&self) -> wire::News {
+        let others = self.others();
+        let all = others.iter().chain([&self.inbox]);
+        wire::News {
+            version: self.settled.version,
+            coordinators: all.map(ToString::to_string).collect(),
+            gateways: self.directory.count(self.now()) as u32,
+            ..wire::News::default()
+        }
+    }
+
+    pub(crate) fn on_news_ask(&mut self, now: Duration, inbox: SocketAddr, ask: &wire::NewsAsk) {
+        if ask.unheard {
+            self.net.forget(inbox);
+        }
+        if let Ok(callers) = ask.callers.parse() {
+            self.directory.hear(now, inbox, callers, ask.ready);
+        }
+        let mark = match ask.source == self.net.incarnation() {
+            true => ask.mark,
+            false => 0,
+        };
+        let is_gateway = !ask.callers.is_empty();
+        let document = match is_gateway && ask.version < self.settled.version {
+            true => self.settled.document.clone(),
+            false => Vec::new(),
+        };
+        let changed = self.registry.since(mark);
+        let news = wire::News {
+            document,
+            mark: self.registry.mark(),
+            changed: changed.iter().map(Registration::from).collect(),
+            ..self.plain_news()
+        };
+        self.net.send(inbox, Body::News(news));
+    }
+
+    /// Registrations from another coordinator; documents come by the log alone.
+    pub(crate) fn on_news(
+        &mut self,
+        now: Duration,
+        inbox: SocketAddr,
+        incarnation: u64,
+        news: wire::News,
+    ) {
+        let peer = self.peers.rows.entry(inbox).or_default();
+        peer.unanswered = 0;
+        let asked = news.changed.len();
+        if news.mark > 0 || asked == 0 {
+            peer.source = incarnation;
+            peer.mark = news.mark;
+        }
+        for raw in news.changed {
+            let Ok(record) = Record::try_from(raw) else {
+                metrics::counter!("registrations_undecodable_total").increment(1);
+                continue;
+            };
+            let id = record.id.clone();
+            let gone = record.condition == Condition::Gone;
+            let change = self.registry.take(now, record);
+            // Departures go on at once: the coordinator that was told of it may be cut
+            // off from gateways that this one reaches.
+            if gone {
+                self.spread(&id, change, "told");
+            }
+        }
+    }
+
+    /// Asks every other coordinator for news, and drops what is too old.
+    pub(crate) fn ask_peers(&mut self, now: Duration) {
+        if now < self.peers.due {
+            return;
+        }
+        self.peers.due = now + ASK_GAP;
+        for inbox in self.others() {
+            let peer = self.peers.rows.entry(inbox).or_default();
+            let unheard = peer.unanswered >= SILENT_ASKS;
+            if unheard && peer.unanswered.is_multiple_of(SILENT_ASKS) {
+                self.net.forget(inbox);
+            }
+            if peer.unanswered == SILENT_ASKS {
+                let fields = json!({ "peer": inbox, "unanswered": peer.unanswered });
+                self.lines.put("peer_lost", fields);
+            }
+            peer.unanswered += 1;
+            let ask = wire::NewsAsk {
+                source: peer.source,
+                mark: peer.mark,
+                unheard,
+                ..wire::NewsAsk::default()
+            };
+            self.net.send(inbox, Body::NewsAsk(ask));
+        }
+        for gone in self.directory.forget(now) {
+            self.net.forget(gone);
+            self.lines.put("gateway_lost", json!({ "inbox": gone }));
+        }
+        let forgotten = self.registry.forget(now);
+        if forgotten > 0 {
+            self.lines
+                .put("backend_servers_forgotten", json!({ "count": forgotten }));
+        }
+    }
+}
+
+fn told(record: &Record, source: &str) -> serde_json::Value {
+    json!({
+        "id": record.id, "service": record.service, "address": record.address,
+        "condition": format!("{:?}", record.condition), "sequence": record.sequence,
+        "source": source,
+    })
+}
--- /dev/null
+++ b/crates/coordinator/src/reads.rs
@@ -0,0 +1,140 @@
+//! Reading the document in force: answered only where it is surely the newest.
+//!
+//! The leader confirms by a round of the log that it still leads; others ask it for the
+//! newest version and answer once they hold that. No lease is trusted for this: a
+//! suspended process finds its lease unexpired by a clock that stood still.
+
+use crate::core::{Core, answered};
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{self as wire};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// How long a read waits; operators turn elsewhere after a second.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// Between two asks to the leader.
+const ASK_GAP: Duration = Duration::from_millis(250);
+
+enum Asker {
+    Operator(oneshot::Sender<Option<Vec<u8>>>),
+    Peer(SocketAddr, u64),
+}
+
+/// How far a read has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// Nothing under way, or lost with a change of leader.
+    Idle,
+    /// This leader's round, in its term, must be reached.
+    Round(u64, u64),
+    /// The newest version is known; it may have to arrive here first.
+    Version(u64),
+}
+
+struct Read {
+    call: u64,
+    asker: Option<Asker>,
+    stage: Stage,
+    until: Duration,
+    next: Duration,
+}
+
+/// Reads that wait.
+#[derive(Default)]
+pub(crate) struct Reads {
+    list: Vec<Read>,
+    calls: u64,
+}
+
+impl Core {
+    pub(crate) fn on_read(&mut self, now: Duration, done: oneshot::Sender<Option<Vec<u8>>>) {
+        self.queue_read(now, Asker::Operator(done));
+    }
+
+    pub(crate) fn on_read_ask(&mut self, now: Duration, inbox: SocketAddr, ask: &wire::ReadAsk) {
+        self.queue_read(now, Asker::Peer(inbox, ask.call));
+    }
+
+    fn queue_read(&mut self, now: Duration, asker: Asker) {
+        self.reads.calls += 1;
+        self.reads.list.push(Read {
+            call: self.reads.calls,
+            asker: Some(asker),
+            stage: Stage::Idle,
+            until: now + PATIENCE,
+            next: now,
+        });
+    }
+
+    pub(crate) fn on_read_answer(&mut self, answer: &wire::ReadAnswer) {
+        let mut waiting = self.reads.list.iter_mut();
+        if let Some(read) = waiting.find(|r| r.call == answer.call)
+            && answer.sure
+        {
+            read.stage = Stage::Version(answer.version);
+        }
+    }
+
+    /// Moves every read on, and answers those that are sure or late.
+    pub(crate) fn answer_reads(&mut self, now: Duration) {
+        let mut list = std::mem::take(&mut self.reads.list);
+        for read in &mut list {
+            self.move_on(now, read);
+        }
+        let held = self.settled.version;
+        let sure = |r: &Read| matches!(r.stage, Stage::Version(v) if held >= v);
+        let (ended, waiting) = list
+            .into_iter()
+            .partition::<Vec<_>, _>(|r| sure(r) || now >= r.until);
+        self.reads.list = waiting;
+        for read in ended {
+            let is_sure = sure(&read);
+            self.answer_read(read, is_sure);
+        }
+    }
+
+    fn move_on(&mut self, now: Duration, read: &mut Read) {
+        if let Stage::Round(term, round) = read.stage {
+            if self.quorum.term() != term {
+                read.stage = Stage::Idle;
+            } else if self.quorum.round_reached() >= round {
+                read.stage = Stage::Version(self.settled.version);
+            }
+        }
+        if read.stage != Stage::Idle || now < read.next {
+            return;
+        }
+        read.next = now + ASK_GAP;
+        if let Some(round) = self.quorum.begin_round(now) {
+            read.stage = Stage::Round(self.quorum.term(), round);
+            return;
+        }
+        let leader = self.quorum.leader().and_then(|l| l.parse().ok());
+        let local = matches!(read.asker, Some(Asker::Operator(_)));
+        if let Some(ip) = leader.filter(|_| local) {
+            let inbox = SocketAddr::new(ip, self.inbox.port());
+            let ask = wire::ReadAsk { call: read.call };
+            self.net.send(inbox, Body::ReadAsk(ask));
+        }
+    }
+
+    fn answer_read(&mut self, mut read: Read, sure: bool) {
+        let version = self.settled.version;
+        match read.asker.take() {
+            Some(Asker::Operator(done)) => {
+                let document = (sure && version > 0).then(|| self.settled.document.clone());
+                answered(done.send(document));
+            }
+            Some(Asker::Peer(inbox, call)) => {
+                let answer = wire::ReadAnswer {
+                    call,
+                    sure,
+                    version,
+                };
+                self.net.send(inbox, Body::ReadAnswer(answer));
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/offer.rs
@@ -0,0 +1,150 @@
+//! Offering a request to backend servers until one answers: which outcome allows another
+//! try, and what is told where none does.
+
+use crate::answer::{Refusal, Verdict};
+use crate::attempt::{self, Head, Outcome, Word};
+use crate::place;
+use crate::shared::Shared;
+use crate::ticket::Ticket;
+use bn_route::ServerId;
+use serde_json::json;
+
+/// Connections that may fail before a request is given up; each was another backend
+/// server, and no byte left.
+const MOST_UNSENT: u32 = 3;
+
+/// What was tried for a request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Tries {
+    pub(crate) tried: Vec<ServerId>,
+    /// Backend servers that it was sent to.
+    pub(crate) sent: u32,
+    unsent: u32,
+    /// It is at a backend server, or was, and nobody said that it did not run.
+    pub(crate) unsure: bool,
+}
+
+impl Tries {
+    /// The final word where time or means have run out.
+    pub(crate) fn end(&self, otherwise: Refusal) -> Refusal {
+        match self.unsure {
+            true => Refusal::unknown(502, "the answer of the backend server was lost"),
+            false => otherwise,
+        }
+    }
+
+    /// The final word at the deadline or the route's timeout.
+    pub(crate) fn timed_out(&self) -> Refusal {
+        match self.unsure {
+            true => Refusal::unknown(504, "no answer in time"),
+            false => Refusal::later("not sent in time", place::back_after()),
+        }
+    }
+}
+
+/// Offers a request until there is the head of an answer to it.
+pub(crate) async fn offer(
+    shared: &Shared,
+    ticket: &Ticket,
+    tries: &mut Tries,
+    last_event: Option<&str>,
+) -> Result<Box<Head>, Refusal> {
+    loop {
+        let seat = place::seat(shared, ticket, &tries.tried).await;
+        let seat = seat.map_err(|refusal| tries.end(refusal))?;
+        let id = seat.server.id.clone();
+        tries.tried.push(id.clone());
+        let unsure_before = tries.unsure;
+        tries.unsure = true;
+        let outcome = attempt::send(shared, ticket, seat, last_event).await;
+        match outcome {
+            Outcome::Head(head) => {
+                tries.sent += 1;
+                return Ok(head);
+            }
+            Outcome::NotSent(why) => {
+                tries.unsure = unsure_before;
+                tries.unsent += 1;
+                note(shared, ticket, &id, "not_sent", why);
+                fail(shared, &id, true);
+                if tries.unsent >= MOST_UNSENT {
+                    let later = Refusal::later("no backend server reached", place::back_after());
+                    return Err(tries.end(later));
+                }
+            }
+            Outcome::NotRun(word) => {
+                tries.unsure = unsure_before;
+                on_word(shared, ticket, tries, &id, word)?;
+            }
+            Outcome::Unknown(why) => {
+                tries.sent += 1;
+                note(shared, ticket, &id, "unknown", why);
+                fail(shared, &id, false);
+                if !again(shared, ticket, tries) {
+                    return Err(Refusal::unknown(502, "the answer was lost"));
+                }
+            }
+        }
+    }
+}
+
+/// The request may go to another backend server although it may have run.
+pub(crate) fn again(shared: &Shared, ticket: &Ticket, tries: &Tries) -> bool {
+    ticket.idempotent() && tries.sent < ticket.route.attempts && shared.may_retry(&ticket.service)
+}
+
+fn on_word(
+    shared: &Shared,
+    ticket: &Ticket,
+    tries: &mut Tries,
+    id: &str,
+    word: Word,
+) -> Result<(), Refusal> {
+    let (outcome, reason) = match word {
+        Word::Full => ("full", "all backend servers are full"),
+        Word::Elsewhere => ("elsewhere", "the backend server is gone"),
+        Word::Stalled => ("stalled", "the group of backend servers stands still"),
+    };
+    note(shared, ticket, id, "not_run", outcome);
+    if word == Word::Elsewhere {
+        // Its address belongs to another one now; an id never comes back.
+        shared.state().fleet.remove(id);
+    } else {
+        tries.sent += 1;
+    }
+    let left = word == Word::Elsewhere || tries.sent < ticket.route.attempts;
+    match left && shared.may_retry(&ticket.service) {
+        true => Ok(()),
+        false => Err(tries.end(Refusal::later(reason, place::back_after()))),
+    }
+}
+
+/// Notes a failure on account of a backend server.
+pub(crate) fn fail(shared: &Shared, id: &str, gravely: bool) {
+    let now = shared.now();
+    let out = shared.state().fleet.failed(now, id, gravely);
+    if out {
+        shared
+            .lines
+            .put("backend_server_out", json!({ "id": id, "gravely": gravely }));
+    }
+}
+
+/// A line for a try that brought no answer.
+pub(crate) fn note(shared: &Shared, ticket: &Ticket, id: &str, outcome: &str, why: &str) {
+    shared.lines.put(
+        "try_failed",
+        json!({
+            "request": ticket.id, "route": ticket.route.name, "version": ticket.version,
+            "server": id, "outcome": outcome, "why": why,
+        }),
+    );
+}
+
+/// The verdict of a refusal, for lines and counters.
+pub(crate) fn verdict(refusal: &Refusal) -> &'static str {
+    match refusal.verdict {
+        Verdict::NotRun => "not_run",
+        Verdict::MayHaveRun => "may_have_run",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,154 @@
+//! Connections to backend servers, kept for reuse.
+//!
+//! An idle connection may be closed, or die without a word, at any time. A connection is
+//! used again only within a time well below what its backend server announced, and a
+//! request that finds it closed before a byte left is sent on another one.
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Longest wait for a connection. Two round trips between failure domains take 4 ms; an
+/// opening packet that was dropped is repeated only after a second, so that another
+/// backend server is the faster way.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Idle time after which a connection is not used again, where none was announced.
+const IDLE: Duration = Duration::from_millis(2_500);
+/// Kept below the announced idle time by this much, for packets under way.
+const MARGIN: Duration = Duration::from_millis(800);
+/// Idle connections kept for one backend server.
+const KEPT: usize = 8;
+/// Data that nobody acknowledges for this long means that the machine is gone.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// An open connection on which nothing comes is probed after and every so often.
+const PROBE: Duration = Duration::from_secs(1);
+/// Unanswered probes after which it is dead: 3 s of silence of the machine itself, not
+/// of the backend server's work.
+const PROBES: u32 = 2;
+
+/// Why there is no connection.
+#[derive(Debug, Snafu)]
+pub(crate) enum Error {
+    #[snafu(display("no connection within {} ms", CONNECT.as_millis()))]
+    Slow,
+    #[snafu(display("no connection: {source}"))]
+    Refused { source: std::io::Error },
+    #[snafu(display("no connection: {source}"))]
+    Protocol { source: hyper::Error },
+}
+
+type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// One connection. Dropping it closes it at once, with whatever runs on it: that is how
+/// a backend server learns that its caller has left.
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+    task: AbortHandle,
+    idle_since: Duration,
+    idle_limit: Duration,
+    /// It has carried a request before.
+    pub(crate) reused: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Idle connections by address.
+#[derive(Default)]
+pub(crate) struct Pool(Mutex<IndexMap<SocketAddr, Vec<Connection>>>);
+
+impl Pool {
+    /// A connection that was used before and seems alive.
+    pub(crate) fn idle(&self, now: Duration, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.get_mut(&address)?;
+        let alive = |c: &Connection| {
+            c.sender.is_ready() && now.saturating_sub(c.idle_since) < c.idle_limit
+        };
+        while let Some(connection) = kept.pop() {
+            if alive(&connection) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Takes a connection back; `limit` is the idle time that the backend server told.
+    pub(crate) fn keep(&self, now: Duration, mut connection: Connection, limit: Option<Duration>) {
+        if !connection.sender.is_ready() {
+            return;
+        }
+        connection.idle_since = now;
+        connection.idle_limit = limit.map_or(IDLE, |l| l.saturating_sub(MARGIN).min(IDLE));
+        connection.reused = true;
+        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.entry(connection.address).or_default();
+        if kept.len() < KEPT {
+            kept.push(connection);
+        }
+    }
+
+    /// Closes what has been idle for too long.
+    pub(crate) fn sweep(&self, now: Duration) {
+        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for kept in idle.values_mut() {
+            kept.retain(|c| now.saturating_sub(c.idle_since) < c.idle_limit);
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+}
+
+/// Opens a new connection.
+pub(crate) async fn open(address: SocketAddr) -> Result<Connection> {
+    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .map_err(|_| Error::Slow)?
+        .context(RefusedSnafu)?;
+    guard(&stream);
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.context(ProtocolSnafu)?;
+    let task = tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!("connection to {address}: {e}");
+        }
+    });
+    Ok(Connection {
+        sender,
+        address,
+        task: task.abort_handle(),
+        idle_since: Duration::ZERO,
+        idle_limit: IDLE,
+        reused: false,
+    })
+}
+
+/// A machine without power, or behind a cut, answers nothing: without bounds of its own a
+/// connection to it hangs for minutes.
+fn guard(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    let set = [
+        stream.set_nodelay(true),
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)),
+        socket.set_tcp_keepalive(&probes),
+    ];
+    for error in set.into_iter().filter_map(std::result::Result::err) {
+        log::warn!("a connection goes unguarded: {error}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,131 @@
+//! State that all requests of a gateway share. It is locked for moments only, never
+//! across a wait.
+
+use crate::pool::Pool;
+use bn_route::{Allowance, Fleet, Retries};
+use bn_settle::Plan;
+use bn_trace::Lines;
+use indexmap::IndexMap;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, watch};
+
+/// One gateway. Cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Shared(Arc<Inner>);
+
+pub(crate) struct Inner {
+    start: Instant,
+    state: Mutex<State>,
+    pub(crate) pool: Pool,
+    pub(crate) lines: Lines,
+    /// Rings when room may have come up.
+    pub(crate) room: Notify,
+    pub(crate) allowance: Allowance,
+    /// Turns true when a graceful stop begins.
+    pub(crate) closing: watch::Sender<bool>,
+    /// Requests in flight.
+    open: AtomicU32,
+}
+
+/// What is believed and counted.
+pub(crate) struct State {
+    /// The document in force; none until a coordinator told it.
+    pub(crate) plan: Option<Arc<Plan>>,
+    pub(crate) fleet: Fleet,
+    pub(crate) retries: IndexMap<String, Retries>,
+    /// Gateways that share the retry budget.
+    pub(crate) gateways: u32,
+}
+
+impl std::ops::Deref for Shared {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.0
+    }
+}
+
+impl Shared {
+    pub(crate) fn new(domain: &str, allowance: Allowance, lines: Lines) -> Shared {
+        let state = State {
+            plan: None,
+            fleet: Fleet::new(domain),
+            retries: IndexMap::new(),
+            gateways: 1,
+        };
+        Shared(Arc::new(Inner {
+            start: Instant::now(),
+            state: Mutex::new(state),
+            pool: Pool::default(),
+            lines,
+            room: Notify::new(),
+            allowance,
+            closing: watch::channel(false).0,
+            open: AtomicU32::new(0),
+        }))
+    }
+}
+
+impl Inner {
+    /// Time since this process started.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn plan(&self) -> Option<Arc<Plan>> {
+        self.state().plan.clone()
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
+    /// Callers may be sent here: it knows what is settled and is not stopping.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_closing() && self.state().plan.is_some()
+    }
+
+    /// A request for `service` came in; the retry budget grows with it.
+    pub(crate) fn count_request(&self, service: &str) {
+        let now = self.now();
+        let mut state = self.state();
+        let retries = state.retries.entry(service.into()).or_default();
+        retries.request(now, &self.allowance);
+    }
+
+    /// Requests in flight.
+    pub(crate) fn open(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// A second try for `service`, if the budget has one.
+    pub(crate) fn may_retry(&self, service: &str) -> bool {
+        let now = self.now();
+        let mut state = self.state();
+        let gateways = state.gateways;
+        let retries = state.retries.entry(service.into()).or_default();
+        retries.spend(now, &self.allowance, gateways)
+    }
+}
+
+/// Counts a request as in flight while it lives.
+pub(crate) struct Flight(Shared);
+
+impl Flight {
+    pub(crate) fn begin(shared: &Shared) -> Flight {
+        shared.open.fetch_add(1, Ordering::Relaxed);
+        Flight(shared.clone())
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/start.rs
@@ -0,0 +1,153 @@
+//! Starting and stopping a gateway.
+
+use crate::link::Link;
+use crate::shared::Shared;
+use crate::{ListenSnafu, Result, RuntimeSnafu, front};
+use bn_conf::{Gateway as Conf, Settings};
+use bn_net::Net;
+use bn_route::Allowance;
+use bn_serve::Bounds;
+use bn_trace::Lines;
+use serde_json::json;
+use snafu::ResultExt;
+use std::net::{SocketAddr, TcpListener};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Messages that wait for the gateway's thread.
+const RING: usize = 4096;
+/// A connection may stay idle for as long as the document says, by default 15 s; beyond
+/// this none is kept.
+const IDLE: Duration = Duration::from_secs(30);
+/// Callers keep an answer of the directory for two seconds and learn of the stop with
+/// the next one; no process ends before that.
+const SHORTEST_STOP: Duration = Duration::from_millis(3_000);
+/// Kept of the grace for the end itself.
+const RESERVE: Duration = Duration::from_millis(400);
+/// Between two looks whether all requests have ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A running gateway.
+pub struct Handle {
+    shared: Shared,
+    thread: JoinHandle<Result<()>>,
+}
+
+impl Handle {
+    /// What begins a graceful stop: no new callers are sent here, those that come are
+    /// served, and the process ends with the last request.
+    pub fn stopper(&self) -> impl Fn() + Send + Sync + 'static {
+        let shared = self.shared.clone();
+        move || {
+            shared
+                .lines
+                .put("stopping", json!({ "in_flight": shared.open() }));
+            shared.closing.send_replace(true);
+        }
+    }
+
+    /// Waits for the end.
+    pub fn wait(self) -> Result<()> {
+        self.thread.join().unwrap_or(Ok(()))
+    }
+}
+
+/// Starts a gateway on its own thread.
+pub fn start(settings: &Settings, conf: &Conf, lines: Lines) -> Result<Handle> {
+    let allowance = Allowance {
+        ratio: conf.retry_ratio,
+        slack: conf.retry_slack,
+        window: conf.retry_window,
+    };
+    let shared = Shared::new(&settings.domain, allowance, lines);
+    let (sink, inbox) = mpsc::channel(RING);
+    let incarnation = rand::random::<u64>() | 1;
+    let net = Net::open(
+        &settings.id,
+        incarnation,
+        settings.inbox,
+        settings.listen,
+        move |e| {
+            if sink.try_send(e).is_err() {
+                metrics::counter!("ring_lost_total").increment(1);
+            }
+        },
+    )?;
+    let port = settings.inbox.port();
+    let seeds = conf.seeds.iter().map(|s| SocketAddr::new(s.ip(), port));
+    let link = Link::new(
+        shared.clone(),
+        net,
+        conf.callers,
+        settings.domain.clone(),
+        seeds.collect(),
+    );
+    let callers = bind(conf.callers)?;
+    let ready = bind(conf.readiness)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let grace = conf.grace;
+    let running = shared.clone();
+    let thread = std::thread::spawn(move || {
+        runtime.block_on(async move {
+            tokio::spawn(link.run(inbox));
+            tokio::spawn(serve_readiness(running.clone(), ready));
+            tokio::spawn(serve_callers(running.clone(), callers));
+            until_stopped(&running, grace).await;
+        });
+        Ok(())
+    });
+    Ok(Handle { shared, thread })
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).context(ListenSnafu { address })
+}
+
+async fn serve_callers(shared: Shared, listener: TcpListener) {
+    let bounds = Bounds {
+        header_time: IDLE,
+        ..Bounds::default()
+    };
+    let closing = shared.closing.subscribe();
+    let handle = move |request| front::answer(shared.clone(), request);
+    if let Err(e) = bn_serve::accept(listener, None, bounds, closing, handle).await {
+        log::error!("callers: {e}");
+    }
+}
+
+async fn serve_readiness(shared: Shared, listener: TcpListener) {
+    let closing = shared.closing.subscribe();
+    let handle = move |request| {
+        let response = front::readiness(&shared, &request);
+        async move { response }
+    };
+    if let Err(e) = bn_serve::accept(listener, None, Bounds::default(), closing, handle).await {
+        log::error!("readiness: {e}");
+    }
+}
+
+/// Returns once a stop was asked for and the last request has ended, or the grace is
+/// nearly over.
+async fn until_stopped(shared: &Shared, grace: Duration) {
+    let mut closing = shared.closing.subscribe();
+    if closing.wait_for(|c| *c).await.is_err() {
+        return;
+    }
+    let began = shared.now();
+    let forced = began + grace.saturating_sub(RESERVE);
+    let earliest = (began + SHORTEST_STOP).min(forced);
+    loop {
+        let now = shared.now();
+        if now >= forced || (now >= earliest && shared.open() == 0) {
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    shared
+        .lines
+        .put("stopped", json!({ "in_flight": shared.open() }));
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,241 @@
+//! Streamed answers: whole events go on as they come. Where a stream breaks off and may
+//! be resumed, another backend server goes on after the last whole event, within the
+//! same answer; else the caller's connection breaks, so that the end never looks whole.
+
+use crate::answer::Refusal;
+use crate::attempt::Head;
+use crate::events::{LARGEST_EVENT, Splitter};
+use crate::offer::{self, Tries};
+use crate::plain;
+use crate::shared::{Flight, Shared};
+use crate::ticket::{Ticket, strip_hop};
+use bn_platform::header;
+use bn_serve::Body;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::{Bytes, Frame, Incoming};
+use hyper::header::CONTENT_TYPE;
+use hyper::http::response::Parts;
+use serde_json::json;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Events that wait for a slow caller; then the backend server is read no further.
+const RING: usize = 16;
+
+type Piece = Result<Frame<Bytes>, io::Error>;
+
+/// Serves a request whose answer is a stream.
+pub(crate) async fn serve(
+    shared: &Shared,
+    ticket: &Ticket,
+    mut tries: Tries,
+    flight: Flight,
+) -> Result<Response<Body>, Refusal> {
+    let offered = offer::offer(shared, ticket, &mut tries, None);
+    let head = match tokio::time::timeout(ticket.left(shared.now()), offered).await {
+        Ok(head) => head?,
+        Err(_) => return Err(tries.timed_out()),
+    };
+    if !is_stream(&head) {
+        let collected = plain::collect(shared, head);
+        let whole = tokio::time::timeout(ticket.left(shared.now()), collected).await;
+        let whole = whole.map_err(|_| tries.timed_out())?;
+        let lost = || Refusal::unknown(502, "the answer broke off");
+        return whole.map(plain::response).ok_or_else(lost);
+    }
+    let (parts, body, rest) = split(*head);
+    let (pieces, taken) = mpsc::channel(RING);
+    let pump = Pump {
+        shared: shared.clone(),
+        ticket: ticket.clone(),
+        tries,
+        splitter: Splitter::default(),
+        pieces,
+    };
+    tokio::spawn(async move {
+        let _flight = flight;
+        pump.run(body, rest).await;
+    });
+    Ok(response(parts, taken))
+}
+
+fn is_stream(head: &Head) -> bool {
+    let headers = head.response.headers();
+    let kind = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    head.response.status() == StatusCode::OK
+        && kind.is_some_and(|k| k.starts_with("text/event-stream"))
+        && headers.contains_key(header::SIGNATURE)
+}
+
+/// What must live as long as a stream's body is read.
+struct Rest {
+    connection: crate::pool::Connection,
+    seat: crate::attempt::Seat,
+    limit: Option<Duration>,
+}
+
+fn split(head: Head) -> (Parts, Incoming, Rest) {
+    let (parts, body) = head.response.into_parts();
+    let limit = crate::attempt::idle_limit(&parts.headers);
+    let rest = Rest {
+        connection: head.connection,
+        seat: head.seat,
+        limit,
+    };
+    (parts, body, rest)
+}
+
+fn response(mut parts: Parts, taken: mpsc::Receiver<Piece>) -> Response<Body> {
+    strip_hop(&mut parts.headers);
+    parts.headers.remove("content-length");
+    parts.headers.remove(header::LOAD);
+    let body = StreamBody::new(Pieces(taken));
+    Response::from_parts(parts, BodyExt::boxed(body))
+}
+
+/// The ring's other end, as a body.
+struct Pieces(mpsc::Receiver<Piece>);
+
+impl futures_core::Stream for Pieces {
+    type Item = Piece;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Piece>> {
+        self.0.poll_recv(cx)
+    }
+}
+
+/// How reading one backend server's part of a stream ended.
+enum End {
+    /// The stream is complete.
+    Whole,
+    /// The caller left.
+    Left,
+    /// Deadline or timeout.
+    Late,
+    /// The backend server broke off.
+    Broken(&'static str),
+}
+
+/// Moves events from backend servers to the caller.
+struct Pump {
+    shared: Shared,
+    ticket: Ticket,
+    tries: Tries,
+    splitter: Splitter,
+    pieces: mpsc::Sender<Piece>,
+}
+
+impl Pump {
+    async fn run(mut self, body: Incoming, rest: Rest) {
+        let (mut body, mut rest) = (body, rest);
+        loop {
+            let id = rest.seat.server.id.clone();
+            match self.read(&mut body).await {
+                End::Whole => {
+                    let shared = &self.shared;
+                    Head::keep(shared, rest.connection, rest.limit);
+                    let now = shared.now();
+                    shared.state().fleet.succeeded(now, &id);
+                    return self.note("stream_whole", &id, "");
+                }
+                End::Left => return self.note("caller_left", &id, ""),
+                End::Late => {
+                    self.note("stream_cut", &id, "deadline or timeout");
+                    return self.cut().await;
+                }
+                End::Broken(why) => {
+                    drop(rest);
+                    drop(body);
+                    self.note("stream_broken", &id, why);
+                    offer::fail(&self.shared, &id, false);
+                    match self.resume().await {
+                        Some(next) => (body, rest) = next,
+                        None => return self.cut().await,
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self, body: &mut Incoming) -> End {
+        let until = self.ticket.left(self.shared.now());
+        let late = tokio::time::sleep(until);
+        let mut late = std::pin::pin!(late);
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.pieces.closed() => return End::Left,
+                () = late.as_mut() => return End::Late,
+            };
+            let data = match frame {
+                None if self.splitter.pending() > 0 => return End::Broken("ended within an event"),
+                None => return End::Whole,
+                Some(Err(_)) => return End::Broken("connection broke"),
+                Some(Ok(frame)) => frame.into_data(),
+            };
+            let Some(events) = data.ok().and_then(|d| self.splitter.push(&d)) else {
+                if self.splitter.pending() > LARGEST_EVENT {
+                    return End::Broken("an event without end");
+                }
+                continue;
+            };
+            let sent = tokio::select! {
+                sent = self.pieces.send(Ok(Frame::data(events))) => sent,
+                () = late.as_mut() => return End::Late,
+            };
+            if sent.is_err() {
+                return End::Left;
+            }
+        }
+    }
+
+    /// Goes on at another backend server after the last whole event.
+    async fn resume(&mut self) -> Option<(Incoming, Rest)> {
+        self.splitter.drop_part();
+        if !offer::again(&self.shared, &self.ticket, &self.tries) {
+            return None;
+        }
+        let from = self.splitter.last_id().map(str::to_string);
+        let left = self.ticket.left(self.shared.now());
+        let offered = offer::offer(&self.shared, &self.ticket, &mut self.tries, from.as_deref());
+        let head = tokio::select! {
+            head = tokio::time::timeout(left, offered) => head.ok()?.ok()?,
+            () = self.pieces.closed() => return None,
+        };
+        if !is_stream(&head) {
+            return None;
+        }
+        let (_, body, rest) = split(*head);
+        let id = rest.seat.server.id.clone();
+        self.note("stream_resumed", &id, from.as_deref().unwrap_or("start"));
+        Some((body, rest))
+    }
+
+    /// Breaks the caller's connection: without the end of the framing the answer cannot
+    /// be taken for whole.
+    async fn cut(self) {
+        let broken = io::Error::new(io::ErrorKind::ConnectionAborted, "the stream broke off");
+        if self.pieces.send(Err(broken)).await.is_err() {
+            log::debug!("{}: the caller left before the cut", self.ticket.id);
+        }
+    }
+
+    fn note(&self, event: &str, server: &str, why: &str) {
+        if event == "stream_whole" && !crate::front::sampled() {
+            return;
+        }
+        self.shared.lines.put(
+            event,
+            json!({
+                "request": self.ticket.id, "server": server, "why": why,
+                "last_event": self.splitter.last_id(),
+                "after_ms": (self.shared.now() - self.ticket.arrived).as_millis() as u64,
+            }),
+        );
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -135,6 +135,13 @@
         Body::ClaimAnswer(_) => "claim_answer",
         Body::SwitchOrder(_) => "switch_order",
         Body::SwitchReport(_) => "switch_report",
+        Body::NewsAsk(_) => "news_ask",
+        Body::News(_) => "news",
+        Body::DocumentAsk(_) => "document_ask",
+        Body::DocumentAnswer(_) => "document_answer",
+        Body::ReadAsk(_) => "read_ask",
+        Body::ReadAnswer(_) => "read_answer",
+        Body::JoinAsk(_) => "join_ask",
     }
 }
 
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -2,7 +2,7 @@
 //! current-thread runtime; requests go to the entry's thread over a bounded ring.
 
 use crate::entry::Event;
-use crate::server::{self, Body, BodyFault, text, whole_body};
+use bn_serve::{Body, BodyFault, Bounds, text, whole_body};
 use crate::verdict::{Refusal, Verdict};
 use bn_state::Priority;
 use crossbeam::channel::Sender;
@@ -74,7 +74,7 @@
     max_body: usize,
 ) -> io::Result<()> {
     let shared = Arc::new(Shared { ring, max_body });
-    server::serve(listener, "callers", tls, move |request| {
+    bn_serve::serve(listener, "callers", tls, move |request| {
         handle(request, shared.clone())
     })
 }
@@ -83,7 +83,7 @@
     let path = request.uri().path().to_string();
     match (request.method(), path.as_str()) {
         (&Method::GET, "/v1/addresses") => addresses(&shared).await,
-        (&Method::GET, "/healthz") => text(200, "text/plain", "ok\n".into()),
+        (&Method::GET, "/healthz") => text(200, "text/plain", "ok\n"),
         _ if path.starts_with("/svc/") => match arrival(request, shared.max_body).await {
             Ok((arrival, answers)) => forward(arrival, answers, &shared).await,
             Err(refusal) => refuse(&refusal),
@@ -266,7 +266,8 @@
 }
 
 async fn checked_body(body: Incoming, most: usize) -> Result<Vec<u8>, Refusal> {
-    whole_body(body, most).await.map_err(|fault| match fault {
+    let whole = whole_body(body, most, Bounds::default().body_time).await;
+    whole.map(|b| b.to_vec()).map_err(|fault| match fault {
         BodyFault::Slow => Refusal::not_run(408, "the body came too slowly"),
         BodyFault::TooLarge => {
             Refusal::not_run(413, format!("the body is larger than {most} bytes"))
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,10 +9,10 @@
 mod http_client;
 mod pages;
 mod run;
-mod server;
 mod tls;
 mod verdict;
 
+pub use pages::serve_metrics;
 pub use run::{Running, start};
 pub use verdict::{Refusal, Verdict};
 
--- a/crates/node/src/pages.rs
+++ b/crates/node/src/pages.rs
@@ -1,7 +1,7 @@
 //! Small HTTP pages for operators and backend servers: metrics, events, commands,
 //! announcements. Nothing here streams.
 
-use crate::server::{self, Body, text, whole_body};
+use bn_serve::{Body, Bounds, text, whole_body};
 use crate::{ListenSnafu, Result};
 use bn_trace::{Events, Metrics};
 use hyper::body::Incoming;
@@ -31,7 +31,27 @@
     let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
     let pages = Arc::new(pages);
     let handle = move |request| page(pages.clone(), request);
-    server::serve(listener, "pages", tls, handle).context(ListenSnafu { address })
+    bn_serve::serve(listener, "pages", tls, handle).context(ListenSnafu { address })
+}
+
+/// Serves metrics alone, for roles that have no other pages.
+pub fn serve_metrics(address: SocketAddr, metrics: Metrics) -> Result<()> {
+    let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
+    let handle = move |request: Request<Incoming>| {
+        let response = match request.uri().path() {
+            "/metrics" => rendered(&metrics),
+            _ => text(404, JSON, fault("there is no such page")),
+        };
+        async move { response }
+    };
+    bn_serve::serve(listener, "pages", None, handle).context(ListenSnafu { address })
+}
+
+fn rendered(metrics: &Metrics) -> Response<Body> {
+    let used = bn_trace::usage();
+    metrics::gauge!("process_cpu_seconds").set(used.cpu_seconds);
+    metrics::gauge!("process_resident_bytes").set(used.resident_bytes as f64);
+    text(200, PLAIN, metrics.render())
 }
 
 async fn page(pages: Arc<Pages>, request: Request<Incoming>) -> Response<Body> {
@@ -40,13 +60,8 @@
         request.uri().path().to_string(),
     );
     match (method.as_str(), path.as_str()) {
-        ("GET", "/metrics") => {
-            let used = bn_trace::usage();
-            metrics::gauge!("process_cpu_seconds").set(used.cpu_seconds);
-            metrics::gauge!("process_resident_bytes").set(used.resident_bytes as f64);
-            text(200, PLAIN, pages.metrics.render())
-        }
-        ("GET", "/healthz") => text(200, PLAIN, "ok\n".into()),
+        ("GET", "/metrics") => rendered(&pages.metrics),
+        ("GET", "/healthz") => text(200, PLAIN, "ok\n"),
         ("GET", "/v1/events") => {
             let events = serde_json::to_string(&pages.events.recent()).unwrap_or_default();
             text(200, JSON, events)
@@ -61,7 +76,8 @@
     path: String,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let Ok(body) = whole_body(request.into_body(), LARGEST_BODY).await else {
+    let time = Bounds::default().body_time;
+    let Ok(body) = whole_body(request.into_body(), LARGEST_BODY, time).await else {
         return text(
             413,
             JSON,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -190,7 +190,8 @@
             Some(
                 Body::Quorum(_) | Body::LeaseAsk(_) | Body::Proposal(_) | Body::SwitchReport(_),
             ) => lost(&self.control, control::Event::Message(Box::new(envelope))),
-            None => true,
+            // Messages of the gateway and coordinator roles, which are processes of their own.
+            _ => true,
         };
         if lost {
             metrics::counter!("ring_lost").increment(1);
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -70,6 +70,28 @@
         self.commit >= self.lead.first && self.lease_until().is_some_and(|until| now < until)
     }
 
+    /// Begins a round at once and returns its number. Once [`Quorum::round_reached`] is
+    /// at it, a majority has followed this leader after this call: what is committed
+    /// then is the newest there was when the call was made. No clock is involved, so
+    /// it holds for a process that was suspended too. `None`: it does not lead, or does
+    /// not yet know all that was ever committed.
+    pub fn begin_round(&mut self, now: Duration) -> Option<u64> {
+        if self.role != Role::Leader || self.commit < self.lead.first {
+            return None;
+        }
+        self.lead.due = now;
+        self.lead_on(now);
+        (self.role == Role::Leader).then_some(self.lead.round)
+    }
+
+    /// The latest round that a majority answered; 0 where this replica does not lead.
+    pub fn round_reached(&self) -> u64 {
+        match self.role {
+            Role::Leader => reached(&self.members, |id| self.round_of(id)),
+            _ => 0,
+        }
+    }
+
     /// How each member stands. Empty where this replica does not lead.
     pub fn standings(&self) -> Vec<Standing> {
         if self.role != Role::Leader {
--- a/crates/quorum/src/step.rs
+++ b/crates/quorum/src/step.rs
@@ -134,6 +134,16 @@
     /// Tells the replica that `state` is the applied state at `index`; returns the
     /// snapshot to store. Memory then keeps only some entries behind it.
     pub fn compact(&mut self, index: Index, state: Vec<u8>) -> Option<Snapshot> {
+        self.compact_keeping(index, state, KEPT)
+    }
+
+    /// As [`Quorum::compact`], with the number of entries that stay in memory.
+    pub fn compact_keeping(
+        &mut self,
+        index: Index,
+        state: Vec<u8>,
+        kept: u64,
+    ) -> Option<Snapshot> {
         if index > self.commit || index <= self.snapshot.index {
             return None;
         }
@@ -146,7 +156,7 @@
             state,
         };
         self.log
-            .compact(index.saturating_sub(KEPT).max(self.log.first() - 1));
+            .compact(index.saturating_sub(kept).max(self.log.first() - 1));
         Some(self.snapshot.clone())
     }
 
--- /dev/null
+++ b/crates/registry/src/table.rs
@@ -0,0 +1,172 @@
+//! The table and its rules of merging.
+
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Id of one start of a backend server.
+pub type BackendId = String;
+/// Number of an announcement within one start; later ones are higher.
+pub type Sequence = u64;
+/// Position in a table's changes, by which others ask for what is new.
+pub type Mark = u64;
+
+/// How long a departed id is remembered. Far above the time for which a cut may hold an
+/// announcement back (tens of seconds), and bounded so that the table does not grow.
+const REMEMBERED: Duration = Duration::from_secs(600);
+/// A backend server that nobody has heard of for this long is dropped: 50 times the
+/// usual gap between announcements. Until then each entry judges by its own requests.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// What a backend server says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// It takes new work.
+    Ready,
+    /// It leaves soon and takes no new work.
+    Draining,
+    /// It has left, for good.
+    Gone,
+}
+
+/// One backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Record {
+    /// Id of this start.
+    pub id: BackendId,
+    /// Service it belongs to; empty where only its departure is known.
+    pub service: String,
+    /// Where it takes requests; none where only its departure is known.
+    pub address: Option<SocketAddr>,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// What it says of itself.
+    pub condition: Condition,
+    /// Number of its latest announcement.
+    pub sequence: Sequence,
+}
+
+/// What taking a record in did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Something that decisions depend on is different: others must be told.
+    News,
+    /// Only the sequence went on.
+    Fresh,
+    /// It was older than what is known.
+    Stale,
+}
+
+#[derive(Debug, Clone)]
+struct Row {
+    record: Record,
+    /// Change at which it last became news.
+    mark: Mark,
+    heard: Duration,
+}
+
+/// The table of one process.
+#[derive(Debug, Clone, Default)]
+pub struct Registry {
+    rows: IndexMap<BackendId, Row>,
+    mark: Mark,
+}
+
+impl Registry {
+    /// Takes a record in, whether announced or told by another process.
+    pub fn take(&mut self, now: Duration, record: Record) -> Change {
+        let Some(row) = self.rows.get_mut(&record.id) else {
+            self.mark += 1;
+            let (id, mark) = (record.id.clone(), self.mark);
+            let row = Row {
+                record,
+                mark,
+                heard: now,
+            };
+            self.rows.insert(id, row);
+            return Change::News;
+        };
+        if !follows(&row.record, &record) {
+            return Change::Stale;
+        }
+        row.heard = now;
+        let same = Record {
+            sequence: row.record.sequence,
+            ..record.clone()
+        } == row.record;
+        row.record = record;
+        if same {
+            return Change::Fresh;
+        }
+        self.mark += 1;
+        row.mark = self.mark;
+        Change::News
+    }
+
+    /// Notes a departure; the rest of the record stays as it was.
+    pub fn leave(&mut self, now: Duration, id: &str) -> Change {
+        let known = self.rows.get(id).map(|r| r.record.clone());
+        let record = known.unwrap_or_else(|| Record {
+            id: id.into(),
+            service: String::new(),
+            address: None,
+            domain: String::new(),
+            slots: 0,
+            condition: Condition::Gone,
+            sequence: 0,
+        });
+        let gone = Record {
+            condition: Condition::Gone,
+            ..record
+        };
+        self.take(now, gone)
+    }
+
+    /// Latest change.
+    pub fn mark(&self) -> Mark {
+        self.mark
+    }
+
+    /// Records that became news after `mark`.
+    pub fn since(&self, mark: Mark) -> Vec<Record> {
+        let newer = self.rows.values().filter(|r| r.mark > mark);
+        newer.map(|r| r.record.clone()).collect()
+    }
+
+    /// The record of an id.
+    pub fn get(&self, id: &str) -> Option<&Record> {
+        self.rows.get(id).map(|r| &r.record)
+    }
+
+    /// All records that have not departed.
+    pub fn present(&self) -> impl Iterator<Item = &Record> {
+        let records = self.rows.values().map(|r| &r.record);
+        records.filter(|r| r.condition != Condition::Gone)
+    }
+
+    /// Drops what is too old to matter; returns how many.
+    pub fn forget(&mut self, now: Duration) -> usize {
+        let before = self.rows.len();
+        self.rows.retain(|_, r| {
+            let kept = match r.record.condition {
+                Condition::Gone => REMEMBERED,
+                _ => FORGOTTEN,
+            };
+            now.saturating_sub(r.heard) < kept
+        });
+        before - self.rows.len()
+    }
+}
+
+/// `next` may replace `held`: departures are final, else the higher sequence counts.
+/// An announcement of the same start never goes back from draining to ready by being
+/// late, since its sequence is lower.
+fn follows(held: &Record, next: &Record) -> bool {
+    match (held.condition, next.condition) {
+        (Condition::Gone, _) => false,
+        (_, Condition::Gone) => true,
+        _ => next.sequence > held.sequence,
+    }
+}
--- /dev/null
+++ b/crates/route/src/fleet.rs
@@ -0,0 +1,220 @@
+//! Backend servers as a gateway sees them that sends requests to them itself: what they
+//! registered, the load they tell with their answers, and how requests fared there.
+
+use crate::standing::Standing;
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Id of one start of a backend server.
+pub type ServerId = String;
+
+/// Load that others cause is told with answers only. It fades at this pace, since the
+/// requests it speaks of end: a usual answer takes one to two seconds.
+const TOLD_FADES: Duration = Duration::from_millis(1_500);
+/// Cost of another failure domain, in parts of a full backend server: bytes between
+/// failure domains are paid for and add 2 ms. Kept small, so that load goes first.
+const FAR: f64 = 0.04;
+/// Cost of failing every request, in parts of a full backend server.
+const FAILING: f64 = 3.0;
+/// Random part of the cost, so that gateways with the same news do not all turn to the
+/// same backend server.
+const JITTER: f64 = 0.02;
+
+/// Load of a backend server when it answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Told {
+    /// Requests that ran.
+    pub running: u32,
+    /// Requests that waited there.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// One backend server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Id of this start.
+    pub id: ServerId,
+    /// Its service.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it runs at once, as registered.
+    pub slots: u32,
+    /// It takes no new work.
+    pub leaving: bool,
+    /// How requests fared there.
+    pub standing: Standing,
+    /// Requests of this gateway that are there now.
+    mine: u32,
+    /// Load caused by others when it was told last.
+    others: f64,
+    told: Duration,
+}
+
+impl Server {
+    /// A backend server that registered just now.
+    pub fn new(id: &str, service: &str, address: SocketAddr, domain: &str, slots: u32) -> Server {
+        Server {
+            id: id.into(),
+            service: service.into(),
+            address,
+            domain: domain.into(),
+            slots,
+            leaving: false,
+            standing: Standing::default(),
+            mine: 0,
+            others: 0.0,
+            told: Duration::ZERO,
+        }
+    }
+
+    /// Requests there now, predicted.
+    pub fn load(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.told).as_secs_f64();
+        let fade = (-age / TOLD_FADES.as_secs_f64()).exp();
+        f64::from(self.mine) + self.others * fade
+    }
+
+    /// Requests of this gateway that are there now.
+    pub fn mine(&self) -> u32 {
+        self.mine
+    }
+
+    fn cost(&self, now: Duration, near: bool) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let far = if near { 0.0 } else { FAR };
+        (self.load(now) + 1.0) / slots + far + FAILING * self.standing.failing()
+    }
+}
+
+/// What a request asks of the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Backend servers it was sent to already.
+    pub tried: &'a [ServerId],
+    /// Load over slots up to which a backend server is taken.
+    pub room: f64,
+}
+
+/// Why there is no backend server for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// The service has none, or all were tried or are leaving.
+    Servers,
+    /// All are full.
+    Room,
+}
+
+/// All backend servers that a gateway knows.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    servers: IndexMap<ServerId, Server>,
+    domain: String,
+}
+
+impl Fleet {
+    /// An empty fleet for a gateway of that failure domain.
+    pub fn new(domain: &str) -> Fleet {
+        Fleet {
+            servers: IndexMap::new(),
+            domain: domain.into(),
+        }
+    }
+
+    /// Adds a backend server, or takes its new particulars.
+    pub fn put(&mut self, server: Server) {
+        match self.servers.get_mut(&server.id) {
+            Some(known) => {
+                known.leaving = server.leaving;
+                known.slots = server.slots;
+            }
+            None => {
+                self.servers.insert(server.id.clone(), server);
+            }
+        }
+    }
+
+    /// Removes a backend server.
+    pub fn remove(&mut self, id: &str) {
+        self.servers.shift_remove(id);
+    }
+
+    /// The backend server of an id.
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// Picks the backend server that costs least; `random` gives numbers in `0..1`.
+    /// Where all are out for failing, the one that has been longest is tried: being
+    /// refused at once is worse than one more failure.
+    pub fn pick(
+        &self,
+        now: Duration,
+        want: &Want<'_>,
+        mut random: impl FnMut() -> f64,
+    ) -> Result<&Server, Lack> {
+        let is_open =
+            |s: &&Server| s.service == want.service && !s.leaving && !want.tried.contains(&s.id);
+        let open: Vec<&Server> = self.servers.values().filter(is_open).collect();
+        if open.is_empty() {
+            return Err(Lack::Servers);
+        }
+        let sound: Vec<&Server> = open.iter().copied().filter(|s| !s.standing.out(now)).collect();
+        if sound.is_empty() {
+            let first = open.into_iter().min_by_key(|s| s.standing.back_at());
+            return first.ok_or(Lack::Servers);
+        }
+        let has_room =
+            |s: &&Server| s.load(now) < want.room * f64::from(s.slots.max(1)) * s.standing.share(now);
+        let priced = sound.into_iter().filter(has_room).map(|s| {
+            let near = s.domain == self.domain;
+            (s.cost(now, near) + JITTER * random(), s)
+        });
+        let best = priced.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, s)| s).ok_or(Lack::Room)
+    }
+
+    /// A request goes to a backend server.
+    pub fn sent(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.mine += 1;
+        }
+    }
+
+    /// A request ended there, or turned out never to have arrived.
+    pub fn ended(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.mine = server.mine.saturating_sub(1);
+        }
+    }
+
+    /// A backend server told its load with an answer to this gateway; the request that
+    /// is being answered counts in it.
+    pub fn told(&mut self, now: Duration, id: &str, told: Told) {
+        if let Some(server) = self.servers.get_mut(id) {
+            let all = f64::from(told.running + told.waiting);
+            server.others = (all - f64::from(server.mine)).max(0.0);
+            server.told = now;
+        }
+    }
+
+    /// A request failed there on its account; `true` where this puts it out.
+    pub fn failed(&mut self, now: Duration, id: &str, gravely: bool) -> bool {
+        let server = self.servers.get_mut(id);
+        server.is_some_and(|s| s.standing.fail(now, gravely))
+    }
+
+    /// A request succeeded there.
+    pub fn succeeded(&mut self, now: Duration, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.standing.succeed(now);
+        }
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,15 +5,21 @@
 
 mod backend;
 mod budget;
+mod fleet;
 mod health;
 mod prefix;
+mod retries;
 mod router;
+mod standing;
 
 pub use backend::{Backend, Report};
 pub use budget::Budget;
+pub use fleet::{Fleet, Lack, Server, ServerId, Told, Want};
 pub use health::Health;
 pub use prefix::Prefixes;
+pub use retries::{Allowance, Retries};
 pub use router::{Ask, Policy, Router, least_reported, predicted};
+pub use standing::Standing;
 
 /// Id of a backend server.
 pub type BackendId = String;
--- a/crates/node/src/server.rs
+++ b/crates/serve/src/lib.rs
@@ -1,5 +1,5 @@
-//! The HTTP server under the callers' side and the pages: one thread with a
-//! current-thread runtime, and bounds on what a slow or broken peer can hold.
+//! The HTTP server under every role: one thread with a current-thread runtime, bounds on
+//! what a slow or broken peer can hold, and a graceful end of its connections.
 //!
 //! Library choice, measured: `tiny_http` cannot bound slow headers; `astra` 0.4 left
 //! 2 to 6 of 1,000 new connections unanswered for ever (docs/DESIGN.md).
@@ -16,32 +16,52 @@
 use std::future::Future;
 use std::io;
 use std::net::TcpListener;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
 
-/// A peer must have sent its whole header by then; so an idle connection ends too.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
-/// A peer must have sent its whole body by then.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Largest header section, in bytes.
-const LARGEST_HEADER: usize = 16 * 1024;
 /// Wait after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Body of an answer.
-pub(crate) type Body = BoxBody<Bytes, io::Error>;
+pub type Body = BoxBody<Bytes, io::Error>;
+
+/// What a peer may hold of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// A peer must have sent its whole header by then; so an idle connection ends too.
+    pub header_time: Duration,
+    /// A peer must have sent its whole body by then.
+    pub body_time: Duration,
+    /// Largest header section, in bytes.
+    pub header_bytes: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            header_time: Duration::from_secs(5),
+            body_time: Duration::from_secs(10),
+            header_bytes: 16 * 1024,
+        }
+    }
+}
 
 /// Why a request's body could not be had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum BodyFault {
+pub enum BodyFault {
+    /// It did not come in time.
     Slow,
+    /// It is larger than the limit.
     TooLarge,
+    /// The connection broke, or the framing is wrong.
     Broken,
 }
 
 /// Serves on its own thread, until the process ends.
-pub(crate) fn serve<F, A>(
+pub fn serve<F, A>(
     listener: TcpListener,
     name: &str,
     tls: Option<TlsAcceptor>,
@@ -51,25 +71,37 @@
     F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
 {
-    listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     std::thread::Builder::new()
         .name(name.into())
         .spawn(move || {
-            if let Err(e) = runtime.block_on(accept(listener, tls, handle)) {
+            // Nobody asks these connections to end before the process does.
+            let (_open, closing) = watch::channel(false);
+            let accepted = accept(listener, tls, Bounds::default(), closing, handle);
+            if let Err(e) = runtime.block_on(accepted) {
                 log::error!("http: {e}");
             }
         })?;
     Ok(())
 }
 
-async fn accept<F, A>(listener: TcpListener, tls: Option<TlsAcceptor>, handle: F) -> io::Result<()>
+/// Accepts connections within the current runtime. Once `closing` turns true, idle
+/// connections end and the others end with their next answer, which says so; new ones
+/// are still served, one request each.
+pub async fn accept<F, A>(
+    listener: TcpListener,
+    tls: Option<TlsAcceptor>,
+    bounds: Bounds,
+    closing: watch::Receiver<bool>,
+    handle: F,
+) -> io::Result<()>
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
 {
+    listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
     loop {
         let stream = match listener.accept().await {
@@ -83,23 +115,31 @@
                 continue;
             }
         };
-        let _ = stream.set_nodelay(true);
-        let (handle, tls) = (handle.clone(), tls.clone());
+        if let Err(e) = stream.set_nodelay(true) {
+            log::debug!("no delay: {e}");
+        }
+        let (handle, tls, closing) = (handle.clone(), tls.clone(), closing.clone());
         tokio::spawn(async move {
             match tls {
-                None => connection(stream, handle).await,
+                None => connection(stream, bounds, closing, handle).await,
                 // A peer that never ends its handshake would hold the connection.
-                Some(tls) => match tokio::time::timeout(HEADER_TIMEOUT, tls.accept(stream)).await {
-                    Ok(Ok(stream)) => connection(stream, handle).await,
-                    _ => metrics::counter!("http_handshake_errors").increment(1),
-                },
+                Some(tls) => {
+                    match tokio::time::timeout(bounds.header_time, tls.accept(stream)).await {
+                        Ok(Ok(stream)) => connection(stream, bounds, closing, handle).await,
+                        _ => metrics::counter!("http_handshake_errors").increment(1),
+                    }
+                }
             }
         });
     }
 }
 
-async fn connection<S, F, A>(stream: S, handle: F)
-where
+async fn connection<S, F, A>(
+    stream: S,
+    bounds: Bounds,
+    mut closing: watch::Receiver<bool>,
+    handle: F,
+) where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
@@ -108,32 +148,46 @@
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let served = http1::Builder::new()
+    let serving = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(LARGEST_HEADER)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .header_read_timeout(bounds.header_time)
+        .max_buf_size(bounds.header_bytes.max(8 * 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = pin!(serving);
+    let served = tokio::select! {
+        served = serving.as_mut() => served,
+        () = turned_true(&mut closing) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
     if served.is_err() {
         metrics::counter!("http_connection_errors").increment(1);
     }
 }
 
+/// Waits for ever where nobody is left to turn it.
+async fn turned_true(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|c| *c).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// The whole body, bounded in size and time.
-pub(crate) async fn whole_body(body: Incoming, most: usize) -> Result<Vec<u8>, BodyFault> {
+pub async fn whole_body(body: Incoming, most: usize, time: Duration) -> Result<Bytes, BodyFault> {
     let collected = Limited::new(body, most).collect();
-    let body = tokio::time::timeout(BODY_TIMEOUT, collected).await;
+    let body = tokio::time::timeout(time, collected).await;
     let body = body.map_err(|_| BodyFault::Slow)?;
     let body = body.map_err(|e| match e.is::<LengthLimitError>() {
         true => BodyFault::TooLarge,
         false => BodyFault::Broken,
     })?;
-    Ok(body.to_bytes().to_vec())
+    Ok(body.to_bytes())
 }
 
 /// A short answer.
-pub(crate) fn text(status: u16, kind: &'static str, text: String) -> Response<Body> {
-    let body = Full::new(Bytes::from(text)).map_err(|e: Infallible| match e {});
+pub fn text(status: u16, kind: &'static str, text: impl Into<Bytes>) -> Response<Body> {
+    let body = Full::new(text.into()).map_err(|e: Infallible| match e {});
     let mut response = Response::new(BodyExt::boxed(body));
     *response.status_mut() =
         StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -2,8 +2,10 @@
 //! time line. Counters come first; a log line or event marks a change of state.
 
 mod events;
+mod lines;
 mod usage;
 
+pub use lines::Lines;
 pub use events::{Event, Events, merge, read_lines, to_chrome, to_text};
 
 use log::LevelFilter;
@@ -65,6 +67,23 @@
         .context(LoggerSnafu)
 }
 
+/// Sends what libraries and rarer places log through the same lines.
+pub fn start_lines_log(level: &str, lines: &Lines) -> Result<()> {
+    let lines = lines.clone();
+    let level = level.parse().unwrap_or(LevelFilter::Info);
+    fern::Dispatch::new()
+        .level(level)
+        .chain(fern::Output::call(move |record| {
+            let fields = serde_json::json!({
+                "level": record.level().as_str(), "module": record.target(),
+                "message": record.args().to_string(),
+            });
+            lines.put("log", fields);
+        }))
+        .apply()
+        .context(LoggerSnafu)
+}
+
 /// Installs the metrics recorder; the handle renders the Prometheus page.
 pub fn start_metrics() -> Result<Metrics> {
     PrometheusBuilder::new()
--- /dev/null
+++ b/crates/trace/src/lines.rs
@@ -0,0 +1,78 @@
+//! Structured lines on standard output: one JSON object a decision or change of belief.
+//!
+//! The writer is a thread behind a bounded ring. Where the reader of standard output
+//! stalls, lines are dropped and counted, and the next line that gets through says how
+//! many: no request ever waits for a log.
+
+use crate::events::wall_ms;
+use crossbeam::channel::{Receiver, Sender, bounded};
+use serde_json::{Map, Value};
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Lines that may wait for the writer: about a second of the busiest process.
+const RING: usize = 4096;
+
+/// The process's lines. Cheap to clone.
+#[derive(Clone)]
+pub struct Lines {
+    process: Arc<str>,
+    ring: Sender<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Lines {
+    /// Starts the writer on standard output.
+    pub fn start(process: &str) -> std::io::Result<Lines> {
+        let (ring, lines) = bounded(RING);
+        std::thread::Builder::new()
+            .name("lines".into())
+            .spawn(move || write(&lines, std::io::stdout()))?;
+        Ok(Lines::over(process, ring))
+    }
+
+    /// Lines into a ring of the caller's, for tests.
+    pub fn over(process: &str, ring: Sender<String>) -> Lines {
+        Lines {
+            process: process.into(),
+            ring,
+            dropped: Arc::default(),
+        }
+    }
+
+    /// Writes one line; `fields` must be a JSON object.
+    pub fn put(&self, event: &str, fields: Value) {
+        let mut line = Map::new();
+        line.insert("ms".into(), wall_ms().into());
+        line.insert("process".into(), Value::from(&*self.process));
+        line.insert("event".into(), event.into());
+        let lost = self.dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            line.insert("dropped_before".into(), lost.into());
+        }
+        if let Value::Object(fields) = fields {
+            line.extend(fields);
+        }
+        let text = Value::Object(line).to_string();
+        if self.ring.try_send(text).is_err() {
+            self.dropped.fetch_add(lost + 1, Ordering::Relaxed);
+            metrics::counter!("log_lines_dropped_total").increment(1);
+        }
+    }
+}
+
+fn write(lines: &Receiver<String>, mut out: impl Write) {
+    while let Ok(line) = lines.recv() {
+        let mut batch = line;
+        batch.push('\n');
+        for more in lines.try_iter().take(RING) {
+            batch.push_str(&more);
+            batch.push('\n');
+        }
+        // Nobody reads standard output any more: there is no other place to say so.
+        if out.write_all(batch.as_bytes()).is_err() {
+            metrics::counter!("log_write_errors_total").increment(1);
+        }
+    }
+}
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -13,7 +13,7 @@
     pub inbox: ::prost::alloc::string::String,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51"
+        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -53,6 +53,20 @@
         SwitchOrder(super::SwitchOrder),
         #[prost(message, tag = "51")]
         SwitchReport(super::SwitchReport),
+        #[prost(message, tag = "60")]
+        NewsAsk(super::NewsAsk),
+        #[prost(message, tag = "61")]
+        News(super::News),
+        #[prost(message, tag = "62")]
+        DocumentAsk(super::DocumentAsk),
+        #[prost(message, tag = "63")]
+        DocumentAnswer(super::DocumentAnswer),
+        #[prost(message, tag = "64")]
+        ReadAsk(super::ReadAsk),
+        #[prost(message, tag = "65")]
+        ReadAnswer(super::ReadAnswer),
+        #[prost(message, tag = "66")]
+        JoinAsk(super::JoinAsk),
     }
 }
 /// Agent to entry, each second and at every change: how loaded, and who, where the
@@ -774,3 +788,110 @@
     #[prost(uint64, tag = "7")]
     pub prepared: u64,
 }
+/// A backend server as a process knows it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Registration {
+    /// of one start
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    /// "ip:port"; empty: only the departure is known
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub domain: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// 0 ready, 1 draining, 2 gone
+    #[prost(uint32, tag = "6")]
+    pub condition: u32,
+    /// of its announcements; counts up
+    #[prost(uint64, tag = "7")]
+    pub sequence: u64,
+}
+/// Gateway or coordinator to a coordinator, a few times a second: what it has, and
+/// what it is, so that the answer and the list of gateways stay current.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NewsAsk {
+    /// of a gateway: where callers connect; else empty
+    #[prost(string, tag = "1")]
+    pub callers: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub domain: ::prost::alloc::string::String,
+    /// of a gateway: callers may be sent there
+    #[prost(bool, tag = "3")]
+    pub ready: bool,
+    /// of the document that it holds
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
+    /// incarnation of the coordinator that `mark` is of
+    #[prost(uint64, tag = "5")]
+    pub source: u64,
+    /// registrations known up to there
+    #[prost(uint64, tag = "6")]
+    pub mark: u64,
+    /// the last asks got no answer: the link back may be dead
+    #[prost(bool, tag = "7")]
+    pub unheard: bool,
+}
+/// Answer to NewsAsk, or pushed at a change.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct News {
+    /// of the document in force; 0: none
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// as it was sent in; only where it is newer than asked
+    #[prost(bytes = "vec", tag = "2")]
+    pub document: ::prost::alloc::vec::Vec<u8>,
+    /// 0: pushed, `changed` holds just what is new
+    #[prost(uint64, tag = "3")]
+    pub mark: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub changed: ::prost::alloc::vec::Vec<Registration>,
+    /// inboxes
+    #[prost(string, repeated, tag = "5")]
+    pub coordinators: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// that share budgets
+    #[prost(uint32, tag = "6")]
+    pub gateways: u32,
+}
+/// A document for the leader to settle.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DocumentAsk {
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub document: ::prost::alloc::vec::Vec<u8>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DocumentAnswer {
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// false: this process does not lead, nothing was done
+    #[prost(bool, tag = "2")]
+    pub settled: bool,
+}
+/// Which version is the newest for sure? Answered after a majority confirmed the leader.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReadAsk {
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReadAnswer {
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    #[prost(bool, tag = "2")]
+    pub sure: bool,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+}
+/// A coordinator that is no member of the log asks to become one.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct JoinAsk {
+    #[prost(uint64, tag = "1")]
+    pub identity: u64,
+}
--- a/crates/wire/src/gen/bn.settings.rs
+++ b/crates/wire/src/gen/bn.settings.rs
@@ -27,6 +27,12 @@
     /// present: callers and operators connect by TLS only
     #[prost(message, optional, tag = "10")]
     pub tls: ::core::option::Option<TlsSettings>,
+    /// present: callers straight to backend servers
+    #[prost(message, optional, tag = "11")]
+    pub gateway: ::core::option::Option<GatewaySettings>,
+    /// present: settled documents, registrations
+    #[prost(message, optional, tag = "12")]
+    pub coordinator: ::core::option::Option<CoordinatorSettings>,
     /// where the inbox listens, if not at `inbox` itself
     #[prost(string, tag = "9")]
     pub listen: ::prost::alloc::string::String,
@@ -107,3 +113,53 @@
     #[prost(string, repeated, tag = "1")]
     pub entries: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+/// A process that takes callers' requests and sends them to backend servers itself.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GatewaySettings {
+    /// "ip:port" for callers
+    #[prost(string, tag = "1")]
+    pub callers: ::prost::alloc::string::String,
+    /// "ip:port" that tells whether it takes callers
+    #[prost(string, tag = "2")]
+    pub readiness: ::prost::alloc::string::String,
+    /// some coordinators; only their IP numbers matter
+    #[prost(string, repeated, tag = "3")]
+    pub seeds: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// from the signal to the forced end
+    #[prost(uint64, tag = "4")]
+    pub grace_ms: u64,
+    /// second tries, as a part of requests
+    #[prost(double, tag = "5")]
+    pub retry_ratio: f64,
+    /// second tries beyond that, all gateways together
+    #[prost(uint32, tag = "6")]
+    pub retry_slack: u32,
+    #[prost(uint64, tag = "7")]
+    pub retry_window_ms: u64,
+}
+/// A process that keeps the settled documents and the registrations.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CoordinatorSettings {
+    /// "ip:port" for operators and backend servers
+    #[prost(string, tag = "1")]
+    pub control: ::prost::alloc::string::String,
+    /// "ip:port" for callers that ask where to connect
+    #[prost(string, tag = "2")]
+    pub directory: ::prost::alloc::string::String,
+    /// some coordinators; only their IP numbers matter
+    #[prost(string, repeated, tag = "3")]
+    pub seeds: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// the whole system starts for the first time
+    #[prost(bool, tag = "4")]
+    pub first: bool,
+    /// data folder
+    #[prost(string, tag = "5")]
+    pub data: ::prost::alloc::string::String,
+    /// disks that may be lost at once
+    #[prost(uint32, tag = "6")]
+    pub losses: u32,
+}
