Room of a lock-step group learnt from its streams' pauses

Ruled out: too few places (ranks worked 100 in 100 of their time). Change: Pace raises and lowers the load over slots up to which ranks are taken, by the 9th decile of pauses in 250 ms. Requests that find no room wait 0.4 of their target, then are refused with a time to come back.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use serde_json::json;
+use std::time::Duration;
 
 /// One in so many ordinary successes gets a line of its own; all else always does.
 const SAMPLE: u32 = 32;
@@ -32,6 +33,10 @@
         Ok(ticket) => ticket,
         Err(denial) => return denied(&shared, denial),
     };
+    if shared.is_shut() {
+        let stopping = Refusal::later("this process is stopping", Duration::ZERO);
+        return refused(&shared, &ticket, &stopping);
+    }
     let most = plan.map_or(0, |p| p.limits().body_bytes);
     match whole_body(body, most, ticket.left(now)).await {
         Ok(body) => ticket.body = body,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -8,9 +8,12 @@
 use bn_route::{Lack, ServerId, Want};
 use std::time::Duration;
 
-/// Load over slots up to which a backend server is taken. Above 1 a request waits in the
-/// backend server's own queue, which is closer to the next free slot than ours.
+/// Load over slots up to which a backend server of a plain service is taken. Above 1 a
+/// request waits in the backend server's own queue, which is closer to the next free slot.
 const ROOM: f64 = 1.0;
+/// Part of the target time that a stream waits for a place: what starts later cannot be
+/// in time any more, and would take a place from one that can.
+const STREAM_WAIT: f64 = 0.4;
 /// Between two looks while waiting, where no place was given back here: places that
 /// other gateways gave back are not seen otherwise.
 const LOOK: Duration = Duration::from_millis(25);
@@ -38,7 +41,7 @@
         let now = shared.now();
         let patience = match lack {
             Lack::Servers => EMPTY_WAIT,
-            // Past its target a request is worth half; it gives way to newer ones.
+            Lack::Room if ticket.streams() => ticket.route.target.mul_f64(STREAM_WAIT),
             Lack::Room => ticket.route.target,
         };
         if now >= began + patience.min(ticket.left(began) / 3) {
@@ -50,12 +53,16 @@
 }
 
 fn try_seat(shared: &Shared, ticket: &Ticket, tried: &[ServerId]) -> Result<Seat, Lack> {
+    let mut state = shared.state();
+    let room = match ticket.streams() {
+        true => state.paces.entry(ticket.service.clone()).or_default().room(),
+        false => ROOM,
+    };
     let want = Want {
         service: &ticket.service,
         tried,
-        room: ROOM,
+        room,
     };
-    let mut state = shared.state();
     let picked = state.fleet.pick(shared.now(), &want, rand::random::<f64>);
     let server = picked.cloned()?;
     state.fleet.sent(&server.id);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,11 +2,11 @@
 //! across a wait.
 
 use crate::pool::Pool;
-use bn_route::{Allowance, Fleet, Retries};
+use bn_route::{Allowance, Fleet, Pace, Retries};
 use bn_settle::Plan;
 use bn_trace::Lines;
 use indexmap::IndexMap;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
@@ -25,6 +25,8 @@
     pub(crate) allowance: Allowance,
     /// Turns true when a graceful stop begins.
     pub(crate) closing: watch::Sender<bool>,
+    /// The stop has come so far that nothing more is taken in.
+    shut: AtomicBool,
     /// Requests in flight.
     open: AtomicU32,
 }
@@ -35,6 +37,8 @@
     pub(crate) plan: Option<Arc<Plan>>,
     pub(crate) fleet: Fleet,
     pub(crate) retries: IndexMap<String, Retries>,
+    /// Room of services that stream.
+    pub(crate) paces: IndexMap<String, Pace>,
     /// Gateways that share the retry budget.
     pub(crate) gateways: u32,
 }
@@ -53,6 +57,7 @@
             plan: None,
             fleet: Fleet::new(domain),
             retries: IndexMap::new(),
+            paces: IndexMap::new(),
             gateways: 1,
         };
         Shared(Arc::new(Inner {
@@ -63,6 +68,7 @@
             room: Notify::new(),
             allowance,
             closing: watch::channel(false).0,
+            shut: AtomicBool::new(false),
             open: AtomicU32::new(0),
         }))
     }
@@ -86,11 +92,30 @@
         *self.closing.borrow()
     }
 
+    /// Takes nothing more in.
+    pub(crate) fn shut(&self) {
+        self.shut.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_shut(&self) -> bool {
+        self.shut.load(Ordering::Relaxed)
+    }
+
     /// Callers may be sent here: it knows what is settled and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_closing() && self.state().plan.is_some()
     }
 
+    /// A stream of `service` brought an event `pause` after the one before.
+    pub(crate) fn saw_pause(&self, service: &str, pause: Duration, limit: Duration) {
+        let now = self.now();
+        let mut state = self.state();
+        let pace = state.paces.entry(service.into()).or_default();
+        if let Some(room) = pace.saw(now, pause, limit) {
+            metrics::gauge!("service_room", "service" => service.to_string()).set(room);
+        }
+    }
+
     /// A request for `service` came in; the retry budget grows with it.
     pub(crate) fn count_request(&self, service: &str) {
         let now = self.now();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -23,6 +23,9 @@
 /// Callers keep an answer of the directory for two seconds and learn of the stop with
 /// the next one; no process ends before that.
 const SHORTEST_STOP: Duration = Duration::from_millis(3_000);
+/// Part of the grace for which new requests are taken in. A stream takes some seconds;
+/// one that began later would be cut at the end of the grace.
+const TAKING: f64 = 0.33;
 /// Kept of the grace for the end itself.
 const RESERVE: Duration = Duration::from_millis(400);
 /// Between two looks whether all requests have ended.
@@ -95,8 +98,8 @@
         runtime.block_on(async move {
             tokio::spawn(link.run(inbox));
             tokio::spawn(serve_readiness(running.clone(), ready));
-            tokio::spawn(serve_callers(running.clone(), callers));
-            until_stopped(&running, grace).await;
+            let accepting = tokio::spawn(serve_callers(running.clone(), callers));
+            until_stopped(&running, grace, || accepting.abort()).await;
         });
         Ok(())
     });
@@ -131,8 +134,8 @@
 }
 
 /// Returns once a stop was asked for and the last request has ended, or the grace is
-/// nearly over.
-async fn until_stopped(shared: &Shared, grace: Duration) {
+/// nearly over. `stop_taking` closes the callers' listener.
+async fn until_stopped(shared: &Shared, grace: Duration, stop_taking: impl Fn()) {
     let mut closing = shared.closing.subscribe();
     if closing.wait_for(|c| *c).await.is_err() {
         return;
@@ -140,8 +143,13 @@
     let began = shared.now();
     let forced = began + grace.saturating_sub(RESERVE);
     let earliest = (began + SHORTEST_STOP).min(forced);
+    let taking = began + grace.mul_f64(TAKING);
     loop {
         let now = shared.now();
+        if now >= taking && !shared.is_shut() {
+            shared.shut();
+            stop_taking();
+        }
         if now >= forced || (now >= earliest && shared.open() == 0) {
             break;
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -166,6 +166,7 @@
         let until = self.ticket.left(self.shared.now());
         let late = tokio::time::sleep(until);
         let mut late = std::pin::pin!(late);
+        let mut before: Option<Duration> = None;
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -184,6 +185,11 @@
                 }
                 continue;
             };
+            let now = self.shared.now();
+            if let Some(before) = before.replace(now) {
+                let (service, limit) = (&self.ticket.service, self.ticket.route.pause);
+                self.shared.saw_pause(service, now - before, limit);
+            }
             let sent = tokio::select! {
                 sent = self.pieces.send(Ok(Frame::data(events))) => sent,
                 () = late.as_mut() => return End::Late,
--- a/crates/settle/src/plan.rs
+++ b/crates/settle/src/plan.rs
@@ -48,6 +48,8 @@
     pub timeout: Duration,
     /// Time within which an answer, or a stream's first event, is worth most.
     pub target: Duration,
+    /// Longest pause between two events of a stream that is in time; 0: not a stream.
+    pub pause: Duration,
     /// Rank; 0 goes first.
     pub priority: u32,
     /// Backend servers that one request may be sent to at most.
