Expert maps of lock-step groups follow what is in demand, switched under a hold

Cause: with the static map the busiest rank had 3.8 times the mean load of experts, and passes took longer than the allowed pause. Change: the coordinators' leader reads reports and counts of all ranks, spreads hot experts (group::spread) and switches maps (group::pilot): no rank is armed before a hold stands, the hold is lifted only when every rank confirmed; every order has a higher fencing token, unanswered ones are repeated until answered; a new leader fences all ranks first.

--- /dev/null
+++ b/crates/coordinator/src/calls.rs
@@ -0,0 +1,116 @@
+//! Calls to backend servers, on a thread of their own: the core goes on meanwhile.
+
+use bn_serve::client::{self, Pool};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue};
+use hyper::{Method, Request};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+
+/// Calls that wait for the thread.
+const RING: usize = 1024;
+/// A call without an answer by then counts as unanswered. Answers take milliseconds; an
+/// order whose answer is lost must be followed up at once.
+const TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest answer taken.
+const LARGEST: usize = 1 << 20;
+
+/// One call.
+pub(crate) struct Call {
+    pub(crate) what: What,
+    /// Gets status and body; none where no answer came.
+    pub(crate) done: Box<dyn FnOnce(Option<(u16, Bytes)>) + Send>,
+}
+
+/// What is asked, and whom.
+pub(crate) struct What {
+    pub(crate) address: SocketAddr,
+    pub(crate) path: &'static str,
+    /// Body of an order; none: a question.
+    pub(crate) body: Option<Vec<u8>>,
+    /// Backend server that alone may take it.
+    pub(crate) server: String,
+}
+
+/// The thread's ring.
+#[derive(Clone)]
+pub(crate) struct Calls(mpsc::Sender<Call>);
+
+impl Calls {
+    /// Starts the thread.
+    pub(crate) fn start() -> io::Result<Calls> {
+        let (ring, mut waiting) = mpsc::channel::<Call>(RING);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let start = Instant::now();
+        std::thread::Builder::new()
+            .name("calls".into())
+            .spawn(move || {
+                runtime.block_on(async move {
+                    let pool = Arc::new(Pool::default());
+                    while let Some(call) = waiting.recv().await {
+                        pool.sweep(start.elapsed());
+                        let pool = pool.clone();
+                        tokio::spawn(async move {
+                            let Call { what, done } = call;
+                            let asked = ask(&pool, start, &what);
+                            let answer = tokio::time::timeout(TIMEOUT, asked).await;
+                            done(answer.ok().flatten());
+                        });
+                    }
+                });
+            })?;
+        Ok(Calls(ring))
+    }
+
+    /// Queues a call; where the ring is full it counts as unanswered.
+    pub(crate) fn put(&self, call: Call) {
+        if let Err(e) = self.0.try_send(call) {
+            metrics::counter!("ring_lost_total").increment(1);
+            let (mpsc::error::TrySendError::Full(call)
+            | mpsc::error::TrySendError::Closed(call)) = e;
+            (call.done)(None);
+        }
+    }
+}
+
+async fn ask(pool: &Pool, start: Instant, what: &What) -> Option<(u16, Bytes)> {
+    let idle = pool.idle(start.elapsed(), what.address);
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => client::open(what.address).await.ok()?,
+    };
+    let answer = connection.sender.send_request(request(what)).await.ok()?;
+    let status = answer.status().as_u16();
+    let body = Limited::new(answer.into_body(), LARGEST).collect().await;
+    let body = body.ok()?.to_bytes();
+    pool.keep(start.elapsed(), connection, None);
+    Some((status, body))
+}
+
+fn request(what: &What) -> Request<Full<Bytes>> {
+    let body = what.body.clone().unwrap_or_default();
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    if what.body.is_some() {
+        *request.method_mut() = Method::POST;
+    }
+    if let Ok(uri) = what.path.parse() {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    let mut set = |name: HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    set(HOST, &what.address.to_string());
+    set(CONTENT_TYPE, "application/json");
+    let expect = HeaderName::from_static(bn_platform::header::EXPECT);
+    set(expect, &what.server);
+    request
+}
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -1,7 +1,10 @@
 //! The thread that owns the log, the settled document and the registrations.
 
 use crate::directory::Directory;
-use crate::{DecodeSnafu, ListenSnafu, Result, http, members, news, reads, settling};
+use crate::calls::Calls;
+use crate::{
+    CallsSnafu, DecodeSnafu, ListenSnafu, Result, groups, http, members, news, reads, settling,
+};
 use bn_conf::{Coordinator as Conf, Settings};
 use bn_net::Net;
 use bn_quorum::{Entry, Member, Message, Output, Payload, Quorum, Restored, Role, Setup, Timing};
@@ -52,6 +55,8 @@
     Read(oneshot::Sender<Option<Vec<u8>>>),
     /// A caller asks for addresses.
     Resolve(oneshot::Sender<Vec<SocketAddr>>),
+    /// An engine replied to a call about its group, or did not.
+    Called(String, u64, bn_group::pilot::Reply),
     /// The settings name other seeds.
     Seeds(Vec<SocketAddr>),
     /// Begin a graceful stop.
@@ -85,6 +90,9 @@
     pub(crate) waits: settling::Waits,
     pub(crate) reads: reads::Reads,
     pub(crate) members: members::Upkeep,
+    pub(crate) groups: groups::Groups,
+    pub(crate) calls: Calls,
+    pub(crate) ring: Sender<Event>,
     role: Role,
 }
 
@@ -103,7 +111,7 @@
             metrics::counter!("ring_lost_total").increment(1);
         }
     })?;
-    let core = Core::open(settings, conf, net, lines)?;
+    let core = Core::open(settings, conf, net, lines, ring.clone())?;
     for address in [conf.control, conf.directory] {
         let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
         http::serve(listener, ring.clone()).context(ListenSnafu { address })?;
@@ -113,7 +121,13 @@
 }
 
 impl Core {
-    fn open(settings: &Settings, conf: &Conf, net: Net, lines: Lines) -> Result<Core> {
+    fn open(
+        settings: &Settings,
+        conf: &Conf,
+        net: Net,
+        lines: Lines,
+        ring: Sender<Event>,
+    ) -> Result<Core> {
         let fresh = rand::random::<u64>() | 1;
         let (mut store, mut loaded) = Store::open(&conf.data, fresh, Disk::default())?;
         let identity = loaded.identity;
@@ -167,6 +181,9 @@
             waits: Default::default(),
             reads: Default::default(),
             members: Default::default(),
+            groups: Default::default(),
+            calls: Calls::start().context(CallsSnafu)?,
+            ring,
         })
     }
 
@@ -191,6 +208,7 @@
             self.press_settling(now);
             self.keep_members(now);
             self.ask_peers(now);
+            self.steer_groups(now);
             self.flush()?;
         }
     }
@@ -219,6 +237,7 @@
             Event::Settle(plan, document, done) => self.on_settle(now, &plan, document, done),
             Event::Read(done) => self.on_read(now, done),
             Event::Resolve(done) => answered(done.send(self.directory.addresses(now))),
+            Event::Called(service, call, reply) => self.on_called(now, &service, call, reply),
             Event::Seeds(seeds) => {
                 self.seeds = inboxes(&seeds, self.inbox.port());
                 self.lines.put("seeds_changed", json!({ "seeds": self.seeds }));
--- /dev/null
+++ b/crates/coordinator/src/groups.rs
@@ -0,0 +1,225 @@
+//! Balancing of lock-step groups, by the leader alone: carries the calls of each group's
+//! [`Pilot`] to the engines and their replies back.
+
+use crate::calls::{Call, What};
+use crate::core::{Core, Event};
+use bn_group::ExpertMap;
+use bn_group::pilot::{self, Ask, Command, Note, Pilot, Reply, Shape, View};
+use bn_platform::engine::{self, Operation};
+use bn_quorum::Role;
+use hyper::body::Bytes;
+use indexmap::IndexMap;
+use serde_json::json;
+use std::time::Duration;
+
+/// What the leader keeps of groups.
+#[derive(Default)]
+pub(crate) struct Groups {
+    term: u64,
+    /// Version of the document that `shapes` is of.
+    version: u64,
+    /// Services whose engines share experts.
+    shapes: IndexMap<String, Shape>,
+    pilots: IndexMap<String, Pilot>,
+}
+
+impl Core {
+    /// Moves every group on. A coordinator that does not lead steers nothing: what it
+    /// left under way, the next leader fences, finds and settles.
+    pub(crate) fn steer_groups(&mut self, now: Duration) {
+        if self.quorum.role() != Role::Leader {
+            self.groups.pilots.clear();
+            return;
+        }
+        let term = self.quorum.term();
+        if self.groups.term != term {
+            self.groups.term = term;
+            self.groups.pilots.clear();
+        }
+        self.read_shapes();
+        for (service, shape) in self.groups.shapes.clone() {
+            let engines = self.engines_of(&service);
+            let pilot = self.groups.pilots.entry(service.clone());
+            let pilot = pilot.or_insert_with(|| Pilot::new(term, shape));
+            let calls = pilot.tick(now, &engines);
+            self.carry(&service, calls);
+        }
+    }
+
+    pub(crate) fn on_called(&mut self, now: Duration, service: &str, call: u64, reply: Reply) {
+        let Some(pilot) = self.groups.pilots.get_mut(service) else {
+            return;
+        };
+        let calls = pilot.reply(now, call, reply);
+        let notes = pilot.notes();
+        for note in notes {
+            self.note_group(service, &note);
+        }
+        self.carry(service, calls);
+    }
+
+    fn engines_of(&self, service: &str) -> Vec<String> {
+        let present = self.registry.present().filter(|r| r.service == service);
+        let mut ids: Vec<_> = present.map(|r| r.id.clone()).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    fn read_shapes(&mut self) {
+        if self.groups.version == self.settled.version {
+            return;
+        }
+        self.groups.version = self.settled.version;
+        match bn_platform::plan(&self.settled.document) {
+            Ok(plan) => self.groups.shapes = shapes(&plan),
+            // It was checked before it was settled, so this is a fault of ours.
+            Err(e) => log::error!("document {} does not hold: {e}", self.settled.version),
+        }
+    }
+
+    fn carry(&self, service: &str, calls: Vec<pilot::Call>) {
+        for call in calls {
+            let record = self.registry.get(&call.engine);
+            let Some(address) = record.and_then(|r| r.address) else {
+                self.hand_back(service, call.call, Reply::Silent);
+                continue;
+            };
+            let (path, body, read) = translate(call.ask);
+            let (ring, service) = (self.ring.clone(), service.to_string());
+            let number = call.call;
+            let done = move |answer: Option<(u16, Bytes)>| {
+                let reply = answer.map_or(Reply::Silent, |(status, body)| read(status, &body));
+                let called = Event::Called(service, number, reply);
+                if ring.try_send(called).is_err() {
+                    metrics::counter!("ring_lost_total").increment(1);
+                }
+            };
+            self.calls.put(Call {
+                what: What {
+                    address,
+                    path,
+                    body,
+                    server: call.engine,
+                },
+                done: Box::new(done),
+            });
+        }
+    }
+
+    fn hand_back(&self, service: &str, call: u64, reply: Reply) {
+        let called = Event::Called(service.into(), call, reply);
+        if self.ring.try_send(called).is_err() {
+            metrics::counter!("ring_lost_total").increment(1);
+        }
+    }
+
+    fn note_group(&self, service: &str, note: &Note) {
+        let (before, after) = note.skew.map_or((None, None), |(b, a)| (Some(b), Some(a)));
+        let fields = json!({
+            "service": service, "number": note.number, "term": self.groups.term,
+            "skew_before": before, "skew_after": after,
+        });
+        self.lines.put(note.event, fields);
+    }
+}
+
+fn shapes(plan: &bn_settle::Plan) -> IndexMap<String, Shape> {
+    let grouped = plan.services().values().filter_map(|s| {
+        let experts = s.engine?.experts?;
+        let shape = Shape {
+            sets: experts.sets,
+            experts: experts.experts,
+            places: experts.places,
+            spare: experts.spare,
+            copy: Duration::from_secs_f64(experts.copy_s.clamp(0.0, 60.0)),
+        };
+        Some((s.name.clone(), shape))
+    });
+    grouped.collect()
+}
+
+type Read = fn(u16, &[u8]) -> Reply;
+
+fn translate(ask: Ask) -> (&'static str, Option<Vec<u8>>, Read) {
+    match ask {
+        Ask::Report => (engine::REPORT, None, read_report),
+        Ask::Counts => (engine::PICKED, None, read_counts),
+        Ask::List => (engine::LISTS, None, read_lists),
+        Ask::Order(command, epoch, token) => {
+            let body = engine::order(operation(command), epoch, token);
+            (engine::ORDER, Some(body), read_order)
+        }
+    }
+}
+
+fn operation(command: Command) -> Operation {
+    match command {
+        Command::Prepare(version, map) => Operation::Prepare {
+            version,
+            map: by_rank(&map),
+        },
+        Command::Arm(version, pass) => Operation::Arm { version, pass },
+        Command::Disarm(version) => Operation::Disarm { version },
+        Command::Hold(pass) => Operation::Hold { pass },
+        Command::Go(pass) => Operation::Go { pass },
+    }
+}
+
+/// The experts of each rank, set by set.
+fn by_rank(map: &ExpertMap) -> Vec<Vec<Vec<u32>>> {
+    let ranks = map.layers.iter().flatten().flatten().max();
+    let ranks = ranks.map_or(0, |r| *r as usize + 1);
+    let layer = |layer: &Vec<Vec<u32>>| {
+        let mut held = vec![Vec::new(); ranks];
+        for (expert, holders) in layer.iter().enumerate() {
+            for rank in holders {
+                if let Some(held) = held.get_mut(*rank as usize) {
+                    held.push(expert as u32);
+                }
+            }
+        }
+        held
+    };
+    map.layers.iter().map(layer).collect()
+}
+
+fn read_report(status: u16, body: &[u8]) -> Reply {
+    match (status, engine::report(body)) {
+        (200, Ok(r)) => Reply::View(View {
+            group: r.group,
+            epoch: r.epoch,
+            rank: r.rank,
+            open: r.open,
+            size: r.size,
+            pass: r.pass,
+            map: r.map,
+            prepared: r.prepared,
+            armed: r.armed,
+            held: r.held,
+        }),
+        _ => Reply::Odd,
+    }
+}
+
+fn read_counts(status: u16, body: &[u8]) -> Reply {
+    match (status, engine::counts(body)) {
+        (200, Ok(c)) => Reply::Counts(c.epoch, c.counts),
+        _ => Reply::Odd,
+    }
+}
+
+fn read_lists(status: u16, body: &[u8]) -> Reply {
+    match (status, engine::lists(body)) {
+        (200, Ok(l)) => Reply::List(l.version, l.experts),
+        _ => Reply::Odd,
+    }
+}
+
+fn read_order(status: u16, _: &[u8]) -> Reply {
+    match status {
+        200 | 202 => Reply::Done,
+        409 => Reply::Conflict,
+        412 => Reply::Fenced,
+        _ => Reply::Odd,
+    }
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -3,8 +3,10 @@
 //!
 //! One thread owns all state (`core`); HTTP and the inbox reach it over a bounded ring.
 
+mod calls;
 mod core;
 mod directory;
+mod groups;
 mod http;
 mod members;
 mod news;
@@ -34,6 +36,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The thread for calls could not be made.
+    #[snafu(display("thread for calls: {source}"))]
+    Calls {
+        /// What the system said.
+        source: std::io::Error,
+    },
     /// The data folder cannot be used, or a write failed.
     #[snafu(display("{source}"), context(false))]
     Store {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One try of a request at one backend server, up to the head of its answer.
 
-use crate::pool::{self, Connection};
+use bn_serve::client::{self, Connection};
 use crate::shared::Shared;
 use crate::ticket::{Ticket, text};
 use bn_platform::header;
@@ -85,7 +85,7 @@
     let mut connection = loop {
         let connection = match idle.take() {
             Some(connection) => connection,
-            None => match pool::open(address).await {
+            None => match client::open(address).await {
                 Ok(connection) => connection,
                 Err(e) => {
                     log::debug!("{}: {e}", seat.server.id);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway process: takes callers' requests and sends them to backend servers itself.
 //!
 //! `front` takes a request in, `place` finds it a backend server, `attempt` sends it
-//! there over `pool`, `plain` and `stream` bring the answer back; `link` hears from the
+//! there over pooled connections, `plain` and `stream` bring the answer back; `link` hears from the
 //! coordinators what is settled and which backend servers there are.
 
 mod answer;
@@ -12,7 +12,6 @@
 mod offer;
 mod place;
 mod plain;
-mod pool;
 mod shared;
 mod start;
 mod stream;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that all requests of a gateway share. It is locked for moments only, never
 //! across a wait.
 
-use crate::pool::Pool;
+use bn_serve::client::Pool;
 use bn_route::{Allowance, Fleet, Pace, Retries};
 use bn_settle::Plan;
 use bn_trace::Lines;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -74,7 +74,7 @@
 
 /// What must live as long as a stream's body is read.
 struct Rest {
-    connection: crate::pool::Connection,
+    connection: bn_serve::client::Connection,
     seat: crate::attempt::Seat,
     limit: Option<Duration>,
 }
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -5,11 +5,14 @@
 mod balance;
 mod coordinator;
 mod map;
+pub mod pilot;
 mod rank;
+mod spread;
 
 pub use balance::{Costs, Estimate, Plan, plan, repack, skew, step_cost};
 pub use coordinator::{Action, Coordinator, Settled};
 pub use map::{ExpertMap, MapFault};
+pub use spread::{Limits, spread};
 pub use rank::{Order, OrderKind, OrderRefusal, Rank, RankReport};
 
 /// Rank in a group, from 0.
--- a/crates/gateway/src/pool.rs
+++ b/crates/serve/src/client.rs
@@ -37,27 +37,38 @@
 
 /// Why there is no connection.
 #[derive(Debug, Snafu)]
-pub(crate) enum Error {
+pub enum Error {
+    /// Nobody took it in time.
     #[snafu(display("no connection within {} ms", CONNECT.as_millis()))]
     Slow,
+    /// The other side, or the system, refused.
     #[snafu(display("no connection: {source}"))]
-    Refused { source: std::io::Error },
+    Refused {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The connection broke at once.
     #[snafu(display("no connection: {source}"))]
-    Protocol { source: hyper::Error },
+    Protocol {
+        /// What the library said.
+        source: hyper::Error,
+    },
 }
 
-type Result<T, E = Error> = std::result::Result<T, E>;
+/// Result of opening a connection.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// One connection. Dropping it closes it at once, with whatever runs on it: that is how
 /// a backend server learns that its caller has left.
-pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+pub struct Connection {
+    /// Sends requests on it, one at a time.
+    pub sender: SendRequest<Full<Bytes>>,
     address: SocketAddr,
     task: AbortHandle,
     idle_since: Duration,
     idle_limit: Duration,
     /// It has carried a request before.
-    pub(crate) reused: bool,
+    pub reused: bool,
 }
 
 impl Drop for Connection {
@@ -68,11 +79,11 @@
 
 /// Idle connections by address.
 #[derive(Default)]
-pub(crate) struct Pool(Mutex<IndexMap<SocketAddr, Vec<Connection>>>);
+pub struct Pool(Mutex<IndexMap<SocketAddr, Vec<Connection>>>);
 
 impl Pool {
     /// A connection that was used before and seems alive.
-    pub(crate) fn idle(&self, now: Duration, address: SocketAddr) -> Option<Connection> {
+    pub fn idle(&self, now: Duration, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&address)?;
         let alive = |c: &Connection| {
@@ -87,7 +98,7 @@
     }
 
     /// Takes a connection back; `limit` is the idle time that the backend server told.
-    pub(crate) fn keep(&self, now: Duration, mut connection: Connection, limit: Option<Duration>) {
+    pub fn keep(&self, now: Duration, mut connection: Connection, limit: Option<Duration>) {
         if !connection.sender.is_ready() {
             return;
         }
@@ -102,7 +113,7 @@
     }
 
     /// Closes what has been idle for too long.
-    pub(crate) fn sweep(&self, now: Duration) {
+    pub fn sweep(&self, now: Duration) {
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         for kept in idle.values_mut() {
             kept.retain(|c| now.saturating_sub(c.idle_since) < c.idle_limit);
@@ -112,7 +123,7 @@
 }
 
 /// Opens a new connection.
-pub(crate) async fn open(address: SocketAddr) -> Result<Connection> {
+pub async fn open(address: SocketAddr) -> Result<Connection> {
     let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address))
         .await
         .map_err(|_| Error::Slow)?
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,9 +1,11 @@
-//! The HTTP server under every role: one thread with a current-thread runtime, bounds on
+//! HTTP under every role: connections to others ([`client`]), and the server: one thread with a current-thread runtime, bounds on
 //! what a slow or broken peer can hold, and a graceful end of its connections.
 //!
 //! Library choice, measured: `tiny_http` cannot bound slow headers; `astra` 0.4 left
 //! 2 to 6 of 1,000 new connections unanswered for ever (docs/DESIGN.md).
 
+pub mod client;
+
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
--- a/crates/settle/src/lib.rs
+++ b/crates/settle/src/lib.rs
@@ -5,7 +5,7 @@
 mod plan;
 
 pub use plan::{
-    Account, AccountId, Engine, Kind, Limits, Part, Plan, Route, Service, ServiceId, Version,
+    Account, AccountId, Engine, Experts, Kind, Limits, Part, Plan, Route, Service, ServiceId, Version,
 };
 
 use snafu::Snafu;
--- a/crates/settle/src/plan.rs
+++ b/crates/settle/src/plan.rs
@@ -99,6 +99,23 @@
     pub usual_prompt: f64,
     /// Mean tokens of an answer.
     pub usual_answer: f64,
+    /// Present where its ranks share experts in lock-step.
+    pub experts: Option<Experts>,
+}
+
+/// How experts lie on the ranks of a lock-step group.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Experts {
+    /// Sets of layers that are mapped together.
+    pub sets: usize,
+    /// Experts of one set.
+    pub experts: usize,
+    /// Experts of one set that a rank holds at most.
+    pub places: usize,
+    /// Experts of one set that one change of the map may bring new to a rank.
+    pub spare: usize,
+    /// Seconds that one rank takes to copy one expert.
+    pub copy_s: f64,
 }
 
 /// A service that backend servers register for.
