--- /dev/null
+++ b/crates/group/tests/engines/mod.rs
@@ -0,0 +1,420 @@
+//! A model of the ranks of a group as the pages of their maker describe them: they carry
+//! out what they are ordered, late where trouble is, and compare no maps themselves.
+
+use bn_group::pilot::{Ask, Call, Command, Pilot, Reply, Shape, View};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(10);
+const PASS: Duration = Duration::from_millis(90);
+const TIMEOUT: Duration = Duration::from_millis(300);
+const FORM: Duration = Duration::from_millis(600);
+const DOWN: Duration = Duration::from_secs(2);
+const COPY: Duration = Duration::from_millis(300);
+const SHAPE: Shape = Shape {
+    sets: 2,
+    experts: 16,
+    places: 6,
+    spare: 2,
+    copy: Duration::from_millis(50),
+};
+
+/// How orders fare.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Trouble {
+    /// Part of the answers that are lost.
+    pub(crate) lost: f64,
+    /// Part of the orders that are carried out 2 to 12 s late, without an answer.
+    pub(crate) late: f64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Engine {
+    id: String,
+    fence: u64,
+    version: u64,
+    content: String,
+    highest: u64,
+    prepared: Option<(u64, String, Duration)>,
+    armed: Option<(u64, u64)>,
+    held: Option<u64>,
+}
+
+struct Leader {
+    pilot: Pilot,
+    frozen: bool,
+}
+
+enum Happening {
+    /// An order or question arrives; the reply goes to a leader unless lost.
+    Arrive(usize, Call, bool),
+    Reply(usize, u64, Reply),
+}
+
+pub(crate) struct World {
+    now: Duration,
+    rng: SmallRng,
+    trouble: Trouble,
+    engines: Vec<Engine>,
+    down: Option<(usize, Duration)>,
+    forming: Option<Duration>,
+    epoch: u64,
+    pass: u64,
+    due: Duration,
+    leaders: Vec<Leader>,
+    coming: Vec<(Duration, Happening)>,
+    past: VecDeque<(Duration, Vec<View>)>,
+    orders: Vec<(Command, Reply)>,
+    /// First pass that ran on two maps.
+    pub(crate) mixed: Option<String>,
+    pub(crate) switches: u32,
+    /// Time that passes were held back.
+    pub(crate) held_for: Duration,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, ranks: usize, trouble: Trouble) -> World {
+        let engine = |rank: usize| Engine {
+            id: format!("e{rank}-0"),
+            ..Engine::default()
+        };
+        World {
+            now: Duration::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            trouble,
+            engines: (0..ranks).map(engine).collect(),
+            down: None,
+            forming: None,
+            epoch: 1,
+            pass: 0,
+            due: Duration::ZERO,
+            leaders: vec![leader(1)],
+            coming: Vec::new(),
+            past: VecDeque::new(),
+            orders: Vec::new(),
+            mixed: None,
+            switches: 0,
+            held_for: Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    pub(crate) fn run_until(&mut self, reached: impl Fn(&World) -> bool, within: Duration) {
+        let until = self.now + within;
+        while !reached(self) {
+            assert!(self.now < until, "never reached");
+            self.step();
+        }
+    }
+
+    /// Another leader begins; the one before goes on as if nothing were.
+    pub(crate) fn elect(&mut self) {
+        let term = self.leaders.len() as u64 + 1;
+        self.leaders.push(leader(term));
+    }
+
+    pub(crate) fn freeze_leader(&mut self) {
+        if let Some(last) = self.leaders.last_mut() {
+            last.frozen = true;
+        }
+    }
+
+    pub(crate) fn thaw_leaders(&mut self) {
+        self.leaders.iter_mut().for_each(|l| l.frozen = false);
+    }
+
+    /// An engine dies; it starts again under another id.
+    pub(crate) fn crash(&mut self, rank: usize) {
+        if self.down.is_none() {
+            self.down = Some((rank, self.now + DOWN));
+        }
+    }
+
+    /// Every engine sees a token above all others.
+    pub(crate) fn fence_all(&mut self) {
+        self.engines.iter_mut().for_each(|e| e.fence = u64::MAX);
+    }
+
+    pub(crate) fn pass(&self) -> u64 {
+        self.pass
+    }
+
+    pub(crate) fn last_order(&self) -> Option<&'static str> {
+        self.orders.last().map(|(c, _)| name(c))
+    }
+
+    pub(crate) fn count(&self, which: impl Fn(&Command) -> bool, reply: &Reply) -> usize {
+        let fits = |(c, r): &&(Command, Reply)| which(c) && r == reply;
+        self.orders.iter().filter(fits).count()
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        self.revive();
+        self.begin_pass();
+        self.remember();
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.coming)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+        self.coming = later;
+        for (_, happening) in due {
+            self.happen(happening);
+        }
+        let ids: Vec<String> = self.engines.iter().map(|e| e.id.clone()).collect();
+        for at in 0..self.leaders.len() {
+            let leader = &mut self.leaders[at];
+            if !leader.frozen {
+                let calls = leader.pilot.tick(now, &ids);
+                self.send(at, calls);
+            }
+        }
+    }
+
+    fn revive(&mut self) {
+        if let Some((rank, _)) = self.down.filter(|(_, until)| self.now >= *until) {
+            self.down = None;
+            let number = self.rng.random::<u32>();
+            self.engines[rank] = Engine {
+                id: format!("e{rank}-{number}"),
+                ..Engine::default()
+            };
+            self.forming = Some(self.now + FORM);
+        }
+        if self.down.is_none() && self.forming.is_some_and(|at| self.now >= at) {
+            self.forming = None;
+            self.epoch += 1;
+            for engine in &mut self.engines {
+                // A forming keeps no order and no hold; fences end with a process alone.
+                *engine = Engine {
+                    id: engine.id.clone(),
+                    fence: engine.fence,
+                    highest: engine.highest,
+                    ..Engine::default()
+                };
+            }
+        }
+    }
+
+    fn open(&self) -> bool {
+        self.down.is_none() && self.forming.is_none()
+    }
+
+    fn begin_pass(&mut self) {
+        if !self.open() || self.now < self.due {
+            return;
+        }
+        let next = self.pass + 1;
+        if self.engines.iter().any(|e| e.held == Some(next)) {
+            self.held_for += TICK;
+            return;
+        }
+        self.pass = next;
+        self.due = self.now + PASS;
+        let mut switched = false;
+        for engine in &mut self.engines {
+            if let Some((version, _)) = engine.armed.filter(|(_, p)| *p == next) {
+                let prepared = engine.prepared.take();
+                engine.content = prepared.map(|p| p.1).unwrap_or_default();
+                engine.version = version;
+                engine.armed = None;
+                switched = true;
+            }
+        }
+        self.switches += u32::from(switched);
+        let first = (&self.engines[0].version, &self.engines[0].content);
+        let alike = |e: &Engine| (&e.version, &e.content) == first;
+        if !self.engines.iter().all(alike) && self.mixed.is_none() {
+            let maps: Vec<u64> = self.engines.iter().map(|e| e.version).collect();
+            self.mixed = Some(format!("pass {next} at {:?} ran on {maps:?}", self.now));
+        }
+    }
+
+    fn remember(&mut self) {
+        let views = (0..self.engines.len()).map(|r| self.view(r)).collect();
+        self.past.push_back((self.now, views));
+        if self.past.len() > 60 {
+            self.past.pop_front();
+        }
+    }
+
+    fn view(&self, rank: usize) -> View {
+        let engine = &self.engines[rank];
+        View {
+            group: "g".into(),
+            epoch: self.epoch,
+            rank: rank as u32,
+            open: self.open(),
+            size: self.engines.len() as u32,
+            pass: self.pass,
+            map: engine.version,
+            prepared: engine
+                .prepared
+                .as_ref()
+                .filter(|p| p.2 <= self.now)
+                .map(|p| p.0),
+            armed: engine.armed.map(|a| a.0),
+            held: engine.held,
+        }
+    }
+
+    fn send(&mut self, leader: usize, calls: Vec<Call>) {
+        for call in calls {
+            let way = Duration::from_millis(self.rng.random_range(1..40));
+            let is_order = matches!(call.ask, Ask::Order(..));
+            let late = is_order && self.rng.random_bool(self.trouble.late);
+            let lost = late || self.rng.random_bool(self.trouble.lost);
+            let delay = match late {
+                true => Duration::from_millis(self.rng.random_range(2_000..12_000)),
+                false => way,
+            };
+            if lost {
+                let silent = Happening::Reply(leader, call.call, Reply::Silent);
+                self.coming.push((self.now + TIMEOUT, silent));
+            }
+            let arrive = Happening::Arrive(leader, call, !lost);
+            self.coming.push((self.now + delay, arrive));
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrive(leader, call, answered) => {
+                let number = call.call;
+                let reply = self.arrive(call);
+                let back = match reply {
+                    Reply::Silent => TIMEOUT,
+                    _ => Duration::from_millis(self.rng.random_range(1..40)),
+                };
+                if answered {
+                    let reply = Happening::Reply(leader, number, reply);
+                    self.coming.push((self.now + back, reply));
+                }
+            }
+            Happening::Reply(leader, call, reply) => {
+                let now = self.now;
+                let at = &mut self.leaders[leader];
+                if at.frozen {
+                    let again = Happening::Reply(leader, call, reply);
+                    self.coming.push((now + TICK, again));
+                    return;
+                }
+                let calls = at.pilot.reply(now, call, reply);
+                self.send(leader, calls);
+            }
+        }
+    }
+
+    fn arrive(&mut self, call: Call) -> Reply {
+        let Some(rank) = self.engines.iter().position(|e| e.id == call.engine) else {
+            return Reply::Odd;
+        };
+        if self.down.is_some_and(|(down, _)| down == rank) {
+            return Reply::Silent;
+        }
+        match call.ask {
+            Ask::Report => {
+                let lag = Duration::from_millis(self.rng.random_range(100..400));
+                let then = self.now.saturating_sub(lag);
+                let held = self.past.iter().rev().find(|(at, _)| *at <= then);
+                let view = held.or(self.past.front()).map(|(_, v)| v[rank].clone());
+                view.map_or(Reply::Silent, Reply::View)
+            }
+            Ask::Counts => self.counts(rank),
+            Ask::List => Reply::Silent,
+            Ask::Order(command, epoch, token) => {
+                let reply = self.order(rank, &command, epoch, token);
+                self.orders.push((command, reply.clone()));
+                reply
+            }
+        }
+    }
+
+    /// What is liked moves on every two seconds.
+    fn counts(&self, rank: usize) -> Reply {
+        let hot = (self.now.as_secs() / 2) as usize % SHAPE.experts;
+        let ms = self.now.as_millis() as u64;
+        let count = |i: usize| ms * if i % SHAPE.experts == hot { 30 } else { 2 };
+        let all = (0..SHAPE.sets * SHAPE.experts).map(|i| count(i) + rank as u64);
+        Reply::Counts(self.epoch, all.collect())
+    }
+
+    fn order(&mut self, rank: usize, command: &Command, epoch: u64, token: u64) -> Reply {
+        let (now, pass) = (self.now, self.pass);
+        let same_epoch = epoch == self.epoch && self.open();
+        let engine = &mut self.engines[rank];
+        if token < engine.fence {
+            return Reply::Fenced;
+        }
+        if !same_epoch {
+            return Reply::Conflict;
+        }
+        engine.fence = token;
+        match command {
+            Command::Prepare(version, map) => {
+                let content = map.to_string();
+                if engine.prepared.as_ref().is_some_and(|p| p.0 == *version) {
+                    return Reply::Done;
+                }
+                if *version <= engine.highest || engine.armed.is_some() {
+                    return Reply::Conflict;
+                }
+                engine.highest = *version;
+                engine.prepared = Some((*version, content, now + COPY));
+            }
+            Command::Arm(version, at) => {
+                if engine.armed == Some((*version, *at)) {
+                    return Reply::Done;
+                }
+                let ready = engine.prepared.as_ref();
+                let ready = ready.is_some_and(|p| p.0 == *version && p.2 <= now);
+                if !ready || *at <= pass {
+                    return Reply::Conflict;
+                }
+                engine.armed = Some((*version, *at));
+            }
+            Command::Disarm(version) => {
+                if engine.version == *version {
+                    return Reply::Conflict;
+                }
+                engine.armed = engine.armed.filter(|a| a.0 != *version);
+            }
+            Command::Hold(at) => {
+                if engine.held == Some(*at) {
+                    return Reply::Done;
+                }
+                if *at <= pass || engine.held.is_some() {
+                    return Reply::Conflict;
+                }
+                engine.held = Some(*at);
+            }
+            Command::Go(at) => engine.held = engine.held.filter(|h| h != at),
+        }
+        Reply::Done
+    }
+}
+
+fn leader(term: u64) -> Leader {
+    Leader {
+        pilot: Pilot::new(term, SHAPE),
+        frozen: false,
+    }
+}
+
+fn name(command: &Command) -> &'static str {
+    match command {
+        Command::Prepare(..) => "prepare",
+        Command::Arm(..) => "arm",
+        Command::Disarm(..) => "disarm",
+        Command::Hold(..) => "hold",
+        Command::Go(..) => "go",
+    }
+}
--- /dev/null
+++ b/crates/group/tests/pilot.rs
@@ -0,0 +1,114 @@
+//! Switching maps under random schedules: no pass runs on two maps, whatever is lost,
+//! carried out late, dead, or still believes it leads; and no group stays held.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod engines;
+
+use bn_group::pilot::{Command, Reply};
+use engines::{Trouble, World};
+use googletest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+
+/// Schedules in one run; more by hand with `BN_SCHEDULES`.
+const SCHEDULES: u64 = 400;
+const RANKS: usize = 4;
+
+fn schedules() -> u64 {
+    let more = std::env::var("BN_SCHEDULES").ok();
+    more.and_then(|n| n.parse().ok()).unwrap_or(SCHEDULES)
+}
+
+fn calm(seed: u64) -> World {
+    World::new(seed, RANKS, Trouble::default())
+}
+
+#[googletest::test]
+fn a_calm_group_is_switched_again_and_again() {
+    let mut world = calm(1);
+
+    world.run(Duration::from_secs(20));
+
+    expect_that!(world.mixed, none());
+    expect_that!(world.switches, ge(5));
+    expect_that!(world.held_for, lt(Duration::from_millis(300)));
+}
+
+/// Symptom: two ranks of one pass use different maps. Sequence: orders go unanswered and
+/// are carried out 2 to 12 s later; ranks crash; leaders die, freeze and wake beside
+/// their successors. Cause: a late or foreign order took effect on one rank alone.
+#[googletest::test]
+fn no_pass_runs_on_two_maps() {
+    for seed in 0..schedules() {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let trouble = Trouble {
+            lost: f64::from(rng.random_range(0..50u32)) / 100.0,
+            late: f64::from(rng.random_range(0..60u32)) / 100.0,
+        };
+        let mut world = World::new(seed, RANKS, trouble);
+        for _ in 0..rng.random_range(3..14u32) {
+            world.run(Duration::from_millis(rng.random_range(50..3_000)));
+            match rng.random_range(0..6u32) {
+                0 => world.elect(),
+                1 => world.freeze_leader(),
+                2 => world.thaw_leaders(),
+                3 => world.crash(rng.random_range(0..RANKS)),
+                _ => {}
+            }
+        }
+
+        assert_that!(world.mixed, none(), "seed {seed}, {trouble:?}");
+    }
+}
+
+/// Symptom: a group makes no pass although all its ranks are well. Sequence: a leader
+/// holds the group for a switch and dies; another takes over. Cause: a hold never ends by
+/// itself, so the next leader has to find it.
+#[googletest::test]
+fn a_hold_left_behind_is_ended_by_the_next_leader() {
+    for seed in 0..50 {
+        let mut world = calm(seed);
+        world.run_until(|w| w.last_order() == Some("hold"), Duration::from_secs(20));
+        world.freeze_leader();
+        world.elect();
+
+        world.run(Duration::from_secs(6));
+        let before = world.pass();
+        world.run(Duration::from_secs(2));
+
+        assert_that!(world.pass(), gt(before), "seed {seed}");
+        assert_that!(world.mixed, none(), "seed {seed}");
+    }
+}
+
+/// Symptom: a group that formed anew is never balanced again, or its leader repeats
+/// orders for ever. Sequence: a rank crashes while the ranks are being armed and comes
+/// back under another id. Cause: the leader waited for the answer of the old one.
+#[googletest::test]
+fn a_crash_in_the_middle_of_arming_is_got_over() {
+    for seed in 0..50 {
+        let mut world = calm(seed);
+        world.run_until(|w| w.last_order() == Some("arm"), Duration::from_secs(20));
+        world.crash(2);
+
+        world.run(Duration::from_secs(30));
+        let before = world.switches;
+        world.run(Duration::from_secs(10));
+
+        assert_that!(world.switches, gt(before), "seed {seed}");
+        assert_that!(world.mixed, none(), "seed {seed}");
+    }
+}
+
+#[googletest::test]
+fn a_fenced_leader_gives_no_go() {
+    let mut world = calm(3);
+    world.run_until(|w| w.last_order() == Some("hold"), Duration::from_secs(20));
+
+    world.fence_all();
+    world.run(Duration::from_secs(5));
+
+    expect_that!(world.count(|c| matches!(c, Command::Go(_)), &Reply::Done), eq(0));
+}
