--- a/crates/group/src/pilot.rs
+++ b/crates/group/src/pilot.rs
@@ -46,6 +46,10 @@
 /// More of them after a pass turned out begun already.
 const FURTHER: Pass = 6;
 const FURTHEST: Pass = 60;
+/// Ranks whose counts are read. Requests are spread over ranks whatever they are about, so
+/// that a few ranks tell what all of them choose; reading from another machine is paid
+/// for and makes the group pause.
+const SAMPLE: usize = 3;
 /// Weight of the newest counts in the estimate of loads.
 const ALPHA: f64 = 0.8;
 /// A new map must lower the busiest rank by this part of the mean.
@@ -428,7 +432,7 @@
             return self.rest(now + REST);
         }
         match self.map_in_use() {
-            Some(true) => self.ask_all(Phase::Count, Ask::Counts),
+            Some(true) => self.ask_some(),
             Some(false) => self.ask_all(Phase::List, Ask::List),
             None => self.rest(now + REST),
         }
@@ -490,7 +494,7 @@
             return self.unwell(now);
         };
         self.map = Some((version, ExpertMap { layers }));
-        self.ask_all(Phase::Count, Ask::Counts)
+        self.ask_some()
     }
 
     fn counted(&mut self, now: Duration, back: &IndexMap<EngineId, Reply>) -> Vec<Call> {
@@ -513,8 +517,8 @@
         let Shape { sets, experts, .. } = self.shape;
         let mut sums = vec![0u64; sets * experts];
         let mut complete = true;
-        for engine in &self.engines {
-            let Some(Reply::Counts(epoch, counts)) = back.get(engine) else {
+        for (engine, reply) in back {
+            let Reply::Counts(epoch, counts) = reply else {
                 return None;
             };
             if *epoch != self.epoch || counts.len() != sums.len() {
@@ -678,6 +682,15 @@
         calls.collect()
     }
 
+    /// Asks the sampled ranks for counts.
+    fn ask_some(&mut self) -> Vec<Call> {
+        self.phase = Phase::Count;
+        self.round = Round::default();
+        let engines: Vec<_> = self.engines.iter().take(SAMPLE).cloned().collect();
+        let calls = engines.into_iter().map(|e| self.call(e, Ask::Counts, 1));
+        calls.collect()
+    }
+
     fn order_all(&mut self, phase: Phase, command: impl Fn(&EngineId) -> Command) -> Vec<Call> {
         self.phase = phase;
         self.round = Round::default();
