A shorter cycle of map switches; an undone switch no longer wipes the known map

Cause 2 (found by the schedule test a_crash_in_the_middle_of_arming_is_got_over, failing first): a hold found in an old report replaced the switch that the known map was read from; the group was never balanced again.

--- a/crates/cli/src/cmd/run.rs
+++ b/crates/cli/src/cmd/run.rs
@@ -53,7 +53,10 @@
     let (lines, metrics) = start_lines(conf)?;
     let handle = bn_gateway::start(conf, gateway, lines.clone())?;
     bn_node::serve_metrics(conf.operators, metrics)?;
-    lines.put("started", json!({ "role": "gateway", "domain": conf.domain }));
+    lines.put(
+        "started",
+        json!({ "role": "gateway", "domain": conf.domain }),
+    );
     let reload = move || lines.put("reloaded", json!({ "changed": [] }));
     on_signals(handle.stopper(), reload)?;
     Ok(handle.wait().map_err(|e| e.to_string()))
@@ -63,7 +66,10 @@
     let (lines, metrics) = start_lines(conf)?;
     let (ring, thread) = bn_coordinator::start(conf, coordinator, lines.clone())?;
     bn_node::serve_metrics(conf.operators, metrics)?;
-    lines.put("started", json!({ "role": "coordinator", "domain": conf.domain }));
+    lines.put(
+        "started",
+        json!({ "role": "coordinator", "domain": conf.domain }),
+    );
     let stop = ring.clone();
     let stopper = move || send(&stop, bn_coordinator::Event::Stop);
     let file = file.to_path_buf();
@@ -95,10 +101,7 @@
 }
 
 /// Handles signals on a thread of their own.
-fn on_signals(
-    stop: impl Fn() + Send + 'static,
-    reload: impl Fn() + Send + 'static,
-) -> CliResult {
+fn on_signals(stop: impl Fn() + Send + 'static, reload: impl Fn() + Send + 'static) -> CliResult {
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGHUP]).context(IoSnafu { what: "signals" })?;
     std::thread::spawn(move || {
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -235,9 +235,7 @@
             entries: faults.addresses("agent.entries", &a.entries),
         }),
         gateway: raw.gateway.map(|g| roles::gateway(&g, &mut faults)),
-        coordinator: raw
-            .coordinator
-            .map(|c| roles::coordinator(&c, &mut faults)),
+        coordinator: raw.coordinator.map(|c| roles::coordinator(&c, &mut faults)),
         id: raw.id,
         domain: raw.domain,
     };
--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -72,8 +72,8 @@
     pub(crate) fn put(&self, call: Call) {
         if let Err(e) = self.0.try_send(call) {
             metrics::counter!("ring_lost_total").increment(1);
-            let (mpsc::error::TrySendError::Full(call)
-            | mpsc::error::TrySendError::Closed(call)) = e;
+            let (mpsc::error::TrySendError::Full(call) | mpsc::error::TrySendError::Closed(call)) =
+                e;
             (call.done)(None);
         }
     }
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -1,7 +1,7 @@
 //! The thread that owns the log, the settled document and the registrations.
 
-use crate::directory::Directory;
 use crate::calls::Calls;
+use crate::directory::Directory;
 use crate::{
     CallsSnafu, DecodeSnafu, ListenSnafu, Result, groups, http, members, news, reads, settling,
 };
@@ -106,11 +106,17 @@
     let sink = ring.clone();
     let id = settings.inbox.ip().to_string();
     let incarnation = rand::random::<u64>() | 1;
-    let net = Net::open(&id, incarnation, settings.inbox, settings.listen, move |e| {
-        if sink.try_send(Event::Message(Box::new(e))).is_err() {
-            metrics::counter!("ring_lost_total").increment(1);
-        }
-    })?;
+    let net = Net::open(
+        &id,
+        incarnation,
+        settings.inbox,
+        settings.listen,
+        move |e| {
+            if sink.try_send(Event::Message(Box::new(e))).is_err() {
+                metrics::counter!("ring_lost_total").increment(1);
+            }
+        },
+    )?;
     let core = Core::open(settings, conf, net, lines, ring.clone())?;
     for address in [conf.control, conf.directory] {
         let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
@@ -240,7 +246,8 @@
             Event::Called(service, call, reply) => self.on_called(now, &service, call, reply),
             Event::Seeds(seeds) => {
                 self.seeds = inboxes(&seeds, self.inbox.port());
-                self.lines.put("seeds_changed", json!({ "seeds": self.seeds }));
+                self.lines
+                    .put("seeds_changed", json!({ "seeds": self.seeds }));
             }
             Event::Stop => {}
         }
@@ -322,7 +329,9 @@
         match entry.payload {
             Payload::Empty => {}
             Payload::Members(m) => {
-                let named = m.iter().map(|(id, m)| json!({ "id": id, "voter": m.voter }));
+                let named = m
+                    .iter()
+                    .map(|(id, m)| json!({ "id": id, "voter": m.voter }));
                 let named: Vec<_> = named.collect();
                 self.lines
                     .put("members", json!({ "index": entry.index, "members": named }));
--- a/crates/coordinator/src/http.rs
+++ b/crates/coordinator/src/http.rs
@@ -65,11 +65,7 @@
     if addresses.is_empty() {
         return fault(503, "no gateway is known");
     }
-    text(
-        200,
-        JSON,
-        bn_platform::addresses(&addresses, ANSWER_TTL),
-    )
+    text(200, JSON, bn_platform::addresses(&addresses, ANSWER_TTL))
 }
 
 async fn announce(ring: &Sender<Event>, id: &str, body: &[u8]) -> Response<Body> {
@@ -99,7 +95,10 @@
 }
 
 /// Asks the core; `None` where it is overloaded or gone.
-async fn ask<T>(ring: &Sender<Event>, event: impl FnOnce(oneshot::Sender<T>) -> Event) -> Option<T> {
+async fn ask<T>(
+    ring: &Sender<Event>,
+    event: impl FnOnce(oneshot::Sender<T>) -> Event,
+) -> Option<T> {
     let (done, answer) = oneshot::channel();
     if ring.try_send(event(done)).is_err() {
         metrics::counter!("ring_lost_total").increment(1);
--- a/crates/coordinator/src/members.rs
+++ b/crates/coordinator/src/members.rs
@@ -51,7 +51,8 @@
         self.members.due = now + JOIN_GAP;
         let identity = self.identity();
         for inbox in self.others() {
-            self.net.send(inbox, Body::JoinAsk(wire::JoinAsk { identity }));
+            self.net
+                .send(inbox, Body::JoinAsk(wire::JoinAsk { identity }));
         }
     }
 
--- a/crates/coordinator/src/settling.rs
+++ b/crates/coordinator/src/settling.rs
@@ -112,9 +112,7 @@
     /// still be settled later, so the answer promises nothing.
     pub(crate) fn press_settling(&mut self, now: Duration) {
         let list = std::mem::take(&mut self.waits.list);
-        let (late, mut rest) = list
-            .into_iter()
-            .partition::<Vec<_>, _>(|w| now >= w.until);
+        let (late, mut rest) = list.into_iter().partition::<Vec<_>, _>(|w| now >= w.until);
         for wait in late {
             self.acknowledge(wait, false);
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,10 +1,10 @@
 //! One try of a request at one backend server, up to the head of its answer.
 
-use bn_serve::client::{self, Connection};
 use crate::shared::Shared;
 use crate::ticket::{Ticket, text};
 use bn_platform::header;
 use bn_route::{Server, Told};
+use bn_serve::client::{self, Connection};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -124,9 +124,10 @@
     let now = shared.now();
     let out = shared.state().fleet.failed(now, id, gravely);
     if out {
-        shared
-            .lines
-            .put("backend_server_out", json!({ "id": id, "gravely": gravely }));
+        shared.lines.put(
+            "backend_server_out",
+            json!({ "id": id, "gravely": gravely }),
+        );
     }
 }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -55,7 +55,11 @@
 fn try_seat(shared: &Shared, ticket: &Ticket, tried: &[ServerId]) -> Result<Seat, Lack> {
     let mut state = shared.state();
     let room = match ticket.streams() {
-        true => state.paces.entry(ticket.service.clone()).or_default().room(),
+        true => state
+            .paces
+            .entry(ticket.service.clone())
+            .or_default()
+            .room(),
         false => ROOM,
     };
     let want = Want {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,8 +1,8 @@
 //! State that all requests of a gateway share. It is locked for moments only, never
 //! across a wait.
 
-use bn_serve::client::Pool;
 use bn_route::{Allowance, Fleet, Pace, Retries};
+use bn_serve::client::Pool;
 use bn_settle::Plan;
 use bn_trace::Lines;
 use indexmap::IndexMap;
--- a/crates/gateway/src/ticket.rs
+++ b/crates/gateway/src/ticket.rs
@@ -64,7 +64,9 @@
         let service = route.part(draw(route.weight_sum()));
         let deadline = millis(&parts.headers, header::DEADLINE).unwrap_or(LONGEST);
         Ok(Ticket {
-            id: text(&parts.headers, header::ATTEMPT).unwrap_or_default().into(),
+            id: text(&parts.headers, header::ATTEMPT)
+                .unwrap_or_default()
+                .into(),
             service: service.cloned().unwrap_or_default(),
             account: account.map(|a| a.name.clone()),
             rank: account.and_then(|a| a.priority).unwrap_or(route.priority),
@@ -96,7 +98,10 @@
 }
 
 fn host(parts: &Parts) -> Option<&str> {
-    parts.uri.host().or_else(|| text(&parts.headers, HOST.as_str()))
+    parts
+        .uri
+        .host()
+        .or_else(|| text(&parts.headers, HOST.as_str()))
 }
 
 fn key(headers: &HeaderMap) -> Option<&str> {
--- a/crates/group/src/pilot.rs
+++ b/crates/group/src/pilot.rs
@@ -27,22 +27,25 @@
 /// Number of a pass of the whole group.
 pub type Pass = u64;
 
-/// Between two looks at the group. Popularity of experts moves within some seconds.
-const REST: Duration = Duration::from_millis(700);
+/// Between two looks at the group. What is in demand moves within a second, and until the
+/// map follows every stream in flight is late.
+const REST: Duration = Duration::from_millis(350);
 /// Rest where the group is not whole, or another leads.
 const LONG_REST: Duration = Duration::from_millis(1_500);
 /// Reports describe the past: by some hundred milliseconds. After an order, and after
 /// fencing, so long passes before one is believed.
 const LAG: Duration = Duration::from_millis(700);
 /// Between two looks whether copies are complete.
-const COPY_LOOK: Duration = Duration::from_millis(200);
+const COPY_LOOK: Duration = Duration::from_millis(100);
+/// Usual age of a report: completed copies show so much later.
+const REPORT_AGE: Duration = Duration::from_millis(220);
 /// Copies that take longer than this are given up; nothing is armed yet then.
 const COPY_WITHIN: Duration = Duration::from_secs(6);
 /// Tries of a question or of an order that may be given up.
 const TRIES: u32 = 4;
 /// Passes ahead of the last one reported at which a switch is set: reports are two to
 /// four passes old, and arming takes one or two.
-const AHEAD: Pass = 8;
+const AHEAD: Pass = 6;
 /// More of them after a pass turned out begun already.
 const FURTHER: Pass = 6;
 const FURTHEST: Pass = 60;
@@ -416,13 +419,21 @@
         if epoch != self.epoch {
             return self.unwell(now);
         }
-        let held = self.views.iter().find_map(|(e, v)| Some((e.clone(), v.held?)));
+        let held = self
+            .views
+            .iter()
+            .find_map(|(e, v)| Some((e.clone(), v.held?)));
         if let Some((holder, pass)) = held {
             self.note("hold_found", pass);
             self.switch = Switch {
                 holder,
                 pass,
-                version: self.views.values().filter_map(|v| v.armed).max().unwrap_or(0),
+                version: self
+                    .views
+                    .values()
+                    .filter_map(|v| v.armed)
+                    .max()
+                    .unwrap_or(0),
                 ..Switch::default()
             };
             return self.order_holder(Phase::Rehold, Command::Hold(pass));
@@ -463,8 +474,6 @@
             let shape = self.shape;
             let even = ExpertMap::even(shape.sets, shape.experts, self.views.len());
             self.map = Some((0, even));
-        } else if self.switch.version == version {
-            self.map = Some((version, self.switch.map.clone()));
         }
         Some(self.map.as_ref().is_some_and(|(v, _)| *v == version))
     }
@@ -538,7 +547,11 @@
             return None;
         }
         let layers = sums.chunks(experts.max(1));
-        Some(layers.map(|l| l.iter().map(|n| *n as f64).collect()).collect())
+        Some(
+            layers
+                .map(|l| l.iter().map(|n| *n as f64).collect())
+                .collect(),
+        )
     }
 
     fn better(&mut self) -> Option<ExpertMap> {
@@ -550,7 +563,10 @@
             spare: self.shape.spare,
         };
         let next = spread(map, &self.loads, limits);
-        let (before, after) = (skew(map, &self.loads, ranks), skew(&next, &self.loads, ranks));
+        let (before, after) = (
+            skew(map, &self.loads, ranks),
+            skew(&next, &self.loads, ranks),
+        );
         let pays = before - after >= LEAST_GAIN;
         self.notes.push(Note {
             event: if pays { "map_better" } else { "map_kept" },
@@ -576,8 +592,12 @@
         if !back.values().all(|r| matches!(r, Reply::Done)) {
             return self.give_up(now, "prepare_refused");
         }
-        let copies = (self.shape.spare * self.shape.sets) as u32;
-        self.phase = Phase::CopyWait(now + COPY_LOOK + self.shape.copy * copies / 2);
+        let copies = self
+            .map
+            .as_ref()
+            .map_or(0, |(_, map)| most_new(map, &self.switch.map));
+        let copying = self.shape.copy * copies as u32;
+        self.phase = Phase::CopyWait(now + REPORT_AGE + copying);
         Vec::new()
     }
 
@@ -654,11 +674,20 @@
 
     fn gone(&mut self, now: Duration) -> Vec<Call> {
         let (version, sure) = (self.switch.version, self.switch.sure);
-        self.note(if sure { "map_switched" } else { "switch_undone" }, version);
+        self.note(
+            if sure {
+                "map_switched"
+            } else {
+                "switch_undone"
+            },
+            version,
+        );
         if sure {
             self.ahead = AHEAD;
+            // Known from here on. A later switch that is undone must not replace it.
+            self.map = Some((version, self.switch.map.clone()));
         }
-        self.rest(now + LAG.max(REST))
+        self.rest(now + REST)
     }
 
     fn give_up(&mut self, now: Duration, why: &'static str) -> Vec<Call> {
@@ -749,3 +778,15 @@
     });
     views.collect()
 }
+
+/// Most experts, over all sets, that a change of map brings new to one rank.
+fn most_new(old: &ExpertMap, new: &ExpertMap) -> usize {
+    let mut counts: IndexMap<u32, usize> = IndexMap::new();
+    let pairs = old.layers.iter().flatten().zip(new.layers.iter().flatten());
+    for (before, after) in pairs {
+        for rank in after.iter().filter(|r| !before.contains(r)) {
+            *counts.entry(*rank).or_default() += 1;
+        }
+    }
+    counts.into_values().max().unwrap_or(0)
+}
--- a/crates/group/tests/pilot.rs
+++ b/crates/group/tests/pilot.rs
@@ -110,5 +110,8 @@
     world.fence_all();
     world.run(Duration::from_secs(5));
 
-    expect_that!(world.count(|c| matches!(c, Command::Go(_)), &Reply::Done), eq(0));
+    expect_that!(
+        world.count(|c| matches!(c, Command::Go(_)), &Reply::Done),
+        eq(0)
+    );
 }
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -2,8 +2,8 @@
 //! current-thread runtime; requests go to the entry's thread over a bounded ring.
 
 use crate::entry::Event;
-use bn_serve::{Body, BodyFault, Bounds, text, whole_body};
 use crate::verdict::{Refusal, Verdict};
+use bn_serve::{Body, BodyFault, Bounds, text, whole_body};
 use bn_state::Priority;
 use crossbeam::channel::Sender;
 use http_body_util::{BodyExt, StreamBody};
--- a/crates/node/src/pages.rs
+++ b/crates/node/src/pages.rs
@@ -1,8 +1,8 @@
 //! Small HTTP pages for operators and backend servers: metrics, events, commands,
 //! announcements. Nothing here streams.
 
-use bn_serve::{Body, Bounds, text, whole_body};
 use crate::{ListenSnafu, Result};
+use bn_serve::{Body, Bounds, text, whole_body};
 use bn_trace::{Events, Metrics};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
--- a/crates/quorum/src/step.rs
+++ b/crates/quorum/src/step.rs
@@ -138,12 +138,7 @@
     }
 
     /// As [`Quorum::compact`], with the number of entries that stay in memory.
-    pub fn compact_keeping(
-        &mut self,
-        index: Index,
-        state: Vec<u8>,
-        kept: u64,
-    ) -> Option<Snapshot> {
+    pub fn compact_keeping(&mut self, index: Index, state: Vec<u8>, kept: u64) -> Option<Snapshot> {
         if index > self.commit || index <= self.snapshot.index {
             return None;
         }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -166,13 +166,18 @@
         if open.is_empty() {
             return Err(Lack::Servers);
         }
-        let sound: Vec<&Server> = open.iter().copied().filter(|s| !s.standing.out(now)).collect();
+        let sound: Vec<&Server> = open
+            .iter()
+            .copied()
+            .filter(|s| !s.standing.out(now))
+            .collect();
         if sound.is_empty() {
             let first = open.into_iter().min_by_key(|s| s.standing.back_at());
             return first.ok_or(Lack::Servers);
         }
-        let has_room =
-            |s: &&Server| s.load(now) < want.room * f64::from(s.slots.max(1)) * s.standing.share(now);
+        let has_room = |s: &&Server| {
+            s.load(now) < want.room * f64::from(s.slots.max(1)) * s.standing.share(now)
+        };
         let priced = sound.into_iter().filter(has_room).map(|s| {
             let near = s.domain == self.domain;
             (s.cost(now, near) + JITTER * random(), s)
--- a/crates/serve/src/client.rs
+++ b/crates/serve/src/client.rs
@@ -86,9 +86,8 @@
     pub fn idle(&self, now: Duration, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&address)?;
-        let alive = |c: &Connection| {
-            c.sender.is_ready() && now.saturating_sub(c.idle_since) < c.idle_limit
-        };
+        let alive =
+            |c: &Connection| c.sender.is_ready() && now.saturating_sub(c.idle_since) < c.idle_limit;
         while let Some(connection) = kept.pop() {
             if alive(&connection) {
                 return Some(connection);
--- a/crates/settle/src/check.rs
+++ b/crates/settle/src/check.rs
@@ -16,10 +16,7 @@
             ensure!(known, UnknownServiceSnafu { route, service });
         }
         let route_name = &route.name;
-        ensure!(
-            route.weight_sum() > 0,
-            NoWeightSnafu { route: route_name }
-        );
+        ensure!(route.weight_sum() > 0, NoWeightSnafu { route: route_name });
         ensure!(
             !route.timeout.is_zero(),
             NoTimeoutSnafu { route: route_name }
--- a/crates/settle/src/lib.rs
+++ b/crates/settle/src/lib.rs
@@ -5,7 +5,8 @@
 mod plan;
 
 pub use plan::{
-    Account, AccountId, Engine, Experts, Kind, Limits, Part, Plan, Route, Service, ServiceId, Version,
+    Account, AccountId, Engine, Experts, Kind, Limits, Part, Plan, Route, Service, ServiceId,
+    Version,
 };
 
 use snafu::Snafu;
--- a/crates/settle/src/plan.rs
+++ b/crates/settle/src/plan.rs
@@ -153,7 +153,6 @@
     pub priority: Option<u32>,
 }
 
-
 /// A checked document.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -5,8 +5,8 @@
 mod lines;
 mod usage;
 
-pub use lines::Lines;
 pub use events::{Event, Events, merge, read_lines, to_chrome, to_text};
+pub use lines::Lines;
 
 use log::LevelFilter;
 use metrics_exporter_prometheus::PrometheusBuilder;
