--- /dev/null
+++ b/crates/registry/tests/table.rs
@@ -0,0 +1,101 @@
+//! Announcements and departures in any order.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use bn_registry::{Change, Condition, Record, Registry};
+use bn_wire::messages::Registration;
+use googletest::prelude::*;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn record(id: &str, sequence: u64, condition: Condition) -> Record {
+    Record {
+        id: id.into(),
+        service: "s".into(),
+        address: Some(([10, 0, 0, 1], 80).into()),
+        domain: "d".into(),
+        slots: 4,
+        condition,
+        sequence,
+    }
+}
+
+#[googletest::test]
+fn only_what_decisions_depend_on_is_news() {
+    let mut registry = Registry::default();
+
+    let first = registry.take(NOW, record("a", 1, Condition::Ready));
+    let again = registry.take(NOW, record("a", 2, Condition::Ready));
+    let draining = registry.take(NOW, record("a", 3, Condition::Draining));
+
+    expect_that!(first, eq(Change::News));
+    expect_that!(again, eq(Change::Fresh));
+    expect_that!(draining, eq(Change::News));
+    expect_that!(registry.since(1).len(), eq(1));
+    expect_that!(registry.since(registry.mark()).len(), eq(0));
+}
+
+/// Symptom: a backend server that left gets requests again. Sequence: its announcement
+/// was held up by a cut and arrives after its departure. Cause: it counted as new.
+#[googletest::test]
+fn a_late_announcement_revives_nobody() {
+    let mut registry = Registry::default();
+    registry.take(NOW, record("a", 1, Condition::Ready));
+    registry.leave(NOW, "a");
+
+    let late = registry.take(NOW, record("a", 9, Condition::Ready));
+
+    expect_that!(late, eq(Change::Stale));
+    expect_that!(registry.present().count(), eq(0));
+}
+
+/// The same at a process that had never heard of it.
+#[googletest::test]
+fn a_departure_of_an_unknown_one_is_remembered() {
+    let mut registry = Registry::default();
+    let left = registry.leave(NOW, "a");
+
+    let late = registry.take(NOW, record("a", 9, Condition::Ready));
+
+    expect_that!(left, eq(Change::News));
+    expect_that!(late, eq(Change::Stale));
+}
+
+/// Symptom: a draining backend server takes new work. Sequence: its announcement of being
+/// ready is overtaken by that of draining. Cause: the last to arrive counted.
+#[googletest::test]
+fn an_overtaken_announcement_changes_nothing() {
+    let mut registry = Registry::default();
+    registry.take(NOW, record("a", 5, Condition::Draining));
+
+    let late = registry.take(NOW, record("a", 4, Condition::Ready));
+
+    expect_that!(late, eq(Change::Stale));
+    expect_that!(
+        registry.get("a").unwrap().condition,
+        eq(Condition::Draining)
+    );
+}
+
+#[googletest::test]
+fn silent_ones_are_forgotten_and_departures_much_later() {
+    let mut registry = Registry::default();
+    registry.take(NOW, record("a", 1, Condition::Ready));
+    registry.leave(NOW, "b");
+
+    let soon = registry.forget(NOW + Duration::from_secs(59));
+    let later = registry.forget(NOW + Duration::from_secs(61));
+    let last = registry.forget(NOW + Duration::from_secs(601));
+
+    expect_that!((soon, later, last), eq((0, 1, 1)));
+}
+
+#[googletest::test]
+fn records_survive_the_way_to_another_process() {
+    for condition in [Condition::Ready, Condition::Draining, Condition::Gone] {
+        let sent = record("a", 7, condition);
+        let received = Record::try_from(Registration::from(&sent)).unwrap();
+        expect_that!(received, eq(&sent));
+    }
+}
--- /dev/null
+++ b/crates/route/tests/fleet.rs
@@ -0,0 +1,178 @@
+//! Placing, health, budget and pace of a gateway, without a network.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use bn_route::{Allowance, Fleet, Lack, Pace, Retries, Server, Told, Want};
+use googletest::prelude::*;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn fleet(servers: u32) -> Fleet {
+    let mut fleet = Fleet::new("d0");
+    for n in 0..servers {
+        let address = ([10, 0, 0, n as u8], 80).into();
+        let domain = format!("d{n}");
+        fleet.put(Server::new(&format!("b{n}"), "s", address, &domain, 4));
+    }
+    fleet
+}
+
+fn want(tried: &[String]) -> Want<'_> {
+    Want {
+        service: "s",
+        tried,
+        room: 1.0,
+    }
+}
+
+fn pick(fleet: &Fleet, now: Duration, tried: &[String]) -> std::result::Result<String, Lack> {
+    fleet.pick(now, &want(tried), || 0.0).map(|s| s.id.clone())
+}
+
+#[googletest::test]
+fn requests_are_spread_evenly_and_stop_at_the_room() {
+    let mut fleet = fleet(3);
+
+    for _ in 0..12 {
+        let id = pick(&fleet, NOW, &[]).unwrap();
+        fleet.sent(&id);
+    }
+
+    let mine = |id: &str| fleet.get(id).unwrap().mine();
+    expect_that!((mine("b0"), mine("b1"), mine("b2")), eq((4, 4, 4)));
+    expect_that!(pick(&fleet, NOW, &[]), err(eq(&Lack::Room)));
+}
+
+#[googletest::test]
+fn load_that_others_cause_counts_and_fades() {
+    let mut fleet = fleet(2);
+    let told = Told {
+        running: 4,
+        waiting: 2,
+        slots: 4,
+    };
+    fleet.told(NOW, "b0", told);
+
+    let at_once = pick(&fleet, NOW, &[]);
+    let later = fleet.get("b0").unwrap().load(NOW + Duration::from_secs(15));
+
+    expect_that!(at_once, ok(eq("b1")));
+    expect_that!(later, lt(0.1));
+}
+
+#[googletest::test]
+fn those_tried_leaving_or_gone_are_passed_over() {
+    let mut fleet = fleet(3);
+    let mut leaving = fleet.get("b1").unwrap().clone();
+    leaving.leaving = true;
+    fleet.put(leaving);
+    fleet.remove("b2");
+
+    let tried = ["b0".to_string()];
+
+    expect_that!(pick(&fleet, NOW, &[]), ok(eq("b0")));
+    expect_that!(pick(&fleet, NOW, &tried), err(eq(&Lack::Servers)));
+}
+
+/// Symptom: every third request fails while two backend servers are well. Sequence: one
+/// fails all it gets, its load stays lowest, and it is chosen again. Cause: failures did
+/// not make it dearer.
+#[googletest::test]
+fn one_that_fails_gets_little() {
+    let mut fleet = fleet(3);
+    let mut bad = 0;
+    for n in 0..100u32 {
+        let now = NOW + Duration::from_millis(50) * n;
+        let id = pick(&fleet, now, &[]).unwrap();
+        match id.as_str() {
+            "b0" => {
+                bad += 1;
+                fleet.failed(now, &id, false);
+            }
+            _ => fleet.succeeded(now, &id),
+        }
+    }
+
+    expect_that!(bad, le(10));
+}
+
+#[googletest::test]
+fn where_all_are_out_the_first_to_be_back_is_tried() {
+    let mut fleet = fleet(2);
+    fleet.failed(NOW, "b1", true);
+    fleet.failed(NOW + Duration::from_millis(10), "b0", true);
+
+    let picked = pick(&fleet, NOW + Duration::from_millis(20), &[]);
+
+    expect_that!(picked, ok(eq("b1")));
+}
+
+fn allowance() -> Allowance {
+    Allowance {
+        ratio: 0.2,
+        slack: 60,
+        window: Duration::from_secs(10),
+    }
+}
+
+/// Symptom: a failing service gets more second tries than all gateways together may send.
+/// Sequence: six gateways spend at once, one of them has just restarted. Cause: each
+/// spent the whole slack.
+#[googletest::test]
+fn gateways_together_stay_inside_the_budget() {
+    let (gateways, requests) = (6u32, 30u32);
+    let mut spent = 0;
+    for _ in 0..=gateways {
+        let mut retries = Retries::default();
+        for _ in 0..requests {
+            retries.request(NOW, &allowance());
+        }
+        let tries = (0..200).filter(|_| retries.spend(NOW, &allowance(), gateways));
+        spent += tries.count();
+    }
+
+    let all = 0.2 * f64::from(requests * gateways) + 60.0;
+    expect_that!(spent as f64, le(all));
+    expect_that!(spent, gt(30));
+}
+
+#[googletest::test]
+fn the_budget_comes_back_with_time() {
+    let mut retries = Retries::default();
+    while retries.spend(NOW, &allowance(), 1) {}
+
+    let at_once = retries.spend(NOW, &allowance(), 1);
+    let later = retries.spend(NOW + Duration::from_secs(11), &allowance(), 1);
+
+    expect_that!((at_once, later), eq((false, true)));
+}
+
+/// Plays a group whose pauses grow with what is admitted, as `pause` says.
+fn settled_room(pause: impl Fn(f64) -> u64) -> f64 {
+    let (mut pace, limit) = (Pace::default(), Duration::from_millis(120));
+    for n in 0..4_000u64 {
+        let now = Duration::from_millis(n * 10);
+        let pause = Duration::from_millis(pause(pace.room()));
+        pace.saw(now, pause, limit);
+    }
+    pace.room()
+}
+
+/// Symptom: all streams are late at once. Sequence: the group is filled up to its slots
+/// and every pass takes longer than the allowed pause. Cause: slots alone were the limit.
+#[googletest::test]
+fn as_much_is_admitted_as_stays_in_time() {
+    let slow = settled_room(|room| 40 + (200.0 * room) as u64);
+    let quick = settled_room(|room| 20 + (40.0 * room) as u64);
+
+    expect_that!(40.0 + 200.0 * slow, all![ge(70.0), le(110.0)]);
+    expect_that!(quick, eq(1.0));
+}
+
+#[googletest::test]
+fn some_requests_are_admitted_whatever_the_pauses() {
+    let room = settled_room(|_| 500);
+
+    expect_that!(room, gt(0.1));
+}
