A line for requests without a place: early refusal, late ones behind, a later time to come back

Cause: refused requests came back within a second and were refused again; all that waited raced for each place. Change: requests wait in bn_limit's queue (urgent first, accounts by share), are refused at once where their turn would come too late; those that came back go behind those that can still be in time but may wait 1.5 s; Retry-After 0.9 to 2.2 s, within 0.3 of the time left. Orders to engines count as unanswered after 150 ms in place of 300.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -13,9 +13,10 @@
 
 /// Calls that wait for the thread.
 const RING: usize = 1024;
-/// A call without an answer by then counts as unanswered. Answers take milliseconds; an
-/// order whose answer is lost must be followed up at once.
-const TIMEOUT: Duration = Duration::from_millis(300);
+/// A call without an answer by then counts as unanswered. Answers take milliseconds, some
+/// tens on a busy instance; an order whose answer is lost must be followed up at once,
+/// since the group may stand still meanwhile.
+const TIMEOUT: Duration = Duration::from_millis(150);
 /// Largest answer taken.
 const LARGEST: usize = 1 << 20;
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,7 +4,7 @@
 use crate::offer::{self, Tries};
 use crate::shared::{Flight, Shared};
 use crate::ticket::{Denial, Ticket};
-use crate::{place, plain, stream};
+use crate::{plain, stream};
 use bn_platform::call::{self, Call};
 use bn_serve::{Body, BodyFault, text, whole_body};
 use hyper::body::Incoming;
@@ -15,6 +15,9 @@
 /// One in so many ordinary successes gets a line of its own; all else always does.
 const SAMPLE: u32 = 32;
 
+/// A gateway that has just started learns the configuration within a second.
+const NO_PLAN_BACK: Duration = Duration::from_millis(300);
+
 /// Whether this success gets a line.
 pub(crate) fn sampled() -> bool {
     rand::random::<u32>().is_multiple_of(SAMPLE)
@@ -86,7 +89,7 @@
 
 fn denied(shared: &Shared, denial: Denial) -> Response<Body> {
     let refusal = match denial {
-        Denial::NoPlan => Refusal::later("no configuration is known yet", place::back_after()),
+        Denial::NoPlan => Refusal::later("no configuration is known yet", NO_PLAN_BACK),
         Denial::NoRoute => Refusal::wrong(404, "no route matches"),
         Denial::NoKey => Refusal::wrong(401, "the key is missing or unknown"),
     };
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -37,7 +37,8 @@
     pub(crate) fn timed_out(&self) -> Refusal {
         match self.unsure {
             true => Refusal::unknown(504, "no answer in time"),
-            false => Refusal::later("not sent in time", place::back_after()),
+            // The caller's time is up: there is no time to come back either.
+            false => Refusal::wrong(503, "not sent in time"),
         }
     }
 }
@@ -68,7 +69,10 @@
                 note(shared, ticket, &id, "not_sent", why);
                 fail(shared, &id, true);
                 if tries.unsent >= MOST_UNSENT {
-                    let later = Refusal::later("no backend server reached", place::back_after());
+                    let later = Refusal::later(
+                        "no backend server reached",
+                        place::back_after(ticket.left(shared.now())),
+                    );
                     return Err(tries.end(later));
                 }
             }
@@ -115,7 +119,10 @@
     let left = word == Word::Elsewhere || tries.sent < ticket.route.attempts;
     match left && shared.may_retry(&ticket.service) {
         true => Ok(()),
-        false => Err(tries.end(Refusal::later(reason, place::back_after()))),
+        false => Err(tries.end(Refusal::later(
+            reason,
+            place::back_after(ticket.left(shared.now())),
+        ))),
     }
 }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,29 +1,45 @@
-//! Finding a backend server for a request: at once where one has room, else after a
-//! short wait; a request that cannot be placed is refused, with a time to come back.
+//! Finding a backend server for a request: at once where one has room, else in line for
+//! a short time. A request that cannot be placed in time is refused at once, with a time
+//! to come back.
+//!
+//! Load that this answers: bursts of up to twice what a group bears, and groups whose
+//! passes turned slow. Serving everybody late is worth less to callers than serving as
+//! many as can be in time.
 
 use crate::answer::Refusal;
 use crate::attempt::Seat;
-use crate::shared::Shared;
+use crate::shared::{Shared, State};
 use crate::ticket::Ticket;
+use bn_limit::Waiting;
 use bn_route::{Lack, ServerId, Want};
 use std::time::Duration;
 
 /// Load over slots up to which a backend server of a plain service is taken. Above 1 a
 /// request waits in the backend server's own queue, which is closer to the next free slot.
 const ROOM: f64 = 1.0;
-/// Part of the target time that a stream waits for a place: what starts later cannot be
-/// in time any more, and would take a place from one that can.
+/// Part of the target time that a request waits in line for a stream's place: a first
+/// event takes half of the target by itself, so what starts later is late.
 const STREAM_WAIT: f64 = 0.4;
+/// Wait of a request that cannot be in time any more: it came back after a refusal. It is
+/// served late rather than never, by places that no other request wants.
+const LATE_WAIT: Duration = Duration::from_millis(1_500);
+/// Requests that wait in line for one service at most. A gateway starts some 15 a second,
+/// so that those behind would wait for longer than any may.
+const MOST_WAITING: usize = 64;
 /// Between two looks while waiting, where no place was given back here: places that
 /// other gateways gave back are not seen otherwise.
 const LOOK: Duration = Duration::from_millis(25);
 /// Wait for a backend server of a service that has none: it may be registering, or
 /// its successor is.
 const EMPTY_WAIT: Duration = Duration::from_millis(300);
-/// Shortest time to come back after a refusal, and the random part on top, so that
-/// those refused together do not return together.
-const BACK_AFTER: Duration = Duration::from_millis(350);
-const BACK_SPREAD: Duration = Duration::from_millis(500);
+/// Time to come back after a refusal: bursts last some seconds, so a place is likelier
+/// after one or two. The random part keeps those refused together apart.
+const BACK_AFTER: Duration = Duration::from_millis(900);
+const BACK_SPREAD: Duration = Duration::from_millis(1_300);
+/// Part of the time left within which callers come back; past a third they do not.
+const BACK_PART: f64 = 0.3;
+/// Ranks of requests: the lowest is the most urgent.
+const RANKS: u32 = 10;
 
 /// Finds a place, and takes it.
 pub(crate) async fn seat(
@@ -32,28 +48,37 @@
     tried: &[ServerId],
 ) -> Result<Seat, Refusal> {
     let began = shared.now();
-    loop {
-        let room = shared.room.notified();
-        let lack = match try_seat(shared, ticket, tried) {
-            Ok(seat) => return Ok(seat),
-            Err(lack) => lack,
-        };
-        let now = shared.now();
-        let patience = match lack {
-            Lack::Servers => EMPTY_WAIT,
-            Lack::Room if ticket.streams() => ticket.route.target.mul_f64(STREAM_WAIT),
-            Lack::Room => ticket.route.target,
-        };
-        if now >= began + patience.min(ticket.left(began) / 3) {
-            return Err(refusal(lack));
-        }
-        // Either wakes: only the look at the fleet decides.
-        let _ = tokio::time::timeout(LOOK, room).await;
+    let lack = match try_first(shared, ticket, tried) {
+        Ok(seat) => return Ok(seat),
+        Err(lack) => lack,
+    };
+    match lack {
+        Lack::Servers => wait_for_servers(shared, ticket, tried, began).await,
+        Lack::Room => wait_in_line(shared, ticket, tried, began).await,
     }
 }
 
-fn try_seat(shared: &Shared, ticket: &Ticket, tried: &[ServerId]) -> Result<Seat, Lack> {
+/// A place at once, unless others wait for one.
+fn try_first(shared: &Shared, ticket: &Ticket, tried: &[ServerId]) -> Result<Seat, Lack> {
+    let now = shared.now();
     let mut state = shared.state();
+    let line = state.lines.entry(ticket.service.clone()).or_default();
+    if !line.is_empty() {
+        return Err(Lack::Room);
+    }
+    let seat = take(shared, &mut state, ticket, tried)?;
+    if let Some(line) = state.lines.get_mut(&ticket.service) {
+        line.note_start(now);
+    }
+    Ok(seat)
+}
+
+fn take(
+    shared: &Shared,
+    state: &mut State,
+    ticket: &Ticket,
+    tried: &[ServerId],
+) -> Result<Seat, Lack> {
     let room = match ticket.streams() {
         true => state
             .paces
@@ -73,15 +98,129 @@
     Ok(Seat::new(shared, server))
 }
 
-fn refusal(lack: Lack) -> Refusal {
-    let reason = match lack {
-        Lack::Servers => "no backend server",
-        Lack::Room => "all backend servers are full",
+async fn wait_for_servers(
+    shared: &Shared,
+    ticket: &Ticket,
+    tried: &[ServerId],
+    began: Duration,
+) -> Result<Seat, Refusal> {
+    let until = began + EMPTY_WAIT.min(ticket.left(began) / 3);
+    loop {
+        pause(shared).await;
+        match try_first(shared, ticket, tried) {
+            Ok(seat) => return Ok(seat),
+            Err(Lack::Room) => return wait_in_line(shared, ticket, tried, began).await,
+            Err(Lack::Servers) if shared.now() >= until => {
+                return Err(refusal(shared, ticket, "no backend server"));
+            }
+            Err(Lack::Servers) => {}
+        }
+    }
+}
+
+/// How long a request may wait in line. One that is late already goes behind those that
+/// can still be in time, but may wait for longer.
+fn patience(ticket: &Ticket, now: Duration) -> Duration {
+    let most = match (ticket.came_back(), ticket.streams()) {
+        (true, _) => LATE_WAIT,
+        (false, true) => ticket.route.target.mul_f64(STREAM_WAIT),
+        (false, false) => ticket.route.target,
+    };
+    most.min(ticket.left(now) / 3)
+}
+
+async fn wait_in_line(
+    shared: &Shared,
+    ticket: &Ticket,
+    tried: &[ServerId],
+    began: Duration,
+) -> Result<Seat, Refusal> {
+    let until = began + patience(ticket, began);
+    let fresh = u32::from(!ticket.came_back());
+    let waiting = Waiting {
+        id: rand::random(),
+        account: ticket.account.clone().unwrap_or_default(),
+        priority: 2 * RANKS.saturating_sub(ticket.rank) + fresh,
+        share: 1,
+        deadline: until,
+    };
+    let spot = match Spot::join(shared, ticket, waiting) {
+        Some(spot) => spot,
+        // It is known now that its turn would come too late.
+        None => return Err(refusal(shared, ticket, "the line is too long")),
     };
-    Refusal::later(reason, back_after())
+    loop {
+        pause(shared).await;
+        if let Some(seat) = spot.advance(tried) {
+            return Ok(seat);
+        }
+        if shared.now() >= until {
+            return Err(refusal(shared, ticket, "all backend servers are full"));
+        }
+    }
+}
+
+/// Waits for a place given back here, or for the next look.
+async fn pause(shared: &Shared) {
+    // Either wakes: only the look at the fleet decides.
+    let _ = tokio::time::timeout(LOOK, shared.room.notified()).await;
+}
+
+/// A request's place in line, given up when dropped: callers may leave.
+struct Spot<'a> {
+    shared: &'a Shared,
+    ticket: &'a Ticket,
+    id: u64,
+}
+
+impl<'a> Spot<'a> {
+    fn join(shared: &'a Shared, ticket: &'a Ticket, waiting: Waiting) -> Option<Spot<'a>> {
+        let id = waiting.id;
+        let now = shared.now();
+        let joined = {
+            let mut state = shared.state();
+            let line = state.lines.entry(ticket.service.clone()).or_default();
+            line.push(now, waiting, MOST_WAITING).is_ok()
+        };
+        // Made only after the state is unlocked: a spot that is dropped locks it again.
+        match joined {
+            true => Some(Spot { shared, ticket, id }),
+            false => None,
+        }
+    }
+
+    /// Takes a place if it is this one's turn and there is one.
+    fn advance(&self, tried: &[ServerId]) -> Option<Seat> {
+        let now = self.shared.now();
+        let service = &self.ticket.service;
+        let mut state = self.shared.state();
+        let first = state.lines.get(service)?.order().first().copied();
+        if first != Some(self.id) {
+            return None;
+        }
+        let seat = take(self.shared, &mut state, self.ticket, tried).ok()?;
+        if let Some(line) = state.lines.get_mut(service) {
+            line.started(now, self.id);
+        }
+        Some(seat)
+    }
+}
+
+impl Drop for Spot<'_> {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        if let Some(line) = state.lines.get_mut(&self.ticket.service) {
+            line.remove(|w| w.id == self.id);
+        }
+    }
+}
+
+fn refusal(shared: &Shared, ticket: &Ticket, reason: &'static str) -> Refusal {
+    Refusal::later(reason, back_after(ticket.left(shared.now())))
 }
 
-/// When a refused caller may come back.
-pub(crate) fn back_after() -> Duration {
-    BACK_AFTER + BACK_SPREAD.mul_f64(rand::random())
+/// When a refused caller with so much time left may come back.
+pub(crate) fn back_after(left: Duration) -> Duration {
+    let after = BACK_AFTER + BACK_SPREAD.mul_f64(rand::random());
+    after.min(left.mul_f64(BACK_PART))
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that all requests of a gateway share. It is locked for moments only, never
 //! across a wait.
 
+use bn_limit::Queue;
 use bn_route::{Allowance, Fleet, Pace, Retries};
 use bn_serve::client::Pool;
 use bn_settle::Plan;
@@ -37,6 +38,8 @@
     pub(crate) plan: Option<Arc<Plan>>,
     pub(crate) fleet: Fleet,
     pub(crate) retries: IndexMap<String, Retries>,
+    /// Requests that wait for a place, by service.
+    pub(crate) lines: IndexMap<String, Queue>,
     /// Room of services that stream.
     pub(crate) paces: IndexMap<String, Pace>,
     /// Gateways that share the retry budget.
@@ -57,6 +60,7 @@
             plan: None,
             fleet: Fleet::new(domain),
             retries: IndexMap::new(),
+            lines: IndexMap::new(),
             paces: IndexMap::new(),
             gateways: 1,
         };
