--- a/crates/group/src/pilot.rs
+++ b/crates/group/src/pilot.rs
@@ -44,10 +44,11 @@
 /// Tries of a question or of an order that may be given up.
 const TRIES: u32 = 4;
 /// Passes ahead of the last one reported at which a switch is set: reports are two to
-/// four passes old, and arming takes one or two.
-const AHEAD: Pass = 6;
+/// three passes old, and arming takes a part of one; if it takes longer the group waits
+/// for it at the hold.
+const AHEAD: Pass = 4;
 /// More of them after a pass turned out begun already.
-const FURTHER: Pass = 6;
+const FURTHER: Pass = 3;
 const FURTHEST: Pass = 60;
 /// Ranks whose counts are read. Requests are spread over ranks whatever they are about, so
 /// that a few ranks tell what all of them choose; reading from another machine is paid
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -17,13 +17,13 @@
 const QUANTILE: f64 = 0.9;
 /// Part of the allowed pause at which less is admitted, and below which more is. Between
 /// them nothing changes. What was admitted shows two to three passes later.
-const HIGH: f64 = 0.85;
-const LOW: f64 = 0.7;
+const HIGH: f64 = 0.95;
+const LOW: f64 = 0.8;
 /// Change of room a window: down by this factor, up by this much.
 const DOWN: f64 = 0.85;
 const UP: f64 = 0.04;
 /// Least room: one request a rank or two must always pass, else nothing is learnt.
-const LEAST: f64 = 0.17;
+const LEAST: f64 = 0.25;
 /// Room at the start, before any pause was seen: half of the slots.
 const FIRST: f64 = 0.5;
 
