--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -16,15 +16,18 @@
 /// A call without an answer by then counts as unanswered. Answers take milliseconds, some
 /// tens on a busy instance; an order whose answer is lost must be followed up at once,
 /// since the group may stand still meanwhile.
-const TIMEOUT: Duration = Duration::from_millis(150);
+const TIMEOUT: Duration = Duration::from_millis(120);
 /// Largest answer taken.
 const LARGEST: usize = 1 << 20;
 
+/// Status and body; none where no answer came.
+pub(crate) type Answer = Option<(u16, Bytes)>;
+
 /// One call.
 pub(crate) struct Call {
     pub(crate) what: What,
-    /// Gets status and body; none where no answer came.
-    pub(crate) done: Box<dyn FnOnce(Option<(u16, Bytes)>) + Send>,
+    /// Gets the answer.
+    pub(crate) done: Box<dyn FnOnce(Answer) + Send>,
 }
 
 /// What is asked, and whom.
@@ -80,7 +83,7 @@
     }
 }
 
-async fn ask(pool: &Pool, start: Instant, what: &What) -> Option<(u16, Bytes)> {
+async fn ask(pool: &Pool, start: Instant, what: &What) -> Answer {
     let idle = pool.idle(start.elapsed(), what.address);
     let mut connection = match idle {
         Some(connection) => connection,
--- a/crates/coordinator/src/groups.rs
+++ b/crates/coordinator/src/groups.rs
@@ -1,13 +1,12 @@
 //! Balancing of lock-step groups, by the leader alone: carries the calls of each group's
 //! [`Pilot`] to the engines and their replies back.
 
-use crate::calls::{Call, What};
+use crate::calls::{Answer, Call, What};
 use crate::core::{Core, Event};
 use bn_group::ExpertMap;
 use bn_group::pilot::{self, Ask, Command, Note, Pilot, Reply, Shape, View};
 use bn_platform::engine::{self, Operation};
 use bn_quorum::Role;
-use hyper::body::Bytes;
 use indexmap::IndexMap;
 use serde_json::json;
 use std::time::Duration;
@@ -87,7 +86,7 @@
             let (path, body, read) = translate(call.ask);
             let (ring, service) = (self.ring.clone(), service.to_string());
             let number = call.call;
-            let done = move |answer: Option<(u16, Bytes)>| {
+            let done = move |answer: Answer| {
                 let reply = answer.map_or(Reply::Silent, |(status, body)| read(status, &body));
                 let called = Event::Called(service, number, reply);
                 if ring.try_send(called).is_err() {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -89,9 +89,9 @@
 
 fn denied(shared: &Shared, denial: Denial) -> Response<Body> {
     let refusal = match denial {
-        Denial::NoPlan => Refusal::later("no configuration is known yet", NO_PLAN_BACK),
-        Denial::NoRoute => Refusal::wrong(404, "no route matches"),
-        Denial::NoKey => Refusal::wrong(401, "the key is missing or unknown"),
+        Denial::Unsettled => Refusal::later("no configuration is known yet", NO_PLAN_BACK),
+        Denial::Route => Refusal::wrong(404, "no route matches"),
+        Denial::Key => Refusal::wrong(401, "the key is missing or unknown"),
     };
     let version = shared.plan().map(|p| p.version());
     let fields = json!({ "status": refusal.status, "why": refusal.reason, "version": version });
--- a/crates/gateway/src/ticket.rs
+++ b/crates/gateway/src/ticket.rs
@@ -20,11 +20,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Denial {
     /// No document is known yet.
-    NoPlan,
+    Unsettled,
     /// No route matches.
-    NoRoute,
+    Route,
     /// The key is missing or unknown.
-    NoKey,
+    Key,
 }
 
 /// A request that was taken in.
@@ -59,12 +59,12 @@
         parts: Parts,
         draw: impl FnOnce(u64) -> u64,
     ) -> Result<Ticket, Denial> {
-        let plan = plan.ok_or(Denial::NoPlan)?;
+        let plan = plan.ok_or(Denial::Unsettled)?;
         let host = host(&parts).unwrap_or_default();
-        let route = plan.route(host, parts.uri.path()).ok_or(Denial::NoRoute)?;
+        let route = plan.route(host, parts.uri.path()).ok_or(Denial::Route)?;
         let account = key(&parts.headers).and_then(|k| plan.account(k));
         if plan.keyed() && !route.open && account.is_none() {
-            return Err(Denial::NoKey);
+            return Err(Denial::Key);
         }
         let service = route.part(draw(route.weight_sum()));
         let deadline = millis(&parts.headers, header::DEADLINE).unwrap_or(LONGEST);
--- a/crates/group/src/pilot.rs
+++ b/crates/group/src/pilot.rs
@@ -31,7 +31,7 @@
 /// map follows every stream in flight is late.
 const REST: Duration = Duration::from_millis(350);
 /// Rest where the group is not whole, or another leads.
-const LONG_REST: Duration = Duration::from_millis(1_500);
+const LONG_REST: Duration = Duration::from_millis(600);
 /// Reports describe the past: by some hundred milliseconds. After an order, and after
 /// fencing, so long passes before one is believed.
 const LAG: Duration = Duration::from_millis(700);
@@ -43,10 +43,17 @@
 const COPY_WITHIN: Duration = Duration::from_secs(6);
 /// Tries of a question or of an order that may be given up.
 const TRIES: u32 = 4;
-/// Passes ahead of the last one reported at which a switch is set: reports are two to
-/// three passes old, and arming takes a part of one; if it takes longer the group waits
-/// for it at the hold.
+/// Least passes ahead of the last one reported at which a switch is set: reports are two
+/// to three passes old, and arming takes a part of one. Where answers to orders are lost
+/// it takes longer, and the switch is set further ahead by what the last ones took: a
+/// group that waits at the hold makes every stream in flight late.
 const AHEAD: Pass = 4;
+/// Time of a pass before any was seen, and the bounds of what is believed.
+const PASS: Duration = Duration::from_millis(80);
+const SHORTEST_PASS: Duration = Duration::from_millis(30);
+const LONGEST_PASS: Duration = Duration::from_millis(300);
+/// What is remembered of the time that arming took, from one switch to the next.
+const REMEMBERED: f64 = 0.8;
 /// More of them after a pass turned out begun already.
 const FURTHER: Pass = 3;
 const FURTHEST: Pass = 60;
@@ -217,6 +224,8 @@
     pass: Pass,
     holder: EngineId,
     began: Duration,
+    /// When the hold was ordered.
+    ordered: Duration,
     /// Set when every rank is armed: the switch will hold.
     sure: bool,
 }
@@ -229,7 +238,15 @@
     calls: u64,
     tokens: u64,
     versions: u64,
-    ahead: Pass,
+    /// More passes ahead, after a switch was set too near.
+    further: Pass,
+    /// Time that a hold and arming every rank take.
+    arming: Duration,
+    /// Time of a pass, and when which pass was seen last.
+    pass_time: Duration,
+    seen: Option<(Duration, Pass)>,
+    /// Engines that this leader has fenced before.
+    fenced: Vec<EngineId>,
     phase: Phase,
     round: Round,
     registered: Vec<EngineId>,
@@ -254,7 +271,11 @@
             calls: 0,
             tokens: 0,
             versions: 0,
-            ahead: AHEAD,
+            further: 0,
+            arming: Duration::ZERO,
+            pass_time: PASS,
+            seen: None,
+            fenced: Vec::new(),
             phase: Phase::Rest(Duration::ZERO),
             round: Round::default(),
             registered: Vec::new(),
@@ -402,6 +423,14 @@
         if !back.values().all(|r| matches!(r, Reply::Done)) {
             return self.unwell(now);
         }
+        // An engine that this leader fenced before keeps every other leader out: none can
+        // fence the whole group, and none gives an order before that. So nothing foreign
+        // is hidden by the age of reports.
+        let known = self.engines.iter().any(|e| self.fenced.contains(e));
+        self.fenced = self.engines.clone();
+        if known {
+            return self.ask_all(Phase::Survey, Ask::Report);
+        }
         self.phase = Phase::Lag(now + LAG);
         Vec::new()
     }
@@ -443,7 +472,14 @@
             // The pass is still to come; an idle group makes none.
             return self.rest(now + REST);
         }
+        self.clock_passes(now);
         match self.map_in_use() {
+            // The group has just formed: what was in demand before still is, and every
+            // pass on map 0 is slow.
+            Some(true) if self.map_is_first() && !self.loads.is_empty() => match self.better() {
+                Some(map) => self.prepare(now, map),
+                None => self.ask_some(),
+            },
             Some(true) => self.ask_some(),
             Some(false) => self.ask_all(Phase::List, Ask::List),
             None => self.rest(now + REST),
@@ -479,6 +515,10 @@
         Some(self.map.as_ref().is_some_and(|(v, _)| *v == version))
     }
 
+    fn map_is_first(&self) -> bool {
+        self.map.as_ref().is_some_and(|(version, _)| *version == 0)
+    }
+
     fn listed(&mut self, now: Duration, back: &IndexMap<EngineId, Reply>) -> Vec<Call> {
         let Shape { sets, experts, .. } = self.shape;
         let mut layers = vec![vec![Vec::new(); experts]; sets];
@@ -616,7 +656,8 @@
             return Vec::new();
         }
         let last = self.views.values().map(|v| v.pass).max().unwrap_or(0);
-        self.switch.pass = last + self.ahead;
+        self.switch.pass = last + self.ahead();
+        self.switch.ordered = now;
         // Any rank may hold the group.
         let holder = self.engines.first().cloned().unwrap_or_default();
         self.switch.holder = holder;
@@ -632,7 +673,7 @@
             }
             // The pass has begun already: nothing was armed, so nothing is lost.
             Some(Reply::Conflict) => {
-                self.ahead = (self.ahead + FURTHER).min(FURTHEST);
+                self.further = (self.further + FURTHER).min(FURTHEST);
                 self.note("hold_late", pass);
                 self.phase = Phase::CopyWait(now);
                 Vec::new()
@@ -642,9 +683,30 @@
         }
     }
 
-    fn armed(&mut self, _now: Duration, back: &IndexMap<EngineId, Reply>) -> Vec<Call> {
+    /// Passes ahead of the last one reported at which a switch is set.
+    fn ahead(&self) -> Pass {
+        let needed = (REPORT_AGE + self.arming).as_secs_f64() / self.pass_time.as_secs_f64();
+        (needed.ceil() as Pass + 1).clamp(AHEAD, FURTHEST) + self.further
+    }
+
+    /// Learns the time of a pass from two surveys.
+    fn clock_passes(&mut self, now: Duration) {
+        let pass = self.views.values().map(|v| v.pass).max().unwrap_or(0);
+        if let Some((then, before)) = self.seen
+            && pass > before
+        {
+            let passes = u32::try_from(pass - before).unwrap_or(u32::MAX);
+            let time = now.saturating_sub(then) / passes;
+            self.pass_time = time.clamp(SHORTEST_PASS, LONGEST_PASS);
+        }
+        self.seen = Some((now, pass));
+    }
+
+    fn armed(&mut self, now: Duration, back: &IndexMap<EngineId, Reply>) -> Vec<Call> {
         if back.values().all(|r| matches!(r, Reply::Done)) {
             self.switch.sure = true;
+            let took = now.saturating_sub(self.switch.ordered);
+            self.arming = took.max(self.arming.mul_f64(REMEMBERED));
             return self.order_holder(Phase::Go, Command::Go(self.switch.pass));
         }
         self.note("arm_refused", self.switch.version);
@@ -684,7 +746,7 @@
             version,
         );
         if sure {
-            self.ahead = AHEAD;
+            self.further = 0;
             // Known from here on. A later switch that is undone must not replace it.
             self.map = Some((version, self.switch.map.clone()));
         }
