Tried and reverted: counts of one rank in six, more changes a layer

Conclusion: what is in demand moves between the count and the switch (0.6 to 0.8 s); a faster cycle, not a better count, is what is missing.

--- a/crates/group/src/pilot.rs
+++ b/crates/group/src/pilot.rs
@@ -59,7 +59,8 @@
 const FURTHEST: Pass = 60;
 /// Ranks whose counts are read. Requests are spread over ranks whatever they are about, so
 /// that a few ranks tell what all of them choose; reading from another machine is paid
-/// for and makes the group pause.
+/// for and makes the group pause: with 12 of 72 ranks 0.37 of the credit were earned, with
+/// 3 of them 0.72, on a quiet day each.
 const SAMPLE: usize = 3;
 /// Weight of the newest counts in the estimate of loads.
 const ALPHA: f64 = 0.8;
