--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -6,7 +6,9 @@
 mod fleet;
 
 use bn_net::Net;
-use bn_platform::header::{ACCOUNT, ATTEMPT, EXPECT, LAST_EVENT, NOT_RUN, SIGNATURE};
+use bn_platform::header::{
+    ACCOUNT, AT_FAULT, ATTEMPT, EXPECT, LAST_EVENT, NOT_RUN, SERVER, SIGNATURE,
+};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{DocumentAnswer, ReadAnswer};
 use fleet::{Backend, Fleet, Message, Script, request};
@@ -447,3 +449,29 @@
 
     expect_that!((put, read), eq((503, Some(503))));
 }
+
+fn someone_else(request: &Message, stream: &mut TcpStream) -> bool {
+    let more = format!("{SERVER}: other\r\n{AT_FAULT}: other\r\ncontent-length: 0\r\n");
+    let head = head(request, "421 Misdirected", &more);
+    say(stream, &format!("{head}\r\n"))
+}
+
+/// Symptom: most requests are refused although backend servers are well. Sequence: one
+/// crashes for good and its address goes to another service; it never said that it left.
+/// Cause: its id stayed in use, and having no load it was preferred each time.
+#[googletest::test]
+fn one_whose_address_another_has_is_asked_once() {
+    let fleet = Fleet::start(31);
+    let (gone, well) = (
+        Backend::start("a", someone_else),
+        Backend::start("b", good),
+    );
+    fleet.announce(&gone, "plain", "ready", 1);
+    fleet.announce(&well, "plain", "ready", 1);
+
+    let asked = (0..20).map(|_| fleet.ask(4, "POST", "/file/1", "id").status());
+    let statuses: Vec<u16> = asked.collect();
+
+    expect_that!(gone.count(), le(1));
+    expect_true!(statuses.iter().all(|s| *s == 200));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -121,7 +121,9 @@
     tell_load(shared, &seat.server, headers);
     let status = response.status().as_u16();
     if status == 421 {
-        return Outcome::NotRun(match headers.contains_key(header::AT_FAULT) {
+        // Only one that says it is the one expected has another reason.
+        let expected = text(headers, header::SERVER) == Some(&seat.server.id);
+        return Outcome::NotRun(match expected {
             true => Word::Stalled,
             false => Word::Elsewhere,
         });
