--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -472,3 +472,27 @@
     expect_that!(gone.count(), le(1));
     expect_true!(statuses.iter().all(|s| *s == 200));
 }
+
+fn misfit(request: &Message, stream: &mut TcpStream) -> bool {
+    let own = request.header(EXPECT);
+    let more = format!("{SERVER}: {own}\r\n{AT_FAULT}: {own}\r\ncontent-length: 0\r\n");
+    let head = head(request, "421 Misdirected", &more);
+    say(stream, &format!("{head}\r\n"))
+}
+
+/// Symptom: most requests are refused although backend servers are well. Sequence: one
+/// registers for the service of a group and belongs to none; it rejects every request.
+/// Cause: nothing spoke against it, and having no load it was preferred each time.
+#[googletest::test]
+fn one_that_serves_nothing_is_asked_rarely() {
+    let fleet = Fleet::start(32);
+    let (useless, well) = (Backend::start("a", misfit), Backend::start("b", good));
+    fleet.announce(&useless, "plain", "ready", 1);
+    fleet.announce(&well, "plain", "ready", 1);
+
+    let asked = (0..40).map(|_| fleet.ask(4, "POST", "/file/1", "id").status());
+    let statuses: Vec<u16> = asked.collect();
+
+    expect_that!(useless.count(), le(3));
+    expect_true!(statuses.iter().all(|s| *s == 200));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -53,6 +53,9 @@
     Full,
     /// Another one has its address now.
     Elsewhere,
+    /// It serves no such request, though it is the one expected: it is registered for a
+    /// service of groups, say, and belongs to none.
+    Misfit,
     /// It depends on another one that is gone.
     Stalled,
 }
@@ -124,7 +127,7 @@
         // Only one that says it is the one expected has another reason.
         let expected = text(headers, header::SERVER) == Some(&seat.server.id);
         return Outcome::NotRun(match expected {
-            true => Word::Stalled,
+            true => Word::Misfit,
             false => Word::Elsewhere,
         });
     }
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -107,16 +107,24 @@
     let (outcome, reason) = match word {
         Word::Full => ("full", "all backend servers are full"),
         Word::Elsewhere => ("elsewhere", "the backend server is gone"),
+        Word::Misfit => ("misfit", "the backend server serves no such request"),
         Word::Stalled => ("stalled", "the group of backend servers stands still"),
     };
     note(shared, ticket, id, "not_run", outcome);
-    if word == Word::Elsewhere {
+    let unserved = matches!(word, Word::Elsewhere | Word::Misfit);
+    match word {
         // Its address belongs to another one now; an id never comes back.
-        shared.state().fleet.remove(id);
-    } else {
-        tries.sent += 1;
+        Word::Elsewhere => shared.state().fleet.remove(id),
+        // Without load it would be preferred for every request.
+        Word::Misfit => fail(shared, id, true),
+        Word::Full | Word::Stalled => tries.sent += 1,
     }
-    let left = word == Word::Elsewhere || tries.sent < ticket.route.attempts;
+    // One that cannot serve it at all was no try at serving it.
+    tries.unsent += u32::from(unserved);
+    let left = match unserved {
+        true => tries.unsent < MOST_UNSENT,
+        false => tries.sent < ticket.route.attempts,
+    };
     match left && shared.may_retry(&ticket.service) {
         true => Ok(()),
         false => Err(tries.end(Refusal::later(
