--- /dev/null
+++ b/crates/group/src/pilot/mod.rs
@@ -0,0 +1,287 @@
+//! Switching the expert map of a lock-step group whose ranks are ordered over a network
+//! that loses answers and carries orders out late.
+//!
+//! What goes wrong otherwise: an `arm` whose answer was lost is carried out seconds later
+//! on one rank, after the others dropped that switch, and a pass runs on two maps. One
+//! would notice wrong tokens, long after. Two rules prevent it:
+//!
+//! - No rank is armed for a pass before another order holds the group at that pass, and
+//!   the group goes on only when every rank has confirmed that it is armed, or every rank
+//!   that it is not.
+//! - Every order carries a fencing token above all before it. An order without an answer
+//!   is repeated with a higher one until an answer comes: from then on the lost one can
+//!   only be refused.
+//!
+//! A new leader fences every rank before it looks at any: an old leader that does not
+//! know of it can do nothing from then on. What it left half done is undone under the
+//! hold that still stands.
+
+mod model;
+mod planning;
+mod rounds;
+mod survey;
+mod switching;
+
+pub use model::{Ask, Call, Command, EngineId, Note, Pass, Reply, Shape, View};
+
+use crate::Version;
+use crate::map::ExpertMap;
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Between two looks at the group. What is in demand moves within a second, and until the
+/// map follows every stream in flight is late.
+const REST: Duration = Duration::from_millis(350);
+/// Rest where the group is not whole, or another leads.
+const LONG_REST: Duration = Duration::from_millis(600);
+/// Tries of a question or of an order that may be given up.
+const TRIES: u32 = 4;
+/// Least passes ahead of the last one reported at which a switch is set: reports are two
+/// to three passes old, and arming takes a part of one. Where answers to orders are lost
+/// it takes longer, and the switch is set further ahead by what the last ones took: a
+/// group that waits at the hold makes every stream in flight late.
+const AHEAD: Pass = 4;
+/// Time of a pass before any was seen, and the bounds of what is believed.
+const PASS: Duration = Duration::from_millis(80);
+const SHORTEST_PASS: Duration = Duration::from_millis(30);
+const LONGEST_PASS: Duration = Duration::from_millis(300);
+/// A version that is never used, since terms begin at 1: an order to disarm it changes
+/// nothing. Engines refuse 0.
+const NO_VERSION: Version = 1;
+/// Most passes ahead at which a switch is set.
+const FURTHEST: Pass = 60;
+/// Versions and tokens of one term: terms are those of the log, one leader each, so that
+/// neither is ever used twice.
+const PER_TERM: u64 = 1 << 20;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Phase {
+    Rest(Duration),
+    /// First reports: who forms the group, in which epoch.
+    Meet,
+    Fence,
+    /// A hold of an earlier leader is looked for at once.
+    Early,
+    Lag(Duration),
+    Survey,
+    /// Which experts each rank holds, where an earlier leader chose them.
+    List,
+    Count,
+    Prepare,
+    CopyWait(Duration),
+    CopyLook,
+    Hold,
+    Arm,
+    /// The hold of an earlier leader, or one that was lost from sight, is renewed.
+    Rehold,
+    Undo,
+    Go,
+}
+
+/// Questions or orders that are out, by engine.
+#[derive(Debug, Clone, Default)]
+struct Round {
+    out: IndexMap<EngineId, (u64, u32)>,
+    back: IndexMap<EngineId, Reply>,
+    /// Call that asks another rank whether the group still stands.
+    check: Option<u64>,
+}
+
+/// A switch under way.
+#[derive(Debug, Clone, Default)]
+struct Switch {
+    version: Version,
+    map: ExpertMap,
+    pass: Pass,
+    holder: EngineId,
+    began: Duration,
+    /// When the hold was ordered.
+    ordered: Duration,
+    /// Set when every rank is armed: the switch will hold.
+    sure: bool,
+}
+
+/// The switching of one group by one leader.
+#[derive(Debug, Clone)]
+pub struct Pilot {
+    shape: Shape,
+    term: u64,
+    calls: u64,
+    tokens: u64,
+    versions: u64,
+    /// More passes ahead, after a switch was set too near.
+    further: Pass,
+    /// Time that a hold and arming every rank take.
+    arming: Duration,
+    /// Time of a pass, and when which pass was seen last.
+    pass_time: Duration,
+    seen: Option<(Duration, Pass)>,
+    /// Engines that this leader has fenced before.
+    fenced: Vec<EngineId>,
+    phase: Phase,
+    round: Round,
+    registered: Vec<EngineId>,
+    /// Those of them that form the group.
+    engines: Vec<EngineId>,
+    views: IndexMap<EngineId, View>,
+    epoch: u64,
+    /// The map in use, where its content is known, with its version.
+    map: Option<(Version, ExpertMap)>,
+    counted: IndexMap<EngineId, Vec<u64>>,
+    loads: Vec<Vec<f64>>,
+    switch: Switch,
+    notes: Vec<Note>,
+}
+
+impl Pilot {
+    /// Begins for the leader of a term. Until every rank is fenced nothing else is done.
+    pub fn new(term: u64, shape: Shape) -> Pilot {
+        Pilot {
+            shape,
+            term,
+            calls: 0,
+            tokens: 0,
+            versions: 0,
+            further: 0,
+            arming: Duration::ZERO,
+            pass_time: PASS,
+            seen: None,
+            fenced: Vec::new(),
+            phase: Phase::Rest(Duration::ZERO),
+            round: Round::default(),
+            registered: Vec::new(),
+            engines: Vec::new(),
+            views: IndexMap::new(),
+            epoch: 0,
+            map: None,
+            counted: IndexMap::new(),
+            loads: Vec::new(),
+            switch: Switch::default(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// What happened since the last call.
+    pub fn notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Lets time pass; `engines` are those that are registered now.
+    pub fn tick(&mut self, now: Duration, engines: &[EngineId]) -> Vec<Call> {
+        match self.phase {
+            Phase::Rest(until) if now >= until && !engines.is_empty() => {
+                let known = self.registered == engines;
+                match known {
+                    true => self.ask_all(Phase::Survey, Ask::Report),
+                    // New ones may be under another leader's orders still.
+                    false => self.meet(engines),
+                }
+            }
+            Phase::Lag(until) if now >= until => self.ask_all(Phase::Survey, Ask::Report),
+            Phase::CopyWait(until) if now >= until => self.ask_all(Phase::CopyLook, Ask::Report),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes the reply to a call.
+    pub fn reply(&mut self, now: Duration, call: u64, reply: Reply) -> Vec<Call> {
+        if self.round.check == Some(call) {
+            return self.checked(now, &reply);
+        }
+        let found = self.round.out.iter().find(|(_, (c, _))| *c == call);
+        let Some((engine, tries)) = found.map(|(e, (_, t))| (e.clone(), *t)) else {
+            return Vec::new();
+        };
+        let bound = self.bound();
+        if matches!(reply, Reply::Silent | Reply::Odd) && bound.is_none_or(|b| tries < b) {
+            let mut calls = self.again(&engine, tries + 1);
+            if bound.is_none() && tries.is_multiple_of(TRIES) {
+                calls.extend(self.check(&engine));
+            }
+            return calls;
+        }
+        self.round.out.shift_remove(&engine);
+        self.round.back.insert(engine, reply);
+        match self.round.out.is_empty() {
+            true => self.next(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// A rank that stays silent may have crashed. Then the group forms anew, which clears
+    /// every hold and arm, and nothing is left to be settled; any other rank tells.
+    fn check(&mut self, silent: &EngineId) -> Option<Call> {
+        let other = self.engines.iter().find(|e| *e != silent)?.clone();
+        self.calls += 1;
+        let call = self.calls;
+        self.round.check = Some(call);
+        let ask = Ask::Report;
+        let engine = other;
+        Some(Call { call, engine, ask })
+    }
+
+    fn checked(&mut self, now: Duration, reply: &Reply) -> Vec<Call> {
+        self.round.check = None;
+        match reply {
+            Reply::View(v) if v.epoch != self.epoch || !v.open => {
+                self.round = Round::default();
+                self.note("group_changed", v.epoch);
+                self.unwell(now)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Tries of a call in this phase. An order to arm, to undo or to go on is never
+    /// given up: the group may stand still until it is answered.
+    fn bound(&self) -> Option<u32> {
+        match self.phase {
+            Phase::Undo | Phase::Go | Phase::Arm | Phase::Rehold => None,
+            _ => Some(TRIES),
+        }
+    }
+
+    fn next(&mut self, now: Duration) -> Vec<Call> {
+        let back = std::mem::take(&mut self.round.back);
+        match self.phase {
+            Phase::Meet => self.met(now, back),
+            Phase::Fence => self.fenced(now, &back),
+            Phase::Early => self.looked_early(now, back),
+            Phase::Survey => self.surveyed(now, back),
+            Phase::List => self.listed(now, &back),
+            Phase::Count => self.counted(now, &back),
+            Phase::Prepare => self.prepared(now, &back),
+            Phase::CopyLook => self.copied(now, back),
+            Phase::Hold => self.held(now, &back),
+            Phase::Arm => self.armed(now, &back),
+            Phase::Rehold => self.reheld(now, &back),
+            Phase::Undo => self.undone(now, &back),
+            Phase::Go => self.gone(now),
+            Phase::Rest(_) | Phase::Lag(_) | Phase::CopyWait(_) => Vec::new(),
+        }
+    }
+
+    fn rest(&mut self, until: Duration) -> Vec<Call> {
+        self.phase = Phase::Rest(until);
+        Vec::new()
+    }
+
+    /// Something is in the way: all begins anew after a while, with fencing.
+    fn unwell(&mut self, now: Duration) -> Vec<Call> {
+        self.registered.clear();
+        self.rest(now + LONG_REST)
+    }
+
+    fn give_up(&mut self, now: Duration, why: &'static str) -> Vec<Call> {
+        self.note(why, self.switch.version);
+        self.unwell(now)
+    }
+
+    fn note(&mut self, event: &'static str, number: u64) {
+        self.notes.push(Note {
+            event,
+            number,
+            skew: None,
+        });
+    }
+}
--- /dev/null
+++ b/crates/group/src/pilot/planning.rs
@@ -0,0 +1,193 @@
+//! Choosing the next map from what was asked for, and having it copied.
+
+use super::rounds::views;
+use super::{
+    AHEAD, Call, Command, EngineId, FURTHEST, LONGEST_PASS, Note, PER_TERM, Pass, Phase, Pilot,
+    REST, Reply, SHORTEST_PASS, Shape, Switch,
+};
+use crate::map::ExpertMap;
+use crate::spread::{Limits, lag, spread};
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Between two looks whether copies are complete.
+const COPY_LOOK: Duration = Duration::from_millis(100);
+/// Usual age of a report: completed copies show so much later.
+const REPORT_AGE: Duration = Duration::from_millis(220);
+/// Copies that take longer than this are given up; nothing is armed yet then.
+const COPY_WITHIN: Duration = Duration::from_secs(6);
+/// Weight of the newest counts in the estimate of loads.
+const ALPHA: f64 = 0.8;
+/// A new map must lower the busiest rank by this part of the mean.
+const LEAST_GAIN: f64 = 0.12;
+/// Tokens counted in a window below which nothing is concluded.
+const FEWEST: u64 = 2_000;
+
+impl Pilot {
+    pub(super) fn counted(&mut self, now: Duration, back: &IndexMap<EngineId, Reply>) -> Vec<Call> {
+        let Some(fresh) = self.take_counts(back) else {
+            return self.rest(now + REST);
+        };
+        let mut estimate = crate::Estimate {
+            layers: std::mem::take(&mut self.loads),
+        };
+        estimate.update(&fresh, ALPHA);
+        self.loads = estimate.layers;
+        match self.better() {
+            Some(map) => self.prepare(now, map),
+            None => self.rest(now + REST),
+        }
+    }
+
+    /// What was chosen since the last look, over all ranks, by set and expert.
+    pub(super) fn take_counts(
+        &mut self,
+        back: &IndexMap<EngineId, Reply>,
+    ) -> Option<Vec<Vec<f64>>> {
+        let Shape { sets, experts, .. } = self.shape;
+        let mut sums = vec![0u64; sets * experts];
+        let mut complete = true;
+        for (engine, reply) in back {
+            let Reply::Counts(epoch, counts) = reply else {
+                return None;
+            };
+            if *epoch != self.epoch || counts.len() != sums.len() {
+                return None;
+            }
+            match self.counted.insert(engine.clone(), counts.clone()) {
+                Some(before) => {
+                    let pairs = counts.iter().zip(&before);
+                    for (sum, (new, old)) in sums.iter_mut().zip(pairs) {
+                        *sum += new.saturating_sub(*old);
+                    }
+                }
+                None => complete = false,
+            }
+        }
+        if !complete || sums.iter().sum::<u64>() < FEWEST {
+            return None;
+        }
+        let layers = sums.chunks(experts.max(1));
+        Some(
+            layers
+                .map(|l| l.iter().map(|n| *n as f64).collect())
+                .collect(),
+        )
+    }
+
+    pub(super) fn better(&mut self) -> Option<ExpertMap> {
+        let (_, map) = self.map.as_ref()?;
+        let paces = self.paces();
+        let limits = Limits {
+            ranks: self.views.len(),
+            places: self.shape.places,
+            spare: self.shape.spare,
+            paces: &paces,
+        };
+        let next = spread(map, &self.loads, limits);
+        let (before, after) = (
+            lag(map, &self.loads, limits),
+            lag(&next, &self.loads, limits),
+        );
+        let pays = before - after >= LEAST_GAIN;
+        self.notes.push(Note {
+            event: if pays { "map_better" } else { "map_kept" },
+            number: self.map.as_ref().map_or(0, |(v, _)| *v),
+            skew: Some((before, after)),
+        });
+        pays.then_some(next)
+    }
+
+    /// Pace of each rank, by rank.
+    pub(super) fn paces(&self) -> Vec<f64> {
+        let mut paces = vec![1.0; self.views.len()];
+        for view in self.views.values().filter(|v| v.pace > 0) {
+            if let Some(pace) = paces.get_mut(view.rank as usize) {
+                *pace = f64::from(view.pace) / 100.0;
+            }
+        }
+        paces
+    }
+
+    pub(super) fn prepare(&mut self, now: Duration, map: ExpertMap) -> Vec<Call> {
+        self.versions += 1;
+        let version = self.term * PER_TERM + self.versions;
+        self.switch = Switch {
+            version,
+            map: map.clone(),
+            began: now,
+            ..Switch::default()
+        };
+        self.order_all(Phase::Prepare, |_| Command::Prepare(version, map.clone()))
+    }
+
+    pub(super) fn prepared(
+        &mut self,
+        now: Duration,
+        back: &IndexMap<EngineId, Reply>,
+    ) -> Vec<Call> {
+        if !back.values().all(|r| matches!(r, Reply::Done)) {
+            return self.give_up(now, "prepare_refused");
+        }
+        let copies = self
+            .map
+            .as_ref()
+            .map_or(0, |(_, map)| most_new(map, &self.switch.map));
+        let copying = self.shape.copy * copies as u32;
+        self.phase = Phase::CopyWait(now + REPORT_AGE + copying);
+        Vec::new()
+    }
+
+    pub(super) fn copied(&mut self, now: Duration, back: IndexMap<EngineId, Reply>) -> Vec<Call> {
+        self.views = views(back);
+        if self.whole() != Some(self.epoch) {
+            return self.give_up(now, "group_changed");
+        }
+        let version = self.switch.version;
+        if !self.views.values().all(|v| v.prepared == Some(version)) {
+            if now >= self.switch.began + COPY_WITHIN {
+                return self.give_up(now, "copies_late");
+            }
+            self.phase = Phase::CopyWait(now + COPY_LOOK);
+            return Vec::new();
+        }
+        let last = self.views.values().map(|v| v.pass).max().unwrap_or(0);
+        self.switch.pass = last + self.ahead();
+        self.switch.ordered = now;
+        // Any rank may hold the group.
+        let holder = self.engines.first().cloned().unwrap_or_default();
+        self.switch.holder = holder;
+        self.order_holder(Phase::Hold, Command::Hold(self.switch.pass))
+    }
+
+    /// Learns the time of a pass from two surveys.
+    pub(super) fn clock_passes(&mut self, now: Duration) {
+        let pass = self.views.values().map(|v| v.pass).max().unwrap_or(0);
+        if let Some((then, before)) = self.seen
+            && pass > before
+        {
+            let passes = u32::try_from(pass - before).unwrap_or(u32::MAX);
+            let time = now.saturating_sub(then) / passes;
+            self.pass_time = time.clamp(SHORTEST_PASS, LONGEST_PASS);
+        }
+        self.seen = Some((now, pass));
+    }
+
+    /// Passes ahead of the last one reported at which a switch is set.
+    pub(super) fn ahead(&self) -> Pass {
+        let needed = (REPORT_AGE + self.arming).as_secs_f64() / self.pass_time.as_secs_f64();
+        (needed.ceil() as Pass + 1).clamp(AHEAD, FURTHEST) + self.further
+    }
+}
+
+/// Most experts, over all sets, that a change of map brings new to one rank.
+fn most_new(old: &ExpertMap, new: &ExpertMap) -> usize {
+    let mut counts: IndexMap<u32, usize> = IndexMap::new();
+    let pairs = old.layers.iter().flatten().zip(new.layers.iter().flatten());
+    for (before, after) in pairs {
+        for rank in after.iter().filter(|r| !before.contains(r)) {
+            *counts.entry(*rank).or_default() += 1;
+        }
+    }
+    counts.into_values().max().unwrap_or(0)
+}
