The coordinator's core in modules: settled, supervise

Moved only; a core takes its soft state over from the one before by a method of its own. Idle connections of callers are kept for 90 s in place of 30, since documents may allow more than 15.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -2,6 +2,8 @@
 
 use crate::calls::Calls;
 use crate::directory::Directory;
+use crate::settled::{Settled, decode, encode};
+use crate::supervise::{Opening, supervise};
 use crate::{
     CallsSnafu, DecodeSnafu, ListenSnafu, Result, groups, http, members, news, reads, settling,
 };
@@ -15,7 +17,6 @@
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Envelope};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
-use prost::Message as _;
 use serde_json::json;
 use snafu::{OptionExt, ResultExt};
 use std::net::{SocketAddr, TcpListener};
@@ -24,8 +25,6 @@
 
 /// Longest wait for an event: the precision of heartbeats and elections.
 const TICK: Duration = Duration::from_millis(20);
-/// Between two tries to open a data folder that failed.
-const DISK_PAUSE: Duration = Duration::from_millis(400);
 /// Events that wait for the thread.
 const RING: usize = 8192;
 /// Events taken before one write: group commit.
@@ -68,14 +67,6 @@
     Stop,
 }
 
-/// The document in force.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub(crate) struct Settled {
-    pub(crate) version: u64,
-    /// As it was sent in, packed.
-    pub(crate) document: Vec<u8>,
-}
-
 /// All state of a coordinator.
 pub(crate) struct Core {
     pub(crate) net: Net,
@@ -144,53 +135,8 @@
     Ok((ring, thread))
 }
 
-/// What a core is opened with, at the start and again after its disk failed.
-struct Opening {
-    inbox: SocketAddr,
-    /// Start of the process: what is kept over a failure of the disk has times since it.
-    start: Instant,
-    conf: Conf,
-    net: Net,
-    lines: Lines,
-    calls: Calls,
-    ring: Sender<Event>,
-}
-
-/// Runs the core. A disk that is full or stalled refuses writes for a while: the process
-/// then begins again from what is on it, as after a restart, but keeps its soft state,
-/// and backend servers and gateways need not turn elsewhere for longer than that.
-fn supervise(mut core: Core, opening: &Opening, ring: &Receiver<Event>) -> Result<()> {
-    loop {
-        match core.run(ring) {
-            Ok(()) => return Ok(()),
-            Err(crate::Error::Store { source }) => {
-                let fields = json!({ "why": source.to_string() });
-                opening.lines.put("disk_failed", fields);
-            }
-            Err(e) => return Err(e),
-        }
-        let next = loop {
-            std::thread::sleep(DISK_PAUSE);
-            // Whoever waits for an answer is told that there is none now.
-            if ring.try_iter().any(|e| matches!(e, Event::Stop)) {
-                return Ok(());
-            }
-            match Core::open(opening) {
-                Ok(next) => break next,
-                Err(e) => log::warn!("the data folder cannot be opened yet: {e}"),
-            }
-        };
-        core = Core {
-            registry: std::mem::take(&mut core.registry),
-            directory: std::mem::take(&mut core.directory),
-            seeds: std::mem::take(&mut core.seeds),
-            ..next
-        };
-    }
-}
-
 impl Core {
-    fn open(opening: &Opening) -> Result<Core> {
+    pub(crate) fn open(opening: &Opening) -> Result<Core> {
         let Opening {
             inbox, conf, lines, ..
         } = opening;
@@ -255,7 +201,14 @@
         })
     }
 
-    fn run(&mut self, ring: &Receiver<Event>) -> Result<()> {
+    /// Takes over what is not on disk from the core before it.
+    pub(crate) fn inherit(&mut self, before: Core) {
+        self.registry = before.registry;
+        self.directory = before.directory;
+        self.seeds = before.seeds;
+    }
+
+    pub(crate) fn run(&mut self, ring: &Receiver<Event>) -> Result<()> {
         loop {
             match ring.recv_timeout(TICK) {
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return Ok(()),
@@ -497,24 +450,6 @@
     }
 }
 
-pub(crate) fn encode(settled: &Settled) -> Vec<u8> {
-    let ask = wire::DocumentAsk {
-        call: 0,
-        version: settled.version,
-        document: settled.document.clone(),
-    };
-    ask.encode_to_vec()
-}
-
-fn decode(bytes: &[u8]) -> Result<Settled> {
-    let ask = wire::DocumentAsk::decode(bytes).ok();
-    let ask = ask.context(DecodeSnafu { what: "document" })?;
-    Ok(Settled {
-        version: ask.version,
-        document: ask.document,
-    })
-}
-
 fn restored(loaded: Loaded) -> Result<Restored> {
     let entries = loaded.entries.into_iter().map(Entry::try_from);
     let entries = entries.collect::<std::result::Result<_, _>>();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,7 +11,9 @@
 mod members;
 mod news;
 mod reads;
+mod settled;
 mod settling;
+mod supervise;
 
 pub use self::core::{Event, start};
 pub use self::directory::Directory;
--- a/crates/coordinator/src/settling.rs
+++ b/crates/coordinator/src/settling.rs
@@ -1,7 +1,8 @@
 //! Settling documents: any coordinator takes one, the leader appends it, and it is
 //! acknowledged once committed, which is to say synced on a majority.
 
-use crate::core::{Core, Settled, answered, encode};
+use crate::core::{Core, answered};
+use crate::settled::{Settled, encode};
 use bn_quorum::Role;
 use bn_settle::Plan;
 use bn_wire::messages::envelope::Body;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -17,9 +17,9 @@
 
 /// Messages that wait for the gateway's thread.
 const RING: usize = 4096;
-/// A connection may stay idle for as long as the document says, by default 15 s; beyond
-/// this none is kept.
-const IDLE: Duration = Duration::from_secs(30);
+/// A connection that stays idle for longer is closed. Documents allow callers some tens
+/// of seconds (15 by default); a request that crosses a close would have to be repeated.
+const IDLE: Duration = Duration::from_secs(90);
 /// Callers keep an answer of the directory for two seconds and learn of the stop with
 /// the next one; no process ends before that.
 const SHORTEST_STOP: Duration = Duration::from_millis(3_000);
