Refused at once while a group stands still

Cause: requests waited in line, up to 1.5 s, for a group that stands for 4 s and more, and were refused then; that it could not serve them was known. Change: no waiting while it stands still, between probes.

--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -108,7 +108,7 @@
         Word::Full => ("full", "all backend servers are full"),
         Word::Elsewhere => ("elsewhere", "the backend server is gone"),
         Word::Misfit => ("misfit", "the backend server serves no such request"),
-        Word::Stalled => ("stalled", "the group of backend servers stands still"),
+        Word::Stalled => ("stalled", place::STILL),
     };
     note(shared, ticket, id, "not_run", outcome);
     let unserved = matches!(word, Word::Elsewhere | Word::Misfit);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -40,6 +40,8 @@
 const BACK_PART: f64 = 0.3;
 /// Random part of the time to come back to a group that stands still.
 const STILL_SPREAD: f64 = 0.2;
+/// Why requests are refused while their group stands still.
+pub(crate) const STILL: &str = "the group of backend servers stands still";
 /// Ranks of requests: the lowest is the most urgent.
 const RANKS: u32 = 10;
 
@@ -57,6 +59,8 @@
     match lack {
         Lack::Servers => wait_for_servers(shared, ticket, tried, began).await,
         Lack::Room => wait_in_line(shared, ticket, tried, began).await,
+        // It will stand for longer than any may wait.
+        Lack::Still => Err(refusal(shared, ticket, STILL)),
     }
 }
 
@@ -113,6 +117,7 @@
         match try_first(shared, ticket, tried) {
             Ok(seat) => return Ok(seat),
             Err(Lack::Room) => return wait_in_line(shared, ticket, tried, began).await,
+            Err(Lack::Still) => return Err(refusal(shared, ticket, STILL)),
             Err(Lack::Servers) if shared.now() >= until => {
                 return Err(refusal(shared, ticket, "no backend server"));
             }
@@ -157,6 +162,9 @@
         if let Some(seat) = spot.advance(tried) {
             return Ok(seat);
         }
+        if shared.state().fleet.is_still(&ticket.service) {
+            return Err(refusal(shared, ticket, STILL));
+        }
         if shared.now() >= until {
             return Err(refusal(shared, ticket, "all backend servers are full"));
         }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -115,6 +115,8 @@
     Servers,
     /// All are full.
     Room,
+    /// The group stands still, and it is not yet time for a probe.
+    Still,
 }
 
 /// All backend servers that a gateway knows.
@@ -182,7 +184,7 @@
             .get(want.service)
             .is_some_and(|probe| now < *probe)
         {
-            return Err(Lack::Room);
+            return Err(Lack::Still);
         }
         let usual = self.usual(&open);
         let sound: Vec<&Server> = open
