--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -513,11 +513,18 @@
         }
         thread::sleep(Duration::from_millis(20));
     }
-    ENDED.lock().unwrap().push(Instant::now());
+    let id = request.header(ATTEMPT).to_string();
+    ENDED.lock().unwrap().push((id, Instant::now()));
     false
 }
 
-static ENDED: Mutex<Vec<Instant>> = Mutex::new(Vec::new());
+/// Ids of endless streams and when each ended; tests run at once.
+static ENDED: Mutex<Vec<(String, Instant)>> = Mutex::new(Vec::new());
+
+fn ended(id: &str) -> Option<Instant> {
+    let ended = ENDED.lock().unwrap();
+    ended.iter().find(|(i, _)| i == id).map(|(_, at)| *at)
+}
 
 /// Symptom: engines work for callers that are gone. Sequence: a caller closes its connection
 /// in the middle of a stream. Cause: the gateway read on without anybody to read for.
@@ -527,15 +534,40 @@
     let backend = Backend::start("a", endless);
     fleet.announce(&backend, "engines", "ready", 1);
     let mut caller = TcpStream::connect(fleet.callers(4)).unwrap();
-    let head = request("POST", "/draft/1", "id", "key-1");
+    let head = request("POST", "/draft/1", "leaves", "key-1");
     say(&mut caller, &format!("{head}\r\ncontent-length: 0\r\n\r\n"));
     let mut some = [0; 400];
     caller.read_exact(&mut some).unwrap();
 
     drop(caller);
     let left = Instant::now();
-    fleet.wait("end of the stream", |_| !ENDED.lock().unwrap().is_empty());
+    fleet.wait("end of the stream", |_| ended("leaves").is_some());
 
-    let after = ENDED.lock().unwrap()[0].duration_since(left);
+    let after = ended("leaves").unwrap().duration_since(left);
     expect_that!(after, lt(Duration::from_millis(400)));
 }
+
+/// Symptom: answers are cut at the end of a planned stop. Sequence: a stream is taken long
+/// after SIGTERM and cannot end within the grace. Cause: requests were taken in until then.
+#[googletest::test]
+fn a_stopping_gateway_takes_nothing_late() {
+    let mut fleet = Fleet::start(34);
+    let backend = Backend::start("a", endless);
+    fleet.announce(&backend, "engines", "ready", 1);
+    let at = fleet.callers(4);
+    let held =
+        thread::spawn(move || fleet::call(at, &request("POST", "/draft/1", "held", "key-1"), ""));
+    while backend.count() == 0 {
+        thread::sleep(Duration::from_millis(5));
+    }
+
+    let mut child = fleet.terminate("g4").unwrap();
+    thread::sleep(Duration::from_millis(1_800));
+    let late = fleet::call(at, &request("POST", "/draft/1", "late", "key-1"), "");
+    let seen = backend.count();
+    child.wait().unwrap();
+    held.join().unwrap();
+
+    expect_that!(late.map_or(503, |m| m.status()), eq(503));
+    expect_that!(seen, eq(1));
+}
--- a/crates/coordinator/src/groups.rs
+++ b/crates/coordinator/src/groups.rs
@@ -120,7 +120,7 @@
         let (before, after) = note.skew.map_or((None, None), |(b, a)| (Some(b), Some(a)));
         let fields = json!({
             "service": service, "number": note.number, "term": self.groups.term,
-            "skew_before": before, "skew_after": after,
+            "skew_before": before, "skew_after": after, "slowest_pace": note.pace,
         });
         self.lines.put(note.event, fields);
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -67,13 +67,6 @@
     pub(crate) seat: Seat,
 }
 
-impl Head {
-    /// The body was taken whole: the connection may serve again.
-    pub(crate) fn keep(shared: &Shared, connection: Connection, limit: Option<Duration>) {
-        shared.pool.keep(shared.now(), connection, limit);
-    }
-}
-
 /// Sends a request to the backend server of `seat`; `last_event` makes it go on after
 /// that event.
 pub(crate) async fn send(
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -74,7 +74,7 @@
     let marked = parts.headers.contains_key(header::SIGNATURE);
     let limit = attempt::idle_limit(&parts.headers);
     let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
-    Head::keep(shared, connection, limit);
+    shared.pool.keep(shared.now(), connection, limit);
     drop(seat);
     (marked || !parts.status.is_success()).then_some(Whole { parts, body })
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -48,9 +48,9 @@
         let lost = || Refusal::unknown(502, "the answer broke off");
         return whole.map(plain::response).ok_or_else(lost);
     }
-    let (parts, body, rest) = split(*head);
+    let (parts, body, source) = split(*head);
     let now = shared.now();
-    shared.state().fleet.succeeded(now, &rest.seat.server.id);
+    shared.state().fleet.succeeded(now, &source.seat.server.id);
     let (pieces, taken) = mpsc::channel(RING);
     let pump = Pump {
         shared: shared.clone(),
@@ -61,7 +61,7 @@
     };
     tokio::spawn(async move {
         let _flight = flight;
-        pump.run(body, rest).await;
+        pump.run(body, source).await;
     });
     Ok(response(parts, taken))
 }
@@ -74,22 +74,22 @@
         && headers.contains_key(header::SIGNATURE)
 }
 
-/// What must live as long as a stream's body is read.
-struct Rest {
+/// Where a stream's body comes from: held for as long as it is read.
+struct Source {
     connection: bn_serve::client::Connection,
     seat: crate::attempt::Seat,
     limit: Option<Duration>,
 }
 
-fn split(head: Head) -> (Parts, Incoming, Rest) {
+fn split(head: Head) -> (Parts, Incoming, Source) {
     let (parts, body) = head.response.into_parts();
     let limit = crate::attempt::idle_limit(&parts.headers);
-    let rest = Rest {
+    let source = Source {
         connection: head.connection,
         seat: head.seat,
         limit,
     };
-    (parts, body, rest)
+    (parts, body, source)
 }
 
 fn response(mut parts: Parts, taken: mpsc::Receiver<Piece>) -> Response<Body> {
@@ -133,15 +133,15 @@
 }
 
 impl Pump {
-    async fn run(mut self, body: Incoming, rest: Rest) {
-        let (mut body, mut rest) = (body, rest);
+    async fn run(mut self, body: Incoming, source: Source) {
+        let (mut body, mut source) = (body, source);
         loop {
-            let id = rest.seat.server.id.clone();
+            let id = source.seat.server.id.clone();
             match self.read(&mut body).await {
                 End::Whole => {
                     let shared = &self.shared;
-                    Head::keep(shared, rest.connection, rest.limit);
                     let now = shared.now();
+                    shared.pool.keep(now, source.connection, source.limit);
                     shared.state().fleet.succeeded(now, &id);
                     return self.note("stream_whole", &id, "");
                 }
@@ -151,12 +151,12 @@
                     return self.cut().await;
                 }
                 End::Broken(why) => {
-                    drop(rest);
+                    drop(source);
                     drop(body);
                     self.note("stream_broken", &id, why);
                     offer::fail(&self.shared, &id, false);
                     match self.resume().await {
-                        Some(next) => (body, rest) = next,
+                        Some(next) => (body, source) = next,
                         None => return self.cut().await,
                     }
                 }
@@ -203,7 +203,7 @@
     }
 
     /// Goes on at another backend server after the last whole event.
-    async fn resume(&mut self) -> Option<(Incoming, Rest)> {
+    async fn resume(&mut self) -> Option<(Incoming, Source)> {
         self.splitter.drop_part();
         if !offer::again(&self.shared, &self.ticket, &self.tries) {
             return None;
@@ -218,10 +218,10 @@
         if !is_stream(&head) {
             return None;
         }
-        let (_, body, rest) = split(*head);
-        let id = rest.seat.server.id.clone();
+        let (_, body, source) = split(*head);
+        let id = source.seat.server.id.clone();
         self.note("stream_resumed", &id, from.as_deref().unwrap_or("start"));
-        Some((body, rest))
+        Some((body, source))
     }
 
     /// Breaks the caller's connection: without the end of the framing the answer cannot
--- a/crates/group/src/pilot/mod.rs
+++ b/crates/group/src/pilot/mod.rs
@@ -282,6 +282,7 @@
             event,
             number,
             skew: None,
+            pace: None,
         });
     }
 }
--- a/crates/group/src/pilot/model.rs
+++ b/crates/group/src/pilot/model.rs
@@ -105,6 +105,8 @@
     pub number: u64,
     /// Busiest rank over mean rank before and after, where it was computed.
     pub skew: Option<(f64, f64)>,
+    /// Time that the slowest rank takes for the same work, against a sound one.
+    pub pace: Option<f64>,
 }
 
 /// Shape of a group's experts.
--- a/crates/group/src/pilot/planning.rs
+++ b/crates/group/src/pilot/planning.rs
@@ -94,6 +94,7 @@
             event: if pays { "map_better" } else { "map_kept" },
             number: self.map.as_ref().map_or(0, |(v, _)| *v),
             skew: Some((before, after)),
+            pace: paces.iter().copied().reduce(f64::max),
         });
         pays.then_some(next)
     }
