--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -39,7 +39,7 @@
     (
         r#""entry""#,
         r#""entri""#,
-        &["entri", "entry, control, agent"],
+        &["entri", "entry, control, agent, gateway, coordinator"],
     ),
 ];
 
@@ -89,3 +89,23 @@
 
     expect_that!(fault, contains_substring("line 1 column"));
 }
+
+#[gtest]
+fn faults_of_gateways_and_coordinators_name_their_fields() {
+    let text = r#"{"id": "g", "domain": "d", "inbox": "127.0.0.1:1", "operators": "127.0.0.1:2",
+        "gateway": {"callers": "here", "readiness": "127.0.0.1:3", "seeds": [], "retry_ratio": 2},
+        "coordinator": {"control": "127.0.0.1:4", "directory": "", "seeds": ["127.0.0.1:5"]}}"#;
+
+    let found = fields(text);
+
+    expect_that!(
+        found.iter().map(String::as_str).collect::<Vec<_>>(),
+        unordered_elements_are![
+            eq(&"gateway.retry_ratio"),
+            eq(&"gateway.callers"),
+            eq(&"gateway.seeds"),
+            eq(&"coordinator.data"),
+            eq(&"coordinator.directory")
+        ]
+    );
+}
