--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,7 +2,7 @@
 //! across a wait.
 
 use bn_limit::Queue;
-use bn_route::{Allowance, Fleet, Pace, Retries};
+use bn_route::{Allowance, Bounds, Fleet, Pace, Retries};
 use bn_serve::client::Pool;
 use bn_settle::Plan;
 use bn_trace::Lines;
@@ -114,8 +114,21 @@
     pub(crate) fn saw_pause(&self, service: &str, pause: Duration, limit: Duration) {
         let now = self.now();
         let mut state = self.state();
-        let pace = state.paces.entry(service.into()).or_default();
-        if let Some(room) = pace.saw(now, pause, limit) {
+        let State {
+            paces, fleet, plan, ..
+        } = &mut *state;
+        let Some(pace) = paces.get_mut(service) else {
+            // Made when the stream was placed.
+            return;
+        };
+        let engine = plan
+            .as_ref()
+            .and_then(|p| p.services().get(service)?.engine);
+        let bounds = Bounds {
+            limit,
+            idle: engine.map_or(Duration::ZERO, |e| e.idle_pass()),
+        };
+        if let Some(room) = pace.saw(now, pause, bounds, || fleet.mean_load(now, service)) {
             metrics::gauge!("service_room", "service" => service.to_string()).set(room);
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 use crate::ticket::{Ticket, strip_hop};
 use bn_platform::header;
 use bn_serve::Body;
+use bn_settle::Route;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::StatusCode;
@@ -57,6 +58,7 @@
         ticket: ticket.clone(),
         tries,
         splitter: Splitter::default(),
+        timing: Timing::default(),
         pieces,
     };
     tokio::spawn(async move {
@@ -123,12 +125,37 @@
     Broken(&'static str),
 }
 
+/// When events went on to the caller.
+#[derive(Default)]
+struct Timing {
+    /// The first event, after the request arrived here.
+    first: Option<Duration>,
+    last: Option<Duration>,
+    longest: Duration,
+}
+
+impl Timing {
+    /// Events came; returns how long after those before.
+    fn event(&mut self, now: Duration, arrived: Duration) -> Option<Duration> {
+        self.first.get_or_insert(now - arrived);
+        let pause = self.last.replace(now).map(|before| now - before);
+        self.longest = self.longest.max(pause.unwrap_or_default());
+        pause
+    }
+
+    fn in_time(&self, route: &Route) -> bool {
+        let pause = route.pause;
+        self.first.is_some_and(|f| f <= route.target) && (pause.is_zero() || self.longest <= pause)
+    }
+}
+
 /// Moves events from backend servers to the caller.
 struct Pump {
     shared: Shared,
     ticket: Ticket,
     tries: Tries,
     splitter: Splitter,
+    timing: Timing,
     pieces: mpsc::Sender<Piece>,
 }
 
@@ -168,7 +195,6 @@
         let until = self.ticket.left(self.shared.now());
         let late = tokio::time::sleep(until);
         let mut late = std::pin::pin!(late);
-        let mut before: Option<Duration> = None;
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -188,9 +214,9 @@
                 continue;
             };
             let now = self.shared.now();
-            if let Some(before) = before.replace(now) {
+            if let Some(pause) = self.timing.event(now, self.ticket.arrived) {
                 let (service, limit) = (&self.ticket.service, self.ticket.route.pause);
-                self.shared.saw_pause(service, now - before, limit);
+                self.shared.saw_pause(service, pause, limit);
             }
             let sent = tokio::select! {
                 sent = self.pieces.send(Ok(Frame::data(events))) => sent,
@@ -234,15 +260,20 @@
     }
 
     fn note(&self, event: &str, server: &str, why: &str) {
-        if event == "stream_whole" && !crate::front::sampled() {
+        let in_time = self.timing.in_time(&self.ticket.route);
+        if event == "stream_whole" && in_time && !crate::front::sampled() {
             return;
         }
+        let millis = |d: Duration| d.as_millis() as u64;
         self.shared.lines.put(
             event,
             json!({
                 "request": self.ticket.id, "server": server, "why": why,
-                "last_event": self.splitter.last_id(),
-                "after_ms": (self.shared.now() - self.ticket.arrived).as_millis() as u64,
+                "last_event": self.splitter.last_id(), "in_time": in_time,
+                "after_ms": millis(self.shared.now() - self.ticket.arrived),
+                "first_ms": self.timing.first.map(millis),
+                "longest_pause_ms": millis(self.timing.longest),
+                "came_back": self.ticket.came_back(),
             }),
         );
     }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -207,6 +207,17 @@
         best.map(|(_, s)| s).ok_or(Lack::Room)
     }
 
+    /// Mean load over slots of a service's backend servers that take work.
+    pub fn mean_load(&self, now: Duration, service: &str) -> f64 {
+        let is_open = |s: &&Server| s.service == service && !s.leaving;
+        let open: Vec<&Server> = self.servers.values().filter(is_open).collect();
+        let usual = self.usual(&open);
+        let loads = open
+            .iter()
+            .map(|s| s.load(now, usual) / f64::from(s.slots.max(1)));
+        loads.sum::<f64>() / open.len().max(1) as f64
+    }
+
     /// Load that all other gateways together cause at one of these backend servers, as far
     /// as nothing is told: callers choose gateways at random, so each has as many requests
     /// as this one. Without it a gateway that hears rarely takes full ranks for idle.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,7 +17,7 @@
 pub use budget::Budget;
 pub use fleet::{Fleet, Lack, Server, ServerId, Told, Want};
 pub use health::Health;
-pub use pace::Pace;
+pub use pace::{Bounds, Pace};
 pub use prefix::Prefixes;
 pub use retries::{Allowance, Retries};
 pub use router::{Ask, Policy, Router, least_reported, predicted};
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -1,33 +1,49 @@
-//! How many requests at once a lock-step group bears: learnt from the pauses between the
+//! How many requests at once a lock-step group bears: worked out from the pauses between the
 //! events that its streams bring.
 //!
 //! All ranks execute each pass together, and a pass takes longer the more requests write
-//! and the less evenly their experts lie. Past some number every stream is late; fewer
-//! requests served in time are worth more to callers than all of them late. What that
-//! number is changes with the requests' content, so it is measured, not computed. Gain at one and
-//! the same load, static maps: 1,009 of 2,128 streams in time in place of 90.
+//! and the less evenly their experts lie. One pass that takes longer than the allowed pause
+//! makes every stream in flight late, so the load must stay below that with a margin; what
+//! load this is changes within a second, whenever other experts are in demand.
+//!
+//! A pass takes a fixed part, which the engine's operator publishes, and a part that grows
+//! with the load. What the latter is for one unit of load shows in the pauses, and gives the
+//! load at which a pass takes the time aimed at. Changing room by steps until the pauses fit
+//! needed seconds for that, and overshot each time it came back.
 
 use std::time::Duration;
 
-/// Time over which pauses are judged together: two to five passes.
-const WINDOW: Duration = Duration::from_millis(250);
+/// Time over which pauses are judged together: one to three passes.
+const WINDOW: Duration = Duration::from_millis(120);
 /// Pauses in a window below which nothing is concluded.
-const FEWEST: usize = 6;
+const FEWEST: usize = 4;
 /// Part of the pauses that must stay below the limit: each stream has some 25 pauses and
 /// is late if one of them is too long.
 const QUANTILE: f64 = 0.9;
-/// Part of the allowed pause at which less is admitted, and below which more is. Between
-/// them nothing changes. What was admitted shows two to three passes later.
-const HIGH: f64 = 0.95;
-const LOW: f64 = 0.8;
-/// Change of room a window: down by this factor, up by this much.
-const DOWN: f64 = 0.85;
-const UP: f64 = 0.04;
+/// Part of the allowed pause that a pass may take.
+const AIM: f64 = 0.8;
+/// Least growth of a pass that is believed, as a part of the allowed pause: what is below
+/// is the time of reading and of the network.
+const LEAST_GROWTH: f64 = 0.05;
+/// Pauses of so many times the limit tell of a group that stood still, not of its load.
+const STILL: f64 = 2.5;
+/// Part of the way up to the new room that is gone a window: what was admitted shows one or
+/// two passes later. Down it goes at once.
+const UP: f64 = 0.3;
 /// Least room: one request a rank or two must always pass, else nothing is learnt.
 const LEAST: f64 = 0.25;
 /// Room at the start, before any pause was seen: half of the slots.
 const FIRST: f64 = 0.5;
 
+/// What pauses are judged by.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Longest pause that is in time.
+    pub limit: Duration,
+    /// Time of a pass without load.
+    pub idle: Duration,
+}
+
 /// Room of one service, as load over slots of a backend server.
 #[derive(Debug, Clone)]
 pub struct Pace {
@@ -52,30 +68,45 @@
         self.room
     }
 
-    /// A stream brought an event `pause` after the one before; `limit` is the longest
-    /// pause that is in time. Returns the new room where it changed.
-    pub fn saw(&mut self, now: Duration, pause: Duration, limit: Duration) -> Option<f64> {
-        if limit.is_zero() {
+    /// A stream brought an event `pause` after the one before; `load` is the mean load over
+    /// slots of the service's backend servers. Returns the new room where it changed.
+    pub fn saw(
+        &mut self,
+        now: Duration,
+        pause: Duration,
+        bounds: Bounds,
+        load: impl FnOnce() -> f64,
+    ) -> Option<f64> {
+        let limit = bounds.limit.as_secs_f64();
+        if limit <= 0.0 {
             return None;
         }
-        self.pauses.push(pause.as_secs_f64() / limit.as_secs_f64());
+        self.pauses.push(pause.as_secs_f64() / limit);
         if now < self.began + WINDOW {
             return None;
         }
         self.began = now;
-        let mut pauses = std::mem::take(&mut self.pauses);
-        if pauses.len() < FEWEST {
+        let long = quantile(std::mem::take(&mut self.pauses))?;
+        if long > STILL {
             return None;
         }
-        pauses.sort_unstable_by(f64::total_cmp);
-        let at = ((pauses.len() - 1) as f64 * QUANTILE) as usize;
-        let long = pauses.get(at).copied()?;
+        let idle = bounds.idle.as_secs_f64() / limit;
+        let growth = (long - idle).max(LEAST_GROWTH);
+        let fits = (load() * (AIM - idle) / growth).clamp(LEAST, 1.0);
         let before = self.room;
-        if long > HIGH {
-            self.room = (self.room * DOWN).max(LEAST);
-        } else if long < LOW {
-            self.room = (self.room + UP).min(1.0);
-        }
+        self.room = match fits < before {
+            true => fits,
+            false => before + UP * (fits - before),
+        };
         (self.room != before).then_some(self.room)
     }
 }
+
+fn quantile(mut pauses: Vec<f64>) -> Option<f64> {
+    if pauses.len() < FEWEST {
+        return None;
+    }
+    pauses.sort_unstable_by(f64::total_cmp);
+    let at = ((pauses.len() - 1) as f64 * QUANTILE) as usize;
+    pauses.get(at).copied()
+}
--- a/crates/settle/src/plan.rs
+++ b/crates/settle/src/plan.rs
@@ -84,6 +84,9 @@
     }
 }
 
+/// Longest idle pass that is believed; a second is far beyond any pause in time.
+const LONGEST_PASS_MS: f64 = 1_000.0;
+
 /// Figures that an engine's operator publishes, for predictions.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Engine {
@@ -91,6 +94,8 @@
     pub slots: u32,
     /// Milliseconds of a step, before what each request adds.
     pub step_ms: f64,
+    /// Steps that are made in one pass, between two events of a stream.
+    pub stride: u32,
     /// Milliseconds that each writing request adds to a step.
     pub seq_ms: f64,
     /// Tokens of prompt read a second.
@@ -103,6 +108,14 @@
     pub experts: Option<Experts>,
 }
 
+impl Engine {
+    /// Time between two events of a stream that is alone.
+    pub fn idle_pass(&self) -> Duration {
+        let ms = f64::from(self.stride.max(1)) * self.step_ms;
+        Duration::from_secs_f64(ms.clamp(0.0, LONGEST_PASS_MS) / 1000.0)
+    }
+}
+
 /// How experts lie on the ranks of a lock-step group.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Experts {
