--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -45,6 +45,7 @@
         Ok(body) => ticket.body = body,
         Err(fault) => return refused(&shared, &ticket, &body_refusal(fault)),
     }
+    ticket.came_back = shared.came_back(&ticket.route.name, ticket.deadline);
     shared.count_request(&ticket.service);
     let served = match ticket.streams() {
         true => stream::serve(&shared, &ticket, Tries::default(), flight).await,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -129,7 +129,7 @@
 /// How long a request may wait in line. One that is late already goes behind those that
 /// can still be in time, but may wait for longer.
 fn patience(ticket: &Ticket, now: Duration) -> Duration {
-    let most = match (ticket.came_back(), ticket.streams()) {
+    let most = match (ticket.came_back, ticket.streams()) {
         (true, _) => LATE_WAIT,
         (false, true) => ticket.route.target.mul_f64(STREAM_WAIT),
         (false, false) => ticket.route.target,
@@ -144,7 +144,7 @@
     began: Duration,
 ) -> Result<Seat, Refusal> {
     let until = began + patience(ticket, began);
-    let fresh = u32::from(!ticket.came_back());
+    let fresh = u32::from(!ticket.came_back);
     let waiting = Waiting {
         id: rand::random(),
         account: ticket.account.clone().unwrap_or_default(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,16 +2,20 @@
 //! across a wait.
 
 use bn_limit::Queue;
-use bn_route::{Allowance, Bounds, Fleet, Pace, Retries};
+use bn_route::{Allowance, Bounds, Fleet, Pace, Patience, Retries};
 use bn_serve::client::Pool;
 use bn_settle::Plan;
 use bn_trace::Lines;
 use indexmap::IndexMap;
+use serde_json::json;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 
+/// Between two lines on the room of services: it changes several times a second.
+const ROOM_LINE_GAP: Duration = Duration::from_secs(1);
+
 /// One gateway. Cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Shared(Arc<Inner>);
@@ -42,6 +46,10 @@
     pub(crate) lines: IndexMap<String, Queue>,
     /// Room of services that stream.
     pub(crate) paces: IndexMap<String, Pace>,
+    /// When the next line on room is due.
+    room_line_due: Duration,
+    /// How long callers wait, by route.
+    pub(crate) patience: Patience,
     /// Gateways that share the retry budget.
     pub(crate) gateways: u32,
 }
@@ -62,6 +70,8 @@
             retries: IndexMap::new(),
             lines: IndexMap::new(),
             paces: IndexMap::new(),
+            room_line_due: Duration::ZERO,
+            patience: Patience::default(),
             gateways: 1,
         };
         Shared(Arc::new(Inner {
@@ -115,7 +125,12 @@
         let now = self.now();
         let mut state = self.state();
         let State {
-            paces, fleet, plan, ..
+            paces,
+            fleet,
+            plan,
+            lines: queues,
+            room_line_due,
+            ..
         } = &mut *state;
         let Some(pace) = paces.get_mut(service) else {
             // Made when the stream was placed.
@@ -128,9 +143,20 @@
             limit,
             idle: engine.map_or(Duration::ZERO, |e| e.idle_pass()),
         };
-        if let Some(room) = pace.saw(now, pause, bounds, || fleet.mean_load(now, service)) {
-            metrics::gauge!("service_room", "service" => service.to_string()).set(room);
+        let judged = pace.saw(now, pause, bounds, || fleet.mean_load(now, service));
+        let Some(judged) = judged else {
+            return;
+        };
+        metrics::gauge!("service_room", "service" => service.to_string()).set(judged.room);
+        if now < *room_line_due {
+            return;
         }
+        *room_line_due = now + ROOM_LINE_GAP;
+        let fields = json!({
+            "service": service, "room": judged.room, "load": judged.load,
+            "pause": judged.pause, "waiting": queues.get(service).map_or(0, Queue::len),
+        });
+        self.lines.put("room", fields);
     }
 
     /// Room of a service, where it streams, and requests that wait for a place.
@@ -140,6 +166,12 @@
         (room, state.lines.get(service).map_or(0, Queue::len))
     }
 
+    /// Whether a caller of a route that waits for `deadline` more has asked before.
+    pub(crate) fn came_back(&self, route: &str, deadline: Duration) -> bool {
+        let now = self.now();
+        self.state().patience.came_back(now, route, deadline)
+    }
+
     /// A request for `service` came in; the retry budget grows with it.
     pub(crate) fn count_request(&self, service: &str) {
         let now = self.now();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -273,7 +273,7 @@
                 "after_ms": millis(self.shared.now() - self.ticket.arrived),
                 "first_ms": self.timing.first.map(millis),
                 "longest_pause_ms": millis(self.timing.longest),
-                "came_back": self.ticket.came_back(),
+                "came_back": self.ticket.came_back, "deadline_ms": millis(self.ticket.deadline),
             }),
         );
     }
--- a/crates/gateway/src/ticket.rs
+++ b/crates/gateway/src/ticket.rs
@@ -13,9 +13,6 @@
 /// longest that a named one may be.
 const LONGEST: Duration = Duration::from_secs(3600);
 
-/// Part of the route's timeout that a first try still has when it arrives.
-const FRESH: f64 = 0.97;
-
 /// Why a request is not taken in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Denial {
@@ -43,7 +40,9 @@
     pub(crate) version: u64,
     pub(crate) arrived: Duration,
     /// What the caller says that it still waits.
-    deadline: Duration,
+    pub(crate) deadline: Duration,
+    /// The caller has tried before: it cannot be in time any more.
+    pub(crate) came_back: bool,
     /// When the final answer must be out: the caller's deadline or the route's timeout.
     pub(crate) until: Duration,
     /// Rank of its account or route; 0 goes first.
@@ -79,6 +78,7 @@
             version: plan.version(),
             arrived: now,
             deadline,
+            came_back: false,
             until: now + deadline.min(route.timeout),
             headers: passed_on(parts.headers),
             method: parts.method,
@@ -97,13 +97,6 @@
         self.route.kind == Kind::Stream
     }
 
-    /// The caller has tried before: it waits for less than the route allows. Callers
-    /// whose deadline is always shorter count as such too; among themselves that makes
-    /// no difference.
-    pub(crate) fn came_back(&self) -> bool {
-        self.deadline < self.route.timeout.mul_f64(FRESH)
-    }
-
     /// Time left.
     pub(crate) fn left(&self, now: Duration) -> Duration {
         self.until.saturating_sub(now)
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -44,6 +44,17 @@
     pub idle: Duration,
 }
 
+/// What was judged, for lines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Judged {
+    /// Load over slots up to which backend servers are taken from now on.
+    pub room: f64,
+    /// Mean load over slots.
+    pub load: f64,
+    /// Pause that nine in ten stayed below, as a part of the allowed one.
+    pub pause: f64,
+}
+
 /// Room of one service, as load over slots of a backend server.
 #[derive(Debug, Clone)]
 pub struct Pace {
@@ -69,14 +80,14 @@
     }
 
     /// A stream brought an event `pause` after the one before; `load` is the mean load over
-    /// slots of the service's backend servers. Returns the new room where it changed.
+    /// slots of the service's backend servers. Returns what was judged at the end of a window.
     pub fn saw(
         &mut self,
         now: Duration,
         pause: Duration,
         bounds: Bounds,
         load: impl FnOnce() -> f64,
-    ) -> Option<f64> {
+    ) -> Option<Judged> {
         let limit = bounds.limit.as_secs_f64();
         if limit <= 0.0 {
             return None;
@@ -92,13 +103,18 @@
         }
         let idle = bounds.idle.as_secs_f64() / limit;
         let growth = (long - idle).max(LEAST_GROWTH);
-        let fits = (load() * (AIM - idle) / growth).clamp(LEAST, 1.0);
+        let load = load();
+        let fits = (load * (AIM - idle) / growth).clamp(LEAST, 1.0);
         let before = self.room;
         self.room = match fits < before {
             true => fits,
             false => before + UP * (fits - before),
         };
-        (self.room != before).then_some(self.room)
+        Some(Judged {
+            room: self.room,
+            load,
+            pause: long,
+        })
     }
 }
 
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use bn_route::{Allowance, Bounds, Fleet, Lack, Pace, Retries, Server, Told, Want};
+use bn_route::{Allowance, Bounds, Fleet, Lack, Pace, Patience, Retries, Server, Told, Want};
 use googletest::prelude::*;
 use std::time::Duration;
 
@@ -272,3 +272,23 @@
     expect_true!(after.is_ok());
     expect_false!(fleet.is_still("s"));
 }
+
+/// Symptom: nearly all streams are late though few were refused. Sequence: a route's timeout
+/// is longer than its callers wait, or they wait for 6.8 to 8 s; most are taken to have come
+/// back, and wait in line until they are late. Cause: the timeout, or a narrow margin.
+#[googletest::test]
+fn callers_that_wait_alike_have_not_come_back() {
+    let mut patience = Patience::default();
+    let mut ask = |s: u64, wait: u64| {
+        patience.came_back(Duration::from_secs(s), "r", Duration::from_millis(wait))
+    };
+
+    let first = [ask(0, 8_000), ask(1, 6_850), ask(2, 7_990)];
+    let again = [ask(3, 6_600), ask(12, 6_600), ask(15, 3_000)];
+    // Later callers wait for less.
+    let others = [ask(40, 5_000), ask(41, 5_000)];
+
+    expect_that!(first, eq([false; 3]));
+    expect_that!(again, eq([true; 3]));
+    expect_that!(others, eq([false; 2]));
+}
