--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Request};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
@@ -17,13 +17,6 @@
 /// tens on a busy instance; an order whose answer is lost must be followed up at once,
 /// since the group may stand still meanwhile.
 const TIMEOUT: Duration = Duration::from_millis(120);
-/// Time given to a call beside some times what answers take of late: an order to go on whose
-/// answer is lost holds the whole group until it is repeated.
-const LEAST_TIMEOUT: Duration = Duration::from_millis(40);
-/// So many times what answers take of late.
-const TIMES_USUAL: u32 = 4;
-/// Part of the newest answer in what answers take of late.
-const NEWEST: u32 = 8;
 /// A call that fails counts as unanswered only after this time. A refused connection shows
 /// at once, and repeating the call without a pause would take the processor.
 const LEAST_FAILED: Duration = Duration::from_millis(30);
@@ -53,25 +46,6 @@
     pub server: String,
 }
 
-/// What answers take of late, from which follows how long to wait for one. A leader whose
-/// share of a core is busy with many ranks gets them later than others.
-#[derive(Debug, Default)]
-pub struct Usual(Mutex<Duration>);
-
-impl Usual {
-    /// How long to wait for an answer.
-    pub fn timeout(&self) -> Duration {
-        let usual = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        (LEAST_TIMEOUT + usual * TIMES_USUAL).min(TIMEOUT)
-    }
-
-    /// An answer took so long.
-    pub fn took(&self, time: Duration) {
-        let mut usual = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *usual = (*usual * (NEWEST - 1) + time) / NEWEST;
-    }
-}
-
 /// The thread's ring.
 #[derive(Clone)]
 pub struct Calls(mpsc::Sender<Call>);
@@ -89,19 +63,16 @@
             .spawn(move || {
                 runtime.block_on(async move {
                     let pool = Arc::new(Pool::default());
-                    let usual = Arc::new(Usual::default());
                     while let Some(call) = waiting.recv().await {
                         pool.sweep(start.elapsed());
-                        let (pool, usual) = (pool.clone(), usual.clone());
+                        let pool = pool.clone();
                         tokio::spawn(async move {
                             let Call { what, done } = call;
                             let began = tokio::time::Instant::now();
                             let asked = ask(&pool, start, &what);
-                            let answer = tokio::time::timeout(usual.timeout(), asked).await;
+                            let answer = tokio::time::timeout(TIMEOUT, asked).await;
                             let answer = answer.ok().flatten();
-                            if answer.is_some() {
-                                usual.took(began.elapsed());
-                            } else {
+                            if answer.is_none() {
                                 tokio::time::sleep_until(began + LEAST_FAILED).await;
                             }
                             done(answer);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,7 +6,7 @@
 mod others;
 mod relay;
 
-pub use calls::{Answer, Call, Calls, Usual, What};
+pub use calls::{Answer, Call, Calls, What};
 pub use relay::{Handle, start};
 
 use snafu::Snafu;
