Load that others cause is what backend servers tell, not what this gateway has times the others

Change: a mean over what answers tell, begun from the assumption; that alone counts where nothing was told for 3 s.

--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -17,6 +17,11 @@
 const FAR: f64 = 0.04;
 /// Cost of failing every request, in parts of a full backend server.
 const FAILING: f64 = 3.0;
+/// Weight of the newest telling in the load that others usually cause. A gateway hears some
+/// ten to thirty a second, so that this is about the last half second.
+const HEARD: f64 = 0.15;
+/// What was heard longer ago than this says nothing of the load that others cause.
+const HEARD_FOR: Duration = Duration::from_secs(3);
 /// Random part of the cost, so that gateways with the same news do not all turn to the
 /// same backend server.
 const JITTER: f64 = 0.02;
@@ -78,11 +83,15 @@
     }
 
     /// Requests there now, predicted: those of this gateway, and of others what was told
-    /// as far as it still holds, else `usual`.
+    /// as far as it still holds, else `usual` of each slot.
     pub fn load(&self, now: Duration, usual: f64) -> f64 {
         let age = now.saturating_sub(self.told).as_secs_f64();
         let fade = (-age / TOLD_FADES.as_secs_f64()).exp();
-        f64::from(self.mine) + self.others * fade + usual * (1.0 - fade)
+        f64::from(self.mine) + self.others * fade + usual * self.slots() * (1.0 - fade)
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.slots.max(1))
     }
 
     /// Requests of this gateway that are there now.
@@ -91,7 +100,7 @@
     }
 
     fn cost(&self, now: Duration, usual: f64, near: bool) -> f64 {
-        let slots = f64::from(self.slots.max(1));
+        let slots = self.slots();
         let far = if near { 0.0 } else { FAR };
         (self.load(now, usual) + 1.0) / slots + far + FAILING * self.standing.failing()
     }
@@ -124,6 +133,8 @@
 pub struct Fleet {
     servers: IndexMap<ServerId, Server>,
     domain: String,
+    /// Load over slots that others cause, by service: its mean of late, and when it was heard.
+    heard: IndexMap<String, (f64, Duration)>,
     /// Services whose group stands still, and when the next probe may go there.
     still: IndexMap<String, Duration>,
     /// Other gateways that send requests to the same backend servers.
@@ -136,6 +147,7 @@
         Fleet {
             servers: IndexMap::new(),
             domain: domain.into(),
+            heard: IndexMap::new(),
             still: IndexMap::new(),
             peers: 0,
         }
@@ -173,9 +185,8 @@
         want: &Want<'_>,
         mut random: impl FnMut() -> f64,
     ) -> Result<&Server, Lack> {
-        let is_open =
-            |s: &&Server| s.service == want.service && !s.leaving && !want.tried.contains(&s.id);
-        let open: Vec<&Server> = self.servers.values().filter(is_open).collect();
+        let is_open = |s: &&Server| !s.leaving && !want.tried.contains(&s.id);
+        let open: Vec<&Server> = self.of(want.service).filter(is_open).collect();
         if open.is_empty() {
             return Err(Lack::Servers);
         }
@@ -186,7 +197,7 @@
         {
             return Err(Lack::Still);
         }
-        let usual = self.usual(&open);
+        let usual = self.usual(now, &open);
         let sound: Vec<&Server> = open
             .iter()
             .copied()
@@ -196,9 +207,8 @@
             let first = open.into_iter().min_by_key(|s| s.standing.back_at());
             return first.ok_or(Lack::Servers);
         }
-        let has_room = |s: &&Server| {
-            s.load(now, usual) < want.room * f64::from(s.slots.max(1)) * s.standing.share(now)
-        };
+        let has_room =
+            |s: &&Server| s.load(now, usual) < want.room * s.slots() * s.standing.share(now);
         let priced = sound.into_iter().filter(has_room).map(|s| {
             let near = s.domain == self.domain;
             (s.cost(now, usual, near) + JITTER * random(), s)
@@ -207,23 +217,37 @@
         best.map(|(_, s)| s).ok_or(Lack::Room)
     }
 
+    fn of<'a, 'b>(&'a self, service: &'b str) -> impl Iterator<Item = &'a Server> + use<'a, 'b> {
+        self.servers.values().filter(move |s| s.service == service)
+    }
+
     /// Mean load over slots of a service's backend servers that take work.
     pub fn mean_load(&self, now: Duration, service: &str) -> f64 {
-        let is_open = |s: &&Server| s.service == service && !s.leaving;
-        let open: Vec<&Server> = self.servers.values().filter(is_open).collect();
-        let usual = self.usual(&open);
-        let loads = open
-            .iter()
-            .map(|s| s.load(now, usual) / f64::from(s.slots.max(1)));
+        let open: Vec<&Server> = self.of(service).filter(|s| !s.leaving).collect();
+        let usual = self.usual(now, &open);
+        let loads = open.iter().map(|s| s.load(now, usual) / s.slots());
         loads.sum::<f64>() / open.len().max(1) as f64
     }
 
-    /// Load that all other gateways together cause at one of these backend servers, as far
-    /// as nothing is told: callers choose gateways at random, so each has as many requests
-    /// as this one. Without it a gateway that hears rarely takes full ranks for idle.
-    fn usual(&self, servers: &[&Server]) -> f64 {
-        let mine: u32 = servers.iter().map(|s| s.mine).sum();
-        f64::from(mine) / servers.len().max(1) as f64 * f64::from(self.peers)
+    /// Load over slots that all other gateways together cause at one of these backend servers,
+    /// as far as that one does not tell: what those tell that were asked of late.
+    ///
+    /// Where none told anything it is assumed that each other gateway has as many requests
+    /// as this one. That is wrong by the share of gateways that callers do not reach: while
+    /// three of seven were cut off, the others took a group that was half full for full.
+    fn usual(&self, now: Duration, servers: &[&Server]) -> f64 {
+        let heard = servers.first().and_then(|s| self.heard.get(&s.service));
+        if let Some((mean, at)) = heard
+            && now < *at + HEARD_FOR
+        {
+            return *mean;
+        }
+        self.assumed(servers)
+    }
+
+    fn assumed(&self, servers: &[&Server]) -> f64 {
+        let mine: f64 = servers.iter().map(|s| f64::from(s.mine) / s.slots()).sum();
+        mine / servers.len().max(1) as f64 * f64::from(self.peers)
     }
 
     /// A request goes to a backend server. To a group that stands still it is the probe.
@@ -258,11 +282,17 @@
     /// A backend server told its load with an answer to this gateway; the request that
     /// is being answered counts in it.
     pub fn told(&mut self, now: Duration, id: &str, told: Told) {
-        if let Some(server) = self.servers.get_mut(id) {
-            let all = f64::from(told.running + told.waiting);
-            server.others = (all - f64::from(server.mine)).max(0.0);
-            server.told = now;
-        }
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let all = f64::from(told.running + told.waiting);
+        server.others = (all - f64::from(server.mine)).max(0.0);
+        server.told = now;
+        let (others, service) = (server.others / server.slots(), server.service.clone());
+        let alike: Vec<&Server> = self.of(&service).collect();
+        let before = self.usual(now, &alike);
+        let mean = before + HEARD * (others - before);
+        self.heard.insert(service, (mean, now));
     }
 
     /// A request failed there on its account; `true` where this puts it out.
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -80,6 +80,34 @@
     expect_that!(sent, all![ge(1), le(3)]);
 }
 
+/// Symptom: callers are refused while half of the group's places are free. Sequence: four of
+/// six gateways are cut off and their callers come to the two others, each of which takes
+/// the four to have as many requests as itself. Cause: what answers tell was not believed.
+#[googletest::test]
+fn what_backend_servers_tell_goes_before_what_is_assumed() {
+    let mut fleet = fleet(2);
+    fleet.peers = 5;
+    let few_others = |fleet: &Fleet| Told {
+        running: fleet.get("b0").unwrap().mine() + 2,
+        waiting: 0,
+        slots: 4,
+    };
+    for n in 0..40u64 {
+        let at = NOW + Duration::from_millis(n * 40);
+        fleet.told(at, "b0", few_others(&fleet));
+    }
+    let now = NOW + Duration::from_millis(1_600);
+
+    let mut sent = 0;
+    while let Ok(id) = pick(&fleet, now, &[]) {
+        fleet.sent(now, &id);
+        sent += 1;
+    }
+
+    // Two backend servers of four slots, with two requests of others at each.
+    expect_that!(sent, all![ge(4), le(6)]);
+}
+
 #[googletest::test]
 fn those_tried_leaving_or_gone_are_passed_over() {
     let mut fleet = fleet(3);
