Pilots' asks in a module of their own; one way to open an inbox

Change: coordinator/asks.rs (forms that engines and relays take, answers read); Net::begin. No behaviour changed; tests of the four crates pass.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -105,18 +105,8 @@
     let (ring, events) = bounded(RING);
     let sink = ring.clone();
     let id = settings.inbox.ip().to_string();
-    let incarnation = rand::random::<u64>() | 1;
-    let net = Net::open(
-        &id,
-        incarnation,
-        settings.inbox,
-        settings.listen,
-        move |e| {
-            if sink.try_send(Event::Message(Box::new(e))).is_err() {
-                metrics::counter!("ring_lost_total").increment(1);
-            }
-        },
-    )?;
+    let put = move |e| sink.try_send(Event::Message(Box::new(e))).is_ok();
+    let net = Net::begin(&id, settings.inbox, settings.listen, put)?;
     let opening = Opening {
         inbox: settings.inbox,
         start: Instant::now(),
--- a/crates/coordinator/src/groups.rs
+++ b/crates/coordinator/src/groups.rs
@@ -1,19 +1,17 @@
 //! Balancing of lock-step groups, by the leader alone: carries the calls of each group's
 //! [`Pilot`] to the engines and their replies back.
 
+use crate::asks::{Written, engine_ask};
 use crate::core::{Core, Event};
 use crate::relays::{self, About};
 use bn_engine::{Answer, Call, What};
-use bn_group::ExpertMap;
-use bn_group::pilot::{self, Ask, Command, Note, Pilot, Reply, Shape, View};
-use bn_platform::engine::{self, Operation, RankedMap};
+use bn_group::pilot::{self, Ask, Command, Note, Pilot, Reply, Shape};
 use bn_quorum::Role;
 use bn_wire::messages::envelope::Body;
-use bn_wire::messages::{EngineAnswers, EngineAsk, EngineAsks, PrepareOrder};
+use bn_wire::messages::{EngineAnswers, EngineAsks};
 use indexmap::IndexMap;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// What the leader keeps of groups.
@@ -25,8 +23,7 @@
     /// Services whose engines share experts.
     shapes: IndexMap<String, Shape>,
     pilots: IndexMap<String, Pilot>,
-    /// The last map that was ordered, as orders have it.
-    ranked: Option<(Arc<ExpertMap>, RankedMap)>,
+    written: Written,
 }
 
 impl Core {
@@ -172,6 +169,7 @@
             {
                 asks.map = self
                     .groups
+                    .written
                     .ranked(map)
                     .map_or_else(Vec::new, |m| m.as_bytes().to_vec());
             }
@@ -184,7 +182,7 @@
     }
 
     fn call_straight(&mut self, service: &str, address: SocketAddr, call: pilot::Call) {
-        let (path, body, read) = self.groups.translate(call.ask);
+        let (path, body, read) = self.groups.written.call(call.ask);
         let (ring, service) = (self.ring.clone(), service.to_string());
         let number = call.call;
         let done = move |answer: Answer| {
@@ -252,153 +250,3 @@
     });
     grouped.collect()
 }
-
-type Read = fn(u16, &[u8]) -> Reply;
-
-impl Groups {
-    fn translate(&mut self, ask: Ask) -> (&'static str, Option<Vec<u8>>, Read) {
-        match ask {
-            Ask::Report | Ask::Look | Ask::Copied(_) => (engine::REPORT, None, read_report),
-            Ask::Counts => (engine::PICKED, None, read_counts),
-            Ask::List => (engine::LISTS, None, read_lists),
-            Ask::Order(command, epoch, token) => {
-                let operation = match command {
-                    Command::Prepare(version, map) => self
-                        .ranked(&map)
-                        .map(|map| Operation::Prepare { version, map }),
-                    other => operation(&other),
-                };
-                // An engine refuses an empty order.
-                let body = operation.map(|o| engine::order(o, epoch, token));
-                (engine::ORDER, Some(body.unwrap_or_default()), read_order)
-            }
-        }
-    }
-
-    /// A map as orders have it. It is written once for all ranks: 72 times took half of the
-    /// leader's share of a core.
-    fn ranked(&mut self, map: &Arc<ExpertMap>) -> Option<RankedMap> {
-        if let Some((known, ranked)) = &self.ranked
-            && Arc::ptr_eq(known, map)
-        {
-            return Some(ranked.clone());
-        }
-        let ranked = RankedMap::new(&by_rank(map));
-        let ranked = ranked.map_err(|e| log::error!("a map: {e}")).ok()?;
-        self.ranked = Some((map.clone(), ranked.clone()));
-        Some(ranked)
-    }
-}
-
-/// What a relay is asked, and what that is about.
-fn engine_ask(number: u64, relay: SocketAddr, call: &pilot::Call) -> (EngineAsk, About) {
-    let mut ask = EngineAsk {
-        call: number,
-        engine: call.engine.clone(),
-        relay: relay.to_string(),
-        ..EngineAsk::default()
-    };
-    let about = match &call.ask {
-        Ask::Order(Command::Prepare(version, _), epoch, token) => {
-            ask.prepare = Some(PrepareOrder {
-                version: *version,
-                epoch: *epoch,
-                token: *token,
-            });
-            About::Order
-        }
-        Ask::Order(command, epoch, token) => {
-            let body = operation(command).map(|o| engine::order(o, *epoch, *token));
-            ask.order = body.unwrap_or_default();
-            About::Order
-        }
-        Ask::Copied(version) => {
-            ask.copied = *version;
-            About::Copies
-        }
-        Ask::Look => {
-            ask.counts = true;
-            About::Look
-        }
-        Ask::Report | Ask::Counts | Ask::List => About::Look,
-    };
-    (ask, about)
-}
-
-/// An order without a map.
-fn operation(command: &Command) -> Option<Operation> {
-    Some(match *command {
-        Command::Prepare(..) => return None,
-        Command::Arm(version, pass) => Operation::Arm { version, pass },
-        Command::Disarm(version) => Operation::Disarm { version },
-        Command::Hold(pass) => Operation::Hold { pass },
-        Command::Go(pass) => Operation::Go { pass },
-    })
-}
-
-/// The experts of each rank, set by set.
-fn by_rank(map: &ExpertMap) -> Vec<Vec<Vec<u32>>> {
-    let ranks = map.layers.iter().flatten().flatten().max();
-    let ranks = ranks.map_or(0, |r| *r as usize + 1);
-    let layer = |layer: &Vec<Vec<u32>>| {
-        let mut held = vec![Vec::new(); ranks];
-        for (expert, holders) in layer.iter().enumerate() {
-            for rank in holders {
-                if let Some(held) = held.get_mut(*rank as usize) {
-                    held.push(expert as u32);
-                }
-            }
-        }
-        held
-    };
-    map.layers.iter().map(layer).collect()
-}
-
-fn read_report(status: u16, body: &[u8]) -> Reply {
-    match (status, engine::report(body)) {
-        (200, Ok(r)) => Reply::View(View {
-            group: r.group,
-            epoch: r.epoch,
-            rank: r.rank,
-            open: r.open,
-            size: r.size,
-            pass: r.pass,
-            map: r.map,
-            prepared: r.prepared,
-            armed: r.armed,
-            held: r.held,
-            pace: r.pace,
-            fresh: false,
-            lately: None,
-        }),
-        _ => Reply::Odd,
-    }
-}
-
-fn read_counts(status: u16, body: &[u8]) -> Reply {
-    match (status, engine::counts(body)) {
-        (200, Ok(c)) => Reply::Counts(c.epoch, c.counts),
-        _ => Reply::Odd,
-    }
-}
-
-fn read_lists(status: u16, body: &[u8]) -> Reply {
-    match (status, engine::lists(body)) {
-        (200, Ok(l)) => Reply::List(l.version, l.experts),
-        _ => Reply::Odd,
-    }
-}
-
-fn read_order(status: u16, _: &[u8]) -> Reply {
-    read_status(u32::from(status))
-}
-
-/// What the status of an order's answer says.
-pub(crate) fn read_status(status: u32) -> Reply {
-    match status {
-        200 | 202 => Reply::Done,
-        409 => Reply::Conflict,
-        412 => Reply::Fenced,
-        _ => Reply::Odd,
-    }
-}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! One thread owns all state (`core`); HTTP and the inbox reach it over a bounded ring.
 
+mod asks;
 mod core;
 mod directory;
 mod groups;
--- a/crates/coordinator/src/relays.rs
+++ b/crates/coordinator/src/relays.rs
@@ -139,7 +139,7 @@
     let silent = answer.status == 0;
     match (about, answer.view) {
         _ if silent => Reply::Silent,
-        (About::Order, _) => crate::groups::read_status(answer.status),
+        (About::Order, _) => crate::asks::read_status(answer.status),
         (_, Some(seen)) => Reply::View(View {
             lately,
             ..view(seen)
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -59,18 +59,8 @@
 /// Starts a relay on its own thread.
 pub fn start(settings: &Settings, conf: &Conf, lines: Lines) -> Result<Handle> {
     let (sink, inbox) = mpsc::channel(RING);
-    let incarnation = rand::random::<u64>() | 1;
-    let net = Net::open(
-        &settings.id,
-        incarnation,
-        settings.inbox,
-        settings.listen,
-        move |e| {
-            if sink.try_send(e).is_err() {
-                metrics::counter!("ring_lost_total").increment(1);
-            }
-        },
-    )?;
+    let put = move |envelope| sink.try_send(envelope).is_ok();
+    let net = Net::begin(&settings.id, settings.inbox, settings.listen, put)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -65,18 +65,8 @@
     };
     let shared = Shared::new(&settings.domain, allowance, lines);
     let (sink, inbox) = mpsc::channel(RING);
-    let incarnation = rand::random::<u64>() | 1;
-    let net = Net::open(
-        &settings.id,
-        incarnation,
-        settings.inbox,
-        settings.listen,
-        move |e| {
-            if sink.try_send(e).is_err() {
-                metrics::counter!("ring_lost_total").increment(1);
-            }
-        },
-    )?;
+    let put = move |envelope| sink.try_send(envelope).is_ok();
+    let net = Net::begin(&settings.id, settings.inbox, settings.listen, put)?;
     let port = settings.inbox.port();
     let seeds = conf.seeds.iter().map(|s| SocketAddr::new(s.ip(), port));
     let link = Link::new(
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -68,6 +68,22 @@
         Ok(Net(Arc::new(inner)))
     }
 
+    /// Opens the inbox of a process that begins now: `put` takes each message into a bounded
+    /// ring, or says that it is full. What is lost there is counted, as loss on a link is.
+    pub fn begin(
+        id: &str,
+        inbox: SocketAddr,
+        listen: SocketAddr,
+        put: impl Fn(Envelope) -> bool + Send + 'static,
+    ) -> Result<Net> {
+        let incarnation = rand::random::<u64>() | 1;
+        Net::open(id, incarnation, inbox, listen, move |envelope| {
+            if !put(envelope) {
+                metrics::counter!("ring_lost_total").increment(1);
+            }
+        })
+    }
+
     /// Random number of this start of the process.
     pub fn incarnation(&self) -> u64 {
         self.0.incarnation
