A step of the search names each rank once

Cause: the sum of a rank that a step concerns twice was put together where it was judged; hard to read. Change: shifts of one rank are added up as they are listed. The relay's page says that it keeps counts.

--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -1,7 +1,7 @@
 //! The relay: beside an engine, where its report is fresh and counts and orders cost
 //! nothing, it looks at the engine and hands it orders for whichever coordinator asks.
 //!
-//! It decides nothing and keeps nothing. It may die, freeze, or deliver an order late, as
+//! It decides nothing, and keeps nothing but the counts of its last look. It may die, freeze, or deliver an order late, as
 //! any link may: orders carry the group's epoch and a fencing token, and a coordinator
 //! that hears nothing turns to the engine itself.
 
--- a/crates/group/src/spread.rs
+++ b/crates/group/src/spread.rs
@@ -272,15 +272,7 @@
 
     fn tried(&self, step: Step) -> Change {
         let shifts = self.shifts(step);
-        let after = |(at, (rank, _)): (usize, &(usize, f64))| {
-            // A rank may be concerned twice; its last sum is that of all its shifts.
-            let all = shifts.iter().take(at + 1).filter(|(r, _)| r == rank);
-            self.sum(*rank) + all.map(|(_, by)| by).sum::<f64>()
-        };
-        let last = |(at, (rank, _)): &(usize, &(usize, f64))| {
-            !shifts.iter().skip(at + 1).any(|(r, _)| r == rank)
-        };
-        let sums = shifts.iter().enumerate().filter(last).map(after);
+        let sums = shifts.iter().map(|(rank, by)| self.sum(*rank) + by);
         let busiest = sums.fold(0.0, f64::max);
         Change { step, busiest }
     }
@@ -289,7 +281,7 @@
         self.sums.get(rank).copied().unwrap_or(0.0)
     }
 
-    /// Changes of load by rank that a step makes.
+    /// Changes of load that a step makes, each rank once.
     fn shifts(&self, step: Step) -> Vec<(usize, f64)> {
         let mut shifts = Vec::new();
         match step {
@@ -302,8 +294,8 @@
             }
             Step::Swap((one, here), (other, there)) => {
                 let (a, b) = (self.share(one, 0), self.share(other, 0));
-                shifts.push((here, (b - a) * self.pace(here)));
-                shifts.push((there, (a - b) * self.pace(there)));
+                shift(&mut shifts, here, (b - a) * self.pace(here));
+                shift(&mut shifts, there, (a - b) * self.pace(there));
             }
         }
         shifts
@@ -313,10 +305,10 @@
     fn shift_one(&self, shifts: &mut Vec<(usize, f64)>, expert: usize, rank: usize, more: i64) {
         let (now, then) = (self.share(expert, 0), self.share(expert, more));
         for other in self.ranks_of(expert).into_iter().filter(|r| *r != rank) {
-            shifts.push((other, (then - now) * self.pace(other)));
+            shift(shifts, other, (then - now) * self.pace(other));
         }
         let own = if more > 0 { then } else { -now };
-        shifts.push((rank, own * self.pace(rank)));
+        shift(shifts, rank, own * self.pace(rank));
     }
 
     fn apply(&mut self, change: Change) {
@@ -363,6 +355,14 @@
     }
 }
 
+/// More load on a rank, which may have some in the list already.
+fn shift(shifts: &mut Vec<(usize, f64)>, rank: usize, by: f64) {
+    match shifts.iter_mut().find(|(r, _)| *r == rank) {
+        Some((_, sum)) => *sum += by,
+        None => shifts.push((rank, by)),
+    }
+}
+
 fn add(counts: &mut [usize], rank: usize, by: i64) {
     if let Some(count) = counts.get_mut(rank) {
         *count = count.saturating_add_signed(by as isize);
