A hold that was found is undone only by reports made since the ranks were fenced

Cause: with fresh looks a switch goes on as soon as copies are complete. A leader that took over then found the hold at once, and an old report from afar, where nothing prepared showed yet, of a rank that was armed; that rank was not disarmed, the group went on, and it switched alone. Ruled out: late orders (they bear lower tokens than the fence). Change: the hold is renewed at once as before; it is undone at once only where all reports are fresh, else after the time in which reports are sure to be new. Seed 3555 runs first in the test.

--- a/crates/group/src/pilot/mod.rs
+++ b/crates/group/src/pilot/mod.rs
@@ -136,6 +136,8 @@
     /// Those of them that form the group.
     engines: Vec<EngineId>,
     views: IndexMap<EngineId, View>,
+    /// The views tell what is prepared and armed since the ranks were fenced.
+    current: bool,
     epoch: u64,
     /// The map in use, where its content is known, with its version.
     map: Option<(Version, Arc<ExpertMap>)>,
@@ -169,6 +171,7 @@
             registered: Vec::new(),
             engines: Vec::new(),
             views: IndexMap::new(),
+            current: false,
             epoch: 0,
             map: None,
             counted: IndexMap::new(),
--- a/crates/group/src/pilot/survey.rs
+++ b/crates/group/src/pilot/survey.rs
@@ -10,7 +10,7 @@
 
 /// Reports describe the past: by some hundred milliseconds. After an order, and after
 /// fencing, so long passes before one is believed.
-const LAG: Duration = Duration::from_millis(700);
+pub(super) const LAG: Duration = Duration::from_millis(700);
 
 impl Pilot {
     /// Begins with the engines that are registered now.
@@ -55,8 +55,9 @@
     }
 
     /// A group that an earlier leader left held stands still: this cannot wait until
-    /// reports are sure to be new. It need not, since the hold is renewed first, and what
-    /// is prepared, and so could be armed, was reported before anything was armed.
+    /// reports are sure to be new. The hold is renewed at once. It is undone at once, too,
+    /// where all reports are fresh; where one is old, what its rank was armed with may not
+    /// show in it yet, and the rank would be left armed alone.
     pub(super) fn looked_early(
         &mut self,
         now: Duration,
@@ -66,6 +67,7 @@
         if self.whole() != Some(self.epoch) {
             return self.unwell(now);
         }
+        self.current = self.all_fresh();
         if let Some(calls) = self.renew_found_hold() {
             return calls;
         }
@@ -93,6 +95,7 @@
         if epoch != self.epoch {
             return self.unwell(now);
         }
+        self.current = true;
         if let Some(calls) = self.renew_found_hold() {
             return calls;
         }
--- a/crates/group/src/pilot/switching.rs
+++ b/crates/group/src/pilot/switching.rs
@@ -1,5 +1,6 @@
 //! From a prepared map to one in use: hold, arm, go; or everything undone under the hold.
 
+use super::survey::LAG;
 use super::{Call, Command, EngineId, FURTHEST, NO_VERSION, Pass, Phase, Pilot, Reply};
 use crate::Version;
 use indexmap::IndexMap;
@@ -43,7 +44,11 @@
 
     pub(super) fn reheld(&mut self, now: Duration, back: &IndexMap<EngineId, Reply>) -> Vec<Call> {
         match back.values().next() {
-            Some(Reply::Done) => self.undo(),
+            Some(Reply::Done) if self.current => self.undo(),
+            Some(Reply::Done) => {
+                self.phase = Phase::Lag(now + LAG);
+                Vec::new()
+            }
             // The pass has begun, or the group formed anew: there is no hold any more.
             _ => self.unwell(now),
         }
--- a/crates/group/tests/pilot.rs
+++ b/crates/group/tests/pilot.rs
@@ -16,10 +16,15 @@
 const SCHEDULES: u64 = 400;
 const RANKS: usize = 4;
 
-fn schedules() -> std::ops::Range<u64> {
+/// Seeds that failed once. 3555: a rank whose report from afar did not show yet what it was
+/// armed with was not disarmed by the next leader, which had found the hold at once.
+const FAILED_ONCE: [u64; 1] = [3_555];
+
+fn schedules() -> impl Iterator<Item = u64> {
     let named = |name| std::env::var(name).ok().and_then(|n| n.parse().ok());
     let first = named("BN_FIRST").unwrap_or(0);
-    first..first + named("BN_SCHEDULES").unwrap_or(SCHEDULES)
+    let last = first + named("BN_SCHEDULES").unwrap_or(SCHEDULES);
+    FAILED_ONCE.into_iter().chain(first..last)
 }
 
 fn calm(seed: u64) -> World {
