A backend server that starts again under its id; entries of other writers

Cause: an id stood for one start. A departed id was gone for good, sequences only rose, and what an earlier start had said could replace what the later one said.

At a later start a gateway drops what it held of the earlier: load, failures, idle connections; a request of the earlier start that ends does not count down the later one's. The ranks of the random schedules start again under their id every second time, fences and versions cleared.

A departure call has no body: one that is held up from the earlier start ends the later one, open.

--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -338,6 +338,12 @@
         );
     }
 
+    /// Sends an entry under an id to a coordinator; its status.
+    pub(crate) fn put_entry(&self, n: u8, id: &str, entry: &str) -> u16 {
+        let head = format!("PUT {}{id} HTTP/1.1\r\nhost: x", PATHS.backends);
+        call(self.at(n, 2), &head, entry).map_or(0, |m| m.status())
+    }
+
     pub(crate) fn leave(&self, backend: &Backend) {
         let head = format!(
             "DELETE {}{} HTTP/1.1\r\nhost: x",
--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -615,6 +615,28 @@
     expect_that!((again.status(), again.text().as_str()), eq((200, "whole")));
 }
 
+/// Symptom: a good backend server gets no requests any more. Sequence: somebody announces another
+/// service, or nonsense, under its id, with a higher sequence. Cause: the entry was believed.
+#[googletest::test]
+fn entries_of_other_writers_change_nothing() {
+    let fleet = Fleet::start(37);
+    let backend = Backend::start("a", good);
+    fleet.announce(&backend, "plain", "ready", 1);
+    let entries = [
+        r#"{"service":"nowhere","address":"10.0.0.1:80","zone":"d1","slots":4,"state":"ready","sequence":9}"#,
+        r#"{"service":"plain","address":"10.0.0.1:80","zone":"d1","slots":4,"state":"asleep","sequence":9}"#,
+        r#"{"service":"plain","address":"10.0.0.1:80","zone":"d1","state":"draining","sequence":9}"#,
+        "\u{1}{",
+    ];
+
+    let statuses = entries.map(|e| fleet.put_entry(1, "a", e));
+    thread::sleep(Duration::from_millis(300));
+    let answer = fleet.ask(4, "GET", "/look/1", "id");
+
+    expect_that!(statuses, each(eq(400)));
+    expect_that!(answer.status(), eq(200));
+}
+
 /// Symptom: callers of the first two seconds after all processes started get no answer at all.
 /// Sequence: a gateway is there sooner than the configuration; its callers are refused, come back
 /// soon and are refused again. Cause: it knew that it would be told in a moment, and did not wait.
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -18,6 +18,7 @@
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Envelope};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use indexmap::IndexSet;
 use serde_json::json;
 use snafu::{OptionExt, ResultExt};
 use std::net::{SocketAddr, TcpListener};
@@ -50,8 +51,8 @@
 pub enum Event {
     /// A message of another process.
     Message(Box<Envelope>),
-    /// A backend server announced itself.
-    Announce(bn_registry::Record, oneshot::Sender<()>),
+    /// A backend server announced itself; answered with whether it is one of ours.
+    Announce(bn_registry::Record, oneshot::Sender<bool>),
     /// A backend server left.
     Leave(String, oneshot::Sender<()>),
     /// An operator's checked document.
@@ -83,6 +84,8 @@
     applied: u64,
     logged_bytes: usize,
     pub(crate) registry: Registry,
+    /// Services that the document of that version names.
+    pub(crate) services: (u64, IndexSet<String>),
     pub(crate) directory: Directory,
     pub(crate) peers: news::Peers,
     pub(crate) waits: settling::Waits,
@@ -179,6 +182,7 @@
             applied,
             logged_bytes: 0,
             registry: Registry::default(),
+            services: Default::default(),
             directory: Directory::default(),
             peers: Default::default(),
             waits: Default::default(),
@@ -246,8 +250,8 @@
         match event {
             Event::Message(m) => self.take_message(now, *m),
             Event::Announce(record, done) => {
-                self.on_announce(now, record);
-                answered(done.send(()));
+                let ours = self.on_announce(now, record);
+                answered(done.send(ours));
             }
             Event::Leave(id, done) => {
                 self.on_leave(now, &id);
--- a/crates/coordinator/src/http.rs
+++ b/crates/coordinator/src/http.rs
@@ -75,9 +75,15 @@
     match bn_platform::announcement(id, body) {
         Ok(record) => {
             let taken = ask(ring, |done| Event::Announce(record, done)).await;
-            done_or_busy(taken.is_some())
+            match taken {
+                Some(false) => fault(400, "there is no such service"),
+                taken => done_or_busy(taken.is_some()),
+            }
+        }
+        Err(e) => {
+            log::info!("an announcement of {id} was passed over: {e}");
+            fault(400, &e.to_string())
         }
-        Err(e) => fault(400, &e.to_string()),
     }
 }
 
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -9,7 +9,7 @@
 use bn_registry::{Change, Condition, Record};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Registration};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde_json::json;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -73,10 +73,44 @@
         all
     }
 
-    pub(crate) fn on_announce(&mut self, now: Duration, record: Record) {
+    /// Takes an announcement in. One for a service that no document names is not of ours: it
+    /// must not take the place of a good backend server that has this id.
+    pub(crate) fn on_announce(&mut self, now: Duration, record: Record) -> bool {
+        if !self.is_served(&record.service) {
+            let fields = json!({ "id": record.id, "service": record.service });
+            self.lines.put("announcement_passed_over", fields);
+            return false;
+        }
         let id = record.id.clone();
         let change = self.registry.take(now, record);
         self.spread(&id, change, "announced");
+        true
+    }
+
+    /// Whether a service is one that the document names. Before there is a document all are:
+    /// backend servers are there sooner than the first.
+    fn is_served(&mut self, service: &str) -> bool {
+        if self.settled.version == 0 || self.registry.present().any(|r| r.service == service) {
+            return true;
+        }
+        let version = self.settled.version;
+        if self.services.0 != version {
+            self.services = (version, self.service_names());
+        }
+        self.services.1.contains(service)
+    }
+
+    fn service_names(&self) -> IndexSet<String> {
+        let document = bn_wire::unpack(&self.settled.document).map_err(|e| e.to_string());
+        let plan = document.and_then(|d| bn_platform::plan(&d).map_err(|e| e.to_string()));
+        match plan {
+            Ok(plan) => plan.services().keys().cloned().collect(),
+            Err(e) => {
+                // It was checked before it was settled, so this is a fault of ours.
+                log::error!("document {}: {e}", self.settled.version);
+                IndexSet::new()
+            }
+        }
     }
 
     pub(crate) fn on_leave(&mut self, now: Duration, id: &str) {
@@ -238,6 +272,6 @@
     json!({
         "id": record.id, "service": record.service, "address": record.address,
         "condition": format!("{:?}", record.condition), "sequence": record.sequence,
-        "source": source,
+        "began": record.began, "source": source,
     })
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -29,7 +29,8 @@
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.shared.state().fleet.ended(&self.server.id);
+        let Server { id, began, .. } = &self.server;
+        self.shared.state().fleet.ended(id, *began);
         self.shared.room.notify_waiters();
     }
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -168,26 +168,35 @@
 
     fn register(&mut self, record: Record) {
         let known = self.registered.get(&record.id);
-        let gone = known.is_some_and(|k| k.condition == Condition::Gone);
-        let newer = known.is_none_or(|k| record.sequence > k.sequence);
-        if gone || !(newer || record.condition == Condition::Gone) {
+        if known.is_some_and(|held| !record.follows(held)) {
             return;
         }
+        let again = known.is_some_and(|held| held.began != record.began);
         let mut state = self.shared.state();
+        if again {
+            // It holds and knows nothing of before: its load, its failures and connections to it
+            // are of the earlier start.
+            state.fleet.remove(&record.id);
+        }
         match (record.condition, record.address) {
             (Condition::Gone, _) | (_, None) => state.fleet.remove(&record.id),
             (condition, Some(address)) => {
                 let (id, service) = (&record.id, &record.service);
                 let mut server = Server::new(id, service, address, &record.domain, record.slots);
+                server.began = record.began;
                 server.leaving = condition == Condition::Draining;
                 state.fleet.put(server);
             }
         }
         drop(state);
+        if let Some(address) = record.address.filter(|_| again) {
+            self.shared.pool.forget(address);
+        }
         self.shared.room.notify_waiters();
         let fields = json!({
             "id": record.id, "service": record.service, "address": record.address,
             "condition": format!("{:?}", record.condition), "sequence": record.sequence,
+            "began": record.began,
         });
         self.shared.lines.put("backend_server", fields);
         self.registered.insert(record.id.clone(), record);
--- a/crates/group/tests/engines/mod.rs
+++ b/crates/group/tests/engines/mod.rs
@@ -143,7 +143,7 @@
         self.leaders.iter_mut().for_each(|l| l.frozen = false);
     }
 
-    /// An engine dies; it starts again under another id.
+    /// An engine dies; it starts again under another id, or under the one that it had.
     pub(crate) fn crash(&mut self, rank: usize) {
         if self.down.is_none() {
             self.down = Some((rank, self.now + DOWN));
@@ -215,8 +215,13 @@
         if let Some((rank, _)) = self.down.filter(|(_, until)| self.now >= *until) {
             self.down = None;
             let number = self.rng.random::<u32>();
+            let id = match number.is_multiple_of(2) {
+                true => self.engines[rank].id.clone(),
+                false => format!("e{rank}-{number}"),
+            };
+            // Either way it knows no fence, no version and no order of before.
             self.engines[rank] = Engine {
-                id: format!("e{rank}-{number}"),
+                id,
                 ..Engine::default()
             };
             self.forming = Some(self.now + FORM);
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -1,17 +1,21 @@
 //! The table and its rules of merging.
 
 use indexmap::IndexMap;
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Id of one start of a backend server.
+/// Id of a backend server. It may start again under the id that it had.
 pub type BackendId = String;
+/// Unix milliseconds at which a backend server started; 0 where it does not tell. Orders its
+/// starts, however much later an announcement of an earlier one arrives.
+pub type Began = u64;
 /// Number of an announcement within one start; later ones are higher.
 pub type Sequence = u64;
 /// Position in a table's changes, by which others ask for what is new.
 pub type Mark = u64;
 
-/// How long a departed id is remembered. Far above the time for which a cut may hold an
+/// How long a departed start is remembered. Far above the time for which a cut may hold an
 /// announcement back (tens of seconds), and bounded so that the table does not grow.
 const REMEMBERED: Duration = Duration::from_secs(600);
 /// A backend server that nobody has heard of for this long is dropped: 50 times the
@@ -25,15 +29,17 @@
     Ready,
     /// It leaves soon and takes no new work.
     Draining,
-    /// It has left, for good.
+    /// This start of it has left, for good.
     Gone,
 }
 
 /// One backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Record {
-    /// Id of this start.
+    /// Its id.
     pub id: BackendId,
+    /// The start that this speaks of.
+    pub began: Began,
     /// Service it belongs to; empty where only its departure is known.
     pub service: String,
     /// Where it takes requests; none where only its departure is known.
@@ -74,9 +80,21 @@
     mark: Mark,
 }
 
+impl Record {
+    /// This is news of `held`, not older than it and not of an earlier start.
+    pub fn follows(&self, held: &Record) -> bool {
+        follows(held, self)
+    }
+}
+
 impl Registry {
     /// Takes a record in, whether announced or told by another process.
     pub fn take(&mut self, now: Duration, record: Record) -> Change {
+        let later = |r: &Row| record.began > r.record.began;
+        if self.rows.get(&record.id).is_some_and(later) {
+            // Nothing of the earlier start holds, nor its place among those heard of.
+            self.rows.shift_remove(&record.id);
+        }
         let Some(row) = self.rows.get_mut(&record.id) else {
             self.mark += 1;
             let (id, mark) = (record.id.clone(), self.mark);
@@ -105,11 +123,12 @@
         Change::News
     }
 
-    /// Notes a departure; the rest of the record stays as it was.
+    /// Notes a departure of the start that is known; the rest of the record stays as it was.
     pub fn leave(&mut self, now: Duration, id: &str) -> Change {
         let known = self.rows.get(id).map(|r| r.record.clone());
         let record = known.unwrap_or_else(|| Record {
             id: id.into(),
+            began: 0,
             service: String::new(),
             address: None,
             domain: String::new(),
@@ -171,13 +190,16 @@
     }
 }
 
-/// `next` may replace `held`: departures are final, else the higher sequence counts.
-/// An announcement of the same start never goes back from draining to ready by being
-/// late, since its sequence is lower.
+/// `next` may replace `held`: a later start always does, an earlier one never. Within a start
+/// departures are final, else the higher sequence counts; sequences begin anew with each
+/// start. An announcement never goes back from draining to ready by being late, since its
+/// sequence is lower.
 fn follows(held: &Record, next: &Record) -> bool {
-    match (held.condition, next.condition) {
-        (Condition::Gone, _) => false,
-        (_, Condition::Gone) => true,
-        _ => next.sequence > held.sequence,
+    match (next.began.cmp(&held.began), held.condition, next.condition) {
+        (Ordering::Greater, ..) => true,
+        (Ordering::Less, ..) => false,
+        (Ordering::Equal, Condition::Gone, _) => false,
+        (Ordering::Equal, _, Condition::Gone) => true,
+        (Ordering::Equal, ..) => next.sequence > held.sequence,
     }
 }
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -23,6 +23,7 @@
                 Condition::Gone => 2,
             },
             sequence: r.sequence,
+            began: r.began,
         }
     }
 }
@@ -42,6 +43,7 @@
         };
         Ok(Record {
             id: r.id,
+            began: r.began,
             service: r.service,
             address,
             domain: r.domain,
--- a/crates/registry/tests/table.rs
+++ b/crates/registry/tests/table.rs
@@ -10,8 +10,13 @@
 const NOW: Duration = Duration::from_secs(1);
 
 fn record(id: &str, sequence: u64, condition: Condition) -> Record {
+    started(id, 0, sequence, condition)
+}
+
+fn started(id: &str, began: u64, sequence: u64, condition: Condition) -> Record {
     Record {
         id: id.into(),
+        began,
         service: "s".into(),
         address: Some(([10, 0, 0, 1], 80).into()),
         domain: "d".into(),
@@ -94,7 +99,7 @@
 #[googletest::test]
 fn records_survive_the_way_to_another_process() {
     for condition in [Condition::Ready, Condition::Draining, Condition::Gone] {
-        let sent = record("a", 7, condition);
+        let sent = started("a", 1_782_219_166_014, 7, condition);
         let received = Record::try_from(Registration::from(&sent)).unwrap();
         expect_that!(received, eq(&sent));
     }
@@ -115,3 +120,36 @@
 
     expect_that!(latest, eq(&vec!["successor"]));
 }
+
+/// Symptom: a backend server that crashed and is back under its id gets no requests until its
+/// sequence has passed the earlier one's, or never, if it had left. Sequence: it drains, leaves,
+/// starts again and announces itself with a low sequence. Cause: ids were taken for starts.
+#[googletest::test]
+fn a_later_start_under_the_same_id_is_news() {
+    for last in [Condition::Ready, Condition::Draining, Condition::Gone] {
+        let mut registry = Registry::default();
+        registry.take(NOW, started("a", 1_000, 90, last));
+
+        let back = registry.take(NOW, started("a", 2_000, 1, Condition::Ready));
+
+        expect_that!(back, eq(Change::News), "{last:?}");
+        expect_that!(registry.present().count(), eq(1), "{last:?}");
+    }
+}
+
+/// Symptom: a backend server that is back is taken for draining, or gone, or is looked for at its
+/// earlier address. Sequence: what its earlier start said is held up by a cut and arrives later.
+/// Cause: the higher sequence of the earlier start counted.
+#[googletest::test]
+fn what_an_earlier_start_said_brings_nothing_back() {
+    for late in [Condition::Ready, Condition::Draining, Condition::Gone] {
+        let mut registry = Registry::default();
+        registry.take(NOW, started("a", 2_000, 1, Condition::Ready));
+
+        let change = registry.take(NOW, started("a", 1_000, 90, late));
+        let untold = registry.take(NOW, started("a", 0, 91, late));
+
+        expect_that!((change, untold), eq((Change::Stale, Change::Stale)));
+        expect_that!(registry.get("a").unwrap().sequence, eq(1), "{late:?}");
+    }
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -6,8 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Id of one start of a backend server.
+/// Id of a backend server.
 pub type ServerId = String;
+/// Which start of a backend server, in Unix milliseconds; 0 where it does not tell.
+pub type Began = u64;
 
 /// Load that others cause is told with answers only. It fades at this pace, since the
 /// requests it speaks of end: a usual answer takes one to two seconds.
@@ -44,8 +46,10 @@
 /// One backend server.
 #[derive(Debug, Clone)]
 pub struct Server {
-    /// Id of this start.
+    /// Its id.
     pub id: ServerId,
+    /// Which start of it this is.
+    pub began: Began,
     /// Its service.
     pub service: String,
     /// Where it takes requests.
@@ -70,6 +74,7 @@
     pub fn new(id: &str, service: &str, address: SocketAddr, domain: &str, slots: u32) -> Server {
         Server {
             id: id.into(),
+            began: 0,
             service: service.into(),
             address,
             domain: domain.into(),
@@ -272,9 +277,11 @@
         self.still.contains_key(service)
     }
 
-    /// A request ended there, or turned out never to have arrived.
-    pub fn ended(&mut self, id: &str) {
-        if let Some(server) = self.servers.get_mut(id) {
+    /// A request ended there, or turned out never to have arrived. One that went to an earlier
+    /// start is not there.
+    pub fn ended(&mut self, id: &str, began: Began) {
+        let server = self.servers.get_mut(id);
+        if let Some(server) = server.filter(|s| s.began == began) {
             server.mine = server.mine.saturating_sub(1);
         }
     }
--- a/crates/serve/src/client.rs
+++ b/crates/serve/src/client.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Closes the idle connections to an address: another process is there now.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.swap_remove(&address);
+    }
+
     /// Closes what has been idle for too long.
     pub fn sweep(&self, now: Duration) {
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -913,6 +913,9 @@
     /// of its announcements; counts up
     #[prost(uint64, tag = "7")]
     pub sequence: u64,
+    /// Unix ms of the start that it speaks of; 0: not told
+    #[prost(uint64, tag = "8")]
+    pub began: u64,
 }
 /// Gateway or coordinator to a coordinator, a few times a second: what it has, and
 /// what it is, so that the answer and the list of gateways stay current.
