Several lock-step groups in one service

Cause: the leader kept one pilot a service and handed it all engines, gateways kept room, stillness and pauses a service. With 72 ranks in three groups no map was ever switched (0 orders), a group that stood still stopped the others, room was a mean over groups that have nothing to do with each other.

Change: groups are learnt from what ranks report (muster), a pilot each, which begins with those reports, so that a new leader asks no second time. Pilots of a term go on above each other's tokens and versions, for ranks that change groups. The group travels with the registration; gateways keep room, pauses, stillness and the load of others by unit (a group, or a service without groups), and count load against what the unit bears. What was learnt before groups were known holds for each.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -62,7 +62,7 @@
     /// A caller asks for addresses.
     Resolve(oneshot::Sender<Vec<SocketAddr>>),
     /// An engine replied to a call about its group, or did not.
-    Called(String, u64, bn_group::pilot::Reply),
+    Called(relays::GroupId, u64, bn_group::pilot::Reply),
     /// The settings name other seeds.
     Seeds(Vec<SocketAddr>),
     /// Begin a graceful stop.
@@ -260,7 +260,7 @@
             Event::Settle(plan, document, done) => self.on_settle(now, &plan, document, done),
             Event::Read(done) => self.on_read(now, done),
             Event::Resolve(done) => answered(done.send(self.directory.addresses(now))),
-            Event::Called(service, call, reply) => self.on_called(now, &service, call, reply),
+            Event::Called(group, call, reply) => self.on_called(now, &group, call, reply),
             Event::Seeds(seeds) => {
                 self.seeds = inboxes(&seeds, self.inbox.port());
                 self.lines
--- a/crates/coordinator/src/groups.rs
+++ b/crates/coordinator/src/groups.rs
@@ -3,9 +3,10 @@
 
 use crate::asks::{Written, engine_ask};
 use crate::core::{Core, Event};
-use crate::relays::{self, About};
+use crate::relays::{self, About, GroupId};
 use bn_engine::{Answer, Call, What};
-use bn_group::pilot::{self, Ask, Command, Note, Pilot, Reply, Shape};
+use bn_group::Muster;
+use bn_group::pilot::{self, Ask, Command, EngineId, Note, Pilot, Reply, Shape, Used, View};
 use bn_quorum::Role;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{EngineAnswers, EngineAsks};
@@ -14,6 +15,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Numbers of calls that ask for groups begin here, far from those of pilots.
+const MUSTER_CALLS: u64 = 1 << 62;
+/// Such calls of one term at most.
+const PER_TERM: u64 = 1 << 20;
+
 /// What the leader keeps of groups.
 #[derive(Default)]
 pub(crate) struct Groups {
@@ -22,7 +28,11 @@
     version: u64,
     /// Services whose engines share experts.
     shapes: IndexMap<String, Shape>,
-    pilots: IndexMap<String, Pilot>,
+    /// Who forms which group, by service.
+    musters: IndexMap<String, Muster>,
+    pilots: IndexMap<GroupId, Pilot>,
+    /// The most that pilots of this term have used.
+    used: Used,
     written: Written,
 }
 
@@ -32,6 +42,7 @@
     pub(crate) fn steer_groups(&mut self, now: Duration) {
         if self.quorum.role() != Role::Leader {
             self.groups.pilots.clear();
+            self.groups.musters.clear();
             return;
         }
         self.drop_overdue(now);
@@ -39,29 +50,84 @@
         if self.groups.term != term {
             self.groups.term = term;
             self.groups.pilots.clear();
+            self.groups.musters.clear();
+            self.groups.used = Used::default();
         }
         self.read_shapes();
         for (service, shape) in self.groups.shapes.clone() {
-            let pilot = self.groups.pilots.entry(service.clone());
-            let pilot = pilot.or_insert_with(|| Pilot::new(term, shape));
-            if !pilot.is_due(now) {
+            self.muster(now, &service);
+            self.steer_service(now, &service, shape);
+        }
+    }
+
+    /// Has engines asked that have not told their group, or may have left it.
+    fn muster(&mut self, now: Duration, service: &str) {
+        let engines = self.engines_of(service);
+        let groups = &mut self.groups;
+        let first = MUSTER_CALLS.wrapping_add(groups.term * PER_TERM);
+        let muster = groups.musters.entry(service.into());
+        let muster = muster.or_insert_with(|| Muster::new(first));
+        let pilots = &groups.pilots;
+        let unsure = |name: &str| {
+            let id = group_id(service, name);
+            pilots.get(&id).is_none_or(Pilot::is_unsure)
+        };
+        let calls = muster.tick(now, &engines, unsure);
+        if !calls.is_empty() {
+            self.carry(now, &group_id(service, ""), calls);
+        }
+    }
+
+    /// Moves the pilots of a service on, and makes those of groups that are new.
+    fn steer_service(&mut self, now: Duration, service: &str, shape: Shape) {
+        let Some(muster) = self.groups.musters.get(service) else {
+            return;
+        };
+        for name in muster.whole() {
+            let id = group_id(service, &name);
+            let known = self.groups.pilots.get(&id);
+            if known.is_some_and(|p| !p.is_due(now)) {
                 continue;
             }
-            let engines = self.engines_of(&service);
-            let Some(pilot) = self.groups.pilots.get_mut(&service) else {
-                continue;
-            };
-            let calls = pilot.tick(now, &engines);
-            self.carry(now, &service, calls);
+            let muster = self.groups.musters.get(service);
+            let members = muster.map_or_else(IndexMap::new, |m| m.members(&name));
+            let calls = self.tick_pilot(now, &id, shape, members);
+            self.carry(now, &id, calls);
         }
     }
 
+    fn tick_pilot(
+        &mut self,
+        now: Duration,
+        id: &GroupId,
+        shape: Shape,
+        members: IndexMap<EngineId, View>,
+    ) -> Vec<pilot::Call> {
+        let groups = &mut self.groups;
+        if !groups.pilots.contains_key(id) {
+            let mut pilot = Pilot::new(groups.term, shape);
+            pilot.go_above(groups.used);
+            let calls = pilot.begin(now, members);
+            groups.used = groups.used.or(pilot.used());
+            groups.pilots.insert(id.clone(), pilot);
+            return calls;
+        }
+        let Some(pilot) = groups.pilots.get_mut(id) else {
+            return Vec::new();
+        };
+        pilot.go_above(groups.used);
+        let engines: Vec<EngineId> = members.into_keys().collect();
+        let calls = pilot.tick(now, &engines);
+        groups.used = groups.used.or(pilot.used());
+        calls
+    }
+
     /// Asks that a relay left unanswered: the pilot asks again, straight this time.
     fn drop_overdue(&mut self, now: Duration) {
         for ask in self.relays.overdue(now) {
             self.net.forget(ask.head);
             self.note_silent_relay(ask.head, ask.about);
-            self.on_called(now, &ask.service, ask.call, Reply::Silent);
+            self.on_called(now, &ask.group, ask.call, Reply::Silent);
         }
     }
 
@@ -85,28 +151,50 @@
             // Counts are of all engines together: they go with any one.
             let lately = answer.view.as_ref().and_then(|_| lately.take());
             let reply = relays::read(ask.about, answer, lately);
-            self.on_called(now, &ask.service, ask.call, reply);
+            self.on_called(now, &ask.group, ask.call, reply);
         }
     }
 
-    pub(crate) fn on_called(&mut self, now: Duration, service: &str, call: u64, reply: Reply) {
-        let Some(pilot) = self.groups.pilots.get_mut(service) else {
-            return;
-        };
+    pub(crate) fn on_called(&mut self, now: Duration, group: &GroupId, call: u64, reply: Reply) {
         let odd = match reply {
             Reply::Conflict | Reply::Fenced | Reply::Odd | Reply::Silent => Some(reply.clone()),
             Reply::Done | Reply::View(_) | Reply::Counts(..) | Reply::List(..) => None,
         };
         if let Some(odd) = odd {
-            let fields = json!({ "service": service, "call": call, "reply": format!("{odd:?}") });
+            let fields = json!({
+                "service": group.service, "group": group.name, "call": call,
+                "reply": format!("{odd:?}"),
+            });
             self.lines.put("engine_call_failed", fields);
         }
+        if group.name.is_empty() {
+            return self.on_mustered(now, &group.service, call, reply);
+        }
+        let Some(pilot) = self.groups.pilots.get_mut(group) else {
+            return;
+        };
         let calls = pilot.reply(now, call, reply);
+        self.groups.used = self.groups.used.or(pilot.used());
         let notes = pilot.notes();
         for note in notes {
-            self.note_group(service, &note);
+            self.note_group(group, &note);
+        }
+        self.carry(now, group, calls);
+    }
+
+    /// An engine told its group: gateways are told, too, since the ranks of a group share
+    /// their pace.
+    fn on_mustered(&mut self, now: Duration, service: &str, call: u64, reply: Reply) {
+        let Some(muster) = self.groups.musters.get_mut(service) else {
+            return;
+        };
+        let Some(name) = muster.reply(call, reply) else {
+            return;
+        };
+        let members = muster.members(&name);
+        for engine in members.keys() {
+            self.on_grouped(now, engine, &name);
         }
-        self.carry(now, service, calls);
     }
 
     fn engines_of(&self, service: &str) -> Vec<String> {
@@ -132,29 +220,29 @@
         }
     }
 
-    fn carry(&mut self, now: Duration, service: &str, calls: Vec<pilot::Call>) {
+    fn carry(&mut self, now: Duration, group: &GroupId, calls: Vec<pilot::Call>) {
         let port = self.inbox.port();
         let mut beside = Vec::new();
         for call in calls {
             let record = self.registry.get(&call.engine);
             let Some(address) = record.and_then(|r| r.address) else {
-                self.hand_back(service, call.call, Reply::Silent);
+                self.hand_back(group, call.call, Reply::Silent);
                 continue;
             };
             let relay = self.relays.beside(now, address, port);
             match relay.filter(|_| goes_by_relay(&call)) {
                 Some(relay) => beside.push((relay, call)),
-                None => self.call_straight(service, address, call),
+                None => self.call_straight(group, address, call),
             }
         }
         let part = relays::part(beside.len());
         for calls in beside.chunks(part) {
-            self.ask_relays(now, service, calls);
+            self.ask_relays(now, group, calls);
         }
     }
 
     /// Asks some relays, all by way of one of them.
-    fn ask_relays(&mut self, now: Duration, service: &str, calls: &[(SocketAddr, pilot::Call)]) {
+    fn ask_relays(&mut self, now: Duration, group: &GroupId, calls: &[(SocketAddr, pilot::Call)]) {
         // Any of them: one that is dead is found out and passed over.
         let at = rand::random_range(0..calls.len().max(1));
         let Some((head, _)) = calls.get(at) else {
@@ -176,18 +264,18 @@
             asks.asks.push(ask);
             let to = (*relay, *head);
             self.relays
-                .asked(now, number, (service, call.call), to, about);
+                .asked(now, number, (group, call.call), to, about);
         }
         self.net.send(*head, Body::EngineAsks(asks));
     }
 
-    fn call_straight(&mut self, service: &str, address: SocketAddr, call: pilot::Call) {
+    fn call_straight(&mut self, group: &GroupId, address: SocketAddr, call: pilot::Call) {
         let (path, body, read) = self.groups.written.call(call.ask);
-        let (ring, service) = (self.ring.clone(), service.to_string());
+        let (ring, group) = (self.ring.clone(), group.clone());
         let number = call.call;
         let done = move |answer: Answer| {
             let reply = answer.map_or(Reply::Silent, |(status, body)| read(status, &body));
-            let called = Event::Called(service, number, reply);
+            let called = Event::Called(group, number, reply);
             if ring.try_send(called).is_err() {
                 metrics::counter!("ring_lost_total").increment(1);
             }
@@ -203,17 +291,17 @@
         });
     }
 
-    fn hand_back(&self, service: &str, call: u64, reply: Reply) {
-        let called = Event::Called(service.into(), call, reply);
+    fn hand_back(&self, group: &GroupId, call: u64, reply: Reply) {
+        let called = Event::Called(group.clone(), call, reply);
         if self.ring.try_send(called).is_err() {
             metrics::counter!("ring_lost_total").increment(1);
         }
     }
 
-    fn note_group(&self, service: &str, note: &Note) {
+    fn note_group(&self, group: &GroupId, note: &Note) {
         let (before, after) = note.skew.map_or((None, None), |(b, a)| (Some(b), Some(a)));
         let fields = json!({
-            "service": service, "number": note.number, "term": self.groups.term,
+            "service": group.service, "group": group.name, "number": note.number, "term": self.groups.term,
             "skew_before": before, "skew_after": after, "slowest_pace": note.pace,
         });
         self.lines.put(note.event, fields);
@@ -236,6 +324,13 @@
     first != call.tries.is_multiple_of(2)
 }
 
+fn group_id(service: &str, name: &str) -> GroupId {
+    GroupId {
+        service: service.into(),
+        name: name.into(),
+    }
+}
+
 fn shapes(plan: &bn_settle::Plan) -> IndexMap<String, Shape> {
     let grouped = plan.services().values().filter_map(|s| {
         let experts = s.engine?.experts?;
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -20,7 +20,7 @@
 pub use self::directory::Directory;
 pub use self::groups::goes_by_relay;
 pub use self::news::Lag;
-pub use self::relays::{About, Ask as RelayAsk, Relays, part};
+pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, part};
 
 use snafu::Snafu;
 
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -113,6 +113,19 @@
         }
     }
 
+    /// A backend server told its lock-step group.
+    pub(crate) fn on_grouped(&mut self, now: Duration, id: &str, group: &str) {
+        let Some(record) = self.registry.get(id).filter(|r| r.group != group) else {
+            return;
+        };
+        let record = Record {
+            group: group.into(),
+            ..record.clone()
+        };
+        let change = self.registry.take(now, record);
+        self.spread(id, change, "grouped");
+    }
+
     pub(crate) fn on_leave(&mut self, now: Duration, id: &str) {
         let change = self.registry.leave(now, id);
         self.spread(id, change, "left");
@@ -272,6 +285,6 @@
     json!({
         "id": record.id, "service": record.service, "address": record.address,
         "condition": format!("{:?}", record.condition), "sequence": record.sequence,
-        "began": record.began, "source": source,
+        "began": record.began, "group": record.group, "source": source,
     })
 }
--- a/crates/coordinator/src/relays.rs
+++ b/crates/coordinator/src/relays.rs
@@ -39,12 +39,22 @@
     Order,
 }
 
+/// A lock-step group of a service; without a name, what asks all engines of the service for
+/// their groups.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct GroupId {
+    /// Its service.
+    pub service: String,
+    /// Its name there.
+    pub name: String,
+}
+
 /// An ask under way.
 #[derive(Debug, Clone)]
 pub struct Ask {
-    /// Service of the group.
-    pub service: String,
-    /// Number of the pilot's call.
+    /// Whose call it is.
+    pub group: GroupId,
+    /// Number of the call.
     pub call: u64,
     /// Inbox of the relay beside the engine.
     pub relay: SocketAddr,
@@ -71,12 +81,12 @@
     }
 
     /// An ask with this number is on its way to a relay, by way of
-    /// `head`; `call` is the pilot's for a service.
+    /// `head`; `call` is that of a group's pilot.
     pub fn asked(
         &mut self,
         now: Duration,
         number: u64,
-        call: (&str, u64),
+        call: (&GroupId, u64),
         (relay, head): (SocketAddr, SocketAddr),
         about: About,
     ) {
@@ -85,7 +95,7 @@
             About::Look | About::Order => TIMEOUT,
         };
         let ask = Ask {
-            service: call.0.into(),
+            group: call.0.clone(),
             call: call.1,
             relay,
             head,
--- a/crates/coordinator/tests/relays.rs
+++ b/crates/coordinator/tests/relays.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use bn_coordinator::{About, Relays, goes_by_relay, part};
+use bn_coordinator::{About, GroupId, Relays, goes_by_relay, part};
 use bn_group::pilot::{Ask, Call, Command};
 use googletest::prelude::*;
 use std::net::SocketAddr;
@@ -70,7 +70,11 @@
 fn a_silent_relay_is_passed_over_for_a_while() {
     let mut relays = Relays::default();
     let relay = relays.beside(at(0), engine(), PORT).unwrap();
-    relays.asked(at(0), 7, ("s", 3), (relay, relay), About::Look);
+    let group = GroupId {
+        service: "s".into(),
+        name: "g".into(),
+    };
+    relays.asked(at(0), 7, (&group, 3), (relay, relay), About::Look);
 
     let early = relays.overdue(at(300)).len();
     let late: Vec<u64> = relays.overdue(at(700)).iter().map(|a| a.call).collect();
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -168,9 +168,9 @@
 
     fn register(&mut self, record: Record) {
         let known = self.registered.get(&record.id);
-        if known.is_some_and(|held| !record.follows(held)) {
+        let Some(record) = known.map_or(Some(record.clone()), |held| record.over(held)) else {
             return;
-        }
+        };
         let again = known.is_some_and(|held| held.began != record.began);
         let mut state = self.shared.state();
         if again {
@@ -184,6 +184,7 @@
                 let (id, service) = (&record.id, &record.service);
                 let mut server = Server::new(id, service, address, &record.domain, record.slots);
                 server.began = record.began;
+                server.join(&record.group);
                 server.leaving = condition == Condition::Draining;
                 state.fleet.put(server);
             }
@@ -196,7 +197,7 @@
         let fields = json!({
             "id": record.id, "service": record.service, "address": record.address,
             "condition": format!("{:?}", record.condition), "sequence": record.sequence,
-            "began": record.began,
+            "began": record.began, "group": record.group,
         });
         self.shared.lines.put("backend_server", fields);
         self.registered.insert(record.id.clone(), record);
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -122,9 +122,7 @@
             let now = shared.now();
             let mut state = shared.state();
             state.fleet.stands_still(now, id);
-            if let Some(pace) = state.paces.get_mut(&ticket.service) {
-                pace.forget();
-            }
+            state.forget_pace_of(id);
             tries.sent += 1;
         }
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -11,7 +11,8 @@
 use crate::shared::{Shared, State};
 use crate::ticket::Ticket;
 use bn_limit::Waiting;
-use bn_route::{Lack, ServerId, Want, room_for};
+use bn_route::{Lack, Pace, ServerId, Unit, Want, room_for};
+use indexmap::IndexMap;
 use std::time::Duration;
 
 /// Load over slots up to which a backend server of a plain service is taken. Above 1 a
@@ -89,26 +90,36 @@
     ticket: &Ticket,
     tried: &[ServerId],
 ) -> Result<Seat, Lack> {
-    let room = match ticket.streams() {
-        true => state
-            .paces
-            .entry(ticket.service.clone())
-            .or_default()
-            .room(),
-        false => ROOM,
+    let now = shared.now();
+    let late = outwaits(ticket, now);
+    let (paces, service) = (&state.paces, ticket.service.as_str());
+    let room = |unit: &str| {
+        let streams = || known_pace(paces, unit, service).map_or(Pace::FIRST, Pace::room);
+        let room = if ticket.streams() { streams() } else { ROOM };
+        room_for(late, room)
     };
     let want = Want {
         service: &ticket.service,
         tried,
-        room: room_for(outwaits(ticket, shared.now()), room),
+        room: &room,
     };
-    let picked = state.fleet.pick(shared.now(), &want, rand::random::<f64>);
+    let picked = state.fleet.pick(now, &want, rand::random::<f64>);
     let server = picked.cloned()?;
-    let now = shared.now();
+    if ticket.streams() && !state.paces.contains_key(&server.unit) {
+        let pace = known_pace(&state.paces, &server.unit, &server.service).cloned();
+        let unit = server.unit.clone();
+        state.paces.insert(unit, pace.unwrap_or_default());
+    }
     state.fleet.sent(now, &server.id);
     Ok(Seat::new(shared, server))
 }
 
+/// Pace of a unit. What was learnt before its backend servers told their groups counts for
+/// each of them.
+fn known_pace<'a>(paces: &'a IndexMap<Unit, Pace>, unit: &str, service: &str) -> Option<&'a Pace> {
+    paces.get(unit).or_else(|| paces.get(service))
+}
+
 /// Whether a request waits for a group that stands still to run again. One that comes for
 /// the first time is told when to come back; one that has been told so comes no more, and is
 /// better served late than not at all. So is one that waited past its target already, for the
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,7 +2,7 @@
 //! across a wait.
 
 use bn_limit::Queue;
-use bn_route::{Allowance, Bounds, Fleet, Pace, Patience, Retries};
+use bn_route::{Allowance, Bounds, Fleet, Pace, Patience, Retries, Server, Unit};
 use bn_serve::client::Pool;
 use bn_settle::Plan;
 use bn_trace::Lines;
@@ -46,8 +46,8 @@
     pub(crate) retries: IndexMap<String, Retries>,
     /// Requests that wait for a place, by service.
     pub(crate) lines: IndexMap<String, Queue>,
-    /// Room of services that stream.
-    pub(crate) paces: IndexMap<String, Pace>,
+    /// Room of what streams, by unit.
+    pub(crate) paces: IndexMap<Unit, Pace>,
     /// When the next line on room is due.
     room_line_due: Duration,
     /// How long callers wait, by route.
@@ -56,6 +56,16 @@
     pub(crate) gateways: u32,
 }
 
+impl State {
+    /// What a backend server is a part of stands still: what was learnt of it is void.
+    pub(crate) fn forget_pace_of(&mut self, id: &str) {
+        let unit = self.fleet.get(id).map(|s| &s.unit);
+        if let Some(pace) = unit.and_then(|u| self.paces.get_mut(u)) {
+            pace.forget();
+        }
+    }
+}
+
 impl std::ops::Deref for Shared {
     type Target = Inner;
 
@@ -133,8 +143,9 @@
         !self.is_closing() && self.state().plan.is_some()
     }
 
-    /// A stream of `service` brought an event `pause` after the one before.
-    pub(crate) fn saw_pause(&self, service: &str, pause: Duration, limit: Duration) {
+    /// A stream from `server` brought an event `pause` after the one before.
+    pub(crate) fn saw_pause(&self, server: &Server, pause: Duration, limit: Duration) {
+        let Server { service, unit, .. } = server;
         let now = self.now();
         let mut state = self.state();
         let State {
@@ -145,7 +156,7 @@
             room_line_due,
             ..
         } = &mut *state;
-        let Some(pace) = paces.get_mut(service) else {
+        let Some(pace) = paces.get_mut(unit) else {
             // Made when the stream was placed.
             return;
         };
@@ -156,26 +167,28 @@
             limit,
             idle: engine.map_or(Duration::ZERO, |e| e.idle_pass()),
         };
-        let judged = pace.saw(now, pause, bounds, || fleet.mean_load(now, service));
+        let judged = pace.saw(now, pause, bounds, || fleet.mean_load(now, unit));
         let Some(judged) = judged else {
             return;
         };
-        metrics::gauge!("service_room", "service" => service.to_string()).set(judged.room);
+        metrics::gauge!("service_room", "unit" => unit.clone()).set(judged.room);
         if now < *room_line_due {
             return;
         }
         *room_line_due = now + ROOM_LINE_GAP;
         let fields = json!({
-            "service": service, "room": judged.room, "load": judged.load,
+            "service": service, "unit": unit, "room": judged.room, "load": judged.load,
             "pause": judged.pause, "waiting": queues.get(service).map_or(0, Queue::len),
         });
         self.lines.put("room", fields);
     }
 
-    /// Room of a service, where it streams, and requests that wait for a place.
+    /// Most room of the units of a service, where it streams, and requests that wait for a place.
     pub(crate) fn room_of(&self, service: &str) -> (Option<f64>, usize) {
         let state = self.state();
-        let room = state.paces.get(service).map(Pace::room);
+        let units = state.fleet.units_of(service).into_iter();
+        let rooms = units.filter_map(|u| state.paces.get(u).map(Pace::room));
+        let room = rooms.reduce(f64::max);
         (room, state.lines.get(service).map_or(0, Queue::len))
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,6 +10,7 @@
 use crate::shared::{Flight, Shared};
 use crate::ticket::{Ticket, strip_hop};
 use bn_platform::header;
+use bn_route::Server;
 use bn_serve::Body;
 use bn_settle::Route;
 use http_body_util::{BodyExt, StreamBody};
@@ -164,7 +165,7 @@
         let (mut body, mut source) = (body, source);
         loop {
             let id = source.seat.server.id.clone();
-            match self.read(&mut body).await {
+            match self.read(&mut body, &source.seat.server).await {
                 End::Whole => {
                     let shared = &self.shared;
                     let now = shared.now();
@@ -191,7 +192,7 @@
         }
     }
 
-    async fn read(&mut self, body: &mut Incoming) -> End {
+    async fn read(&mut self, body: &mut Incoming, server: &Server) -> End {
         let until = self.ticket.left(self.shared.now());
         let late = tokio::time::sleep(until);
         let mut late = std::pin::pin!(late);
@@ -215,8 +216,8 @@
             };
             let now = self.shared.now();
             if let Some(pause) = self.timing.event(now, self.ticket.arrived) {
-                let (service, limit) = (&self.ticket.service, self.ticket.route.pause);
-                self.shared.saw_pause(service, pause, limit);
+                let limit = self.ticket.route.pause;
+                self.shared.saw_pause(server, pause, limit);
             }
             let sent = tokio::select! {
                 sent = self.pieces.send(Ok(Frame::data(events))) => sent,
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -5,6 +5,7 @@
 mod balance;
 mod coordinator;
 mod map;
+mod muster;
 pub mod pilot;
 mod rank;
 mod spread;
@@ -12,6 +13,7 @@
 pub use balance::{Costs, Estimate, Plan, plan, repack, skew, step_cost};
 pub use coordinator::{Action, Coordinator, Settled};
 pub use map::{ExpertMap, MapFault};
+pub use muster::{GroupName, Muster};
 pub use rank::{Order, OrderKind, OrderRefusal, Rank, RankReport};
 pub use spread::{Limits, lag, spread};
 
--- /dev/null
+++ b/crates/group/src/muster.rs
@@ -0,0 +1,103 @@
+//! Which engines form which lock-step group, learnt from what they report themselves. The
+//! engines of one service may form several groups; one that belongs to none yet is left alone.
+
+use crate::pilot::{Ask, Call, EngineId, Reply, View};
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Name of a group within its service.
+pub type GroupName = String;
+
+/// Between two asks of engines whose group is not known or not sure: a group that lacks a rank
+/// forms again some hundred milliseconds after it is back.
+const GAP: Duration = Duration::from_millis(600);
+
+/// The groups of one service.
+#[derive(Debug, Clone, Default)]
+pub struct Muster {
+    /// What engines reported last.
+    views: IndexMap<EngineId, View>,
+    asked: IndexMap<u64, EngineId>,
+    calls: u64,
+    due: Duration,
+}
+
+impl Muster {
+    /// Begins; numbers of calls begin at `first`, so that replies to an earlier one fit none.
+    pub fn new(first: u64) -> Muster {
+        Muster {
+            calls: first,
+            ..Muster::default()
+        }
+    }
+
+    /// Lets time pass; `engines` are those that are registered now, `unsure` says of which
+    /// groups the ranks may have changed.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        engines: &[EngineId],
+        unsure: impl Fn(&str) -> bool,
+    ) -> Vec<Call> {
+        self.views.retain(|e, _| engines.contains(e));
+        let fresh = engines.iter().any(|e| !self.is_known(e));
+        if now < self.due && !fresh {
+            return Vec::new();
+        }
+        self.due = now + GAP;
+        let open = |e: &&EngineId| {
+            let view = self.views.get(*e);
+            view.is_none_or(|v| v.group.is_empty() || unsure(&v.group))
+        };
+        let open: Vec<EngineId> = engines.iter().filter(open).cloned().collect();
+        self.asked.retain(|_, e| !open.contains(e));
+        open.into_iter().map(|e| self.ask(e)).collect()
+    }
+
+    /// Takes the reply to a call; returns the group whose ranks are not as before.
+    pub fn reply(&mut self, call: u64, reply: Reply) -> Option<GroupName> {
+        let engine = self.asked.shift_remove(&call)?;
+        let Reply::View(view) = reply else {
+            return None;
+        };
+        let group = view.group.clone();
+        self.views.insert(engine, view);
+        (!group.is_empty()).then_some(group)
+    }
+
+    /// Groups of which every rank is known.
+    pub fn whole(&self) -> Vec<GroupName> {
+        let mut counts: IndexMap<&str, (usize, u32)> = IndexMap::new();
+        for view in self.views.values().filter(|v| !v.group.is_empty()) {
+            let (known, size) = counts.entry(&view.group).or_default();
+            *known += 1;
+            *size = view.size;
+        }
+        let whole = counts
+            .into_iter()
+            .filter(|(_, (known, size))| *known >= *size as usize);
+        whole.map(|(name, _)| name.to_string()).collect()
+    }
+
+    /// Engines of a group, and what they reported last.
+    pub fn members(&self, group: &str) -> IndexMap<EngineId, View> {
+        let members = self.views.iter().filter(|(_, v)| v.group == group);
+        members.map(|(e, v)| (e.clone(), v.clone())).collect()
+    }
+
+    fn is_known(&self, engine: &EngineId) -> bool {
+        self.views.contains_key(engine) || self.asked.values().any(|e| e == engine)
+    }
+
+    fn ask(&mut self, engine: EngineId) -> Call {
+        self.calls += 1;
+        let call = self.calls;
+        self.asked.insert(call, engine.clone());
+        Call {
+            call,
+            engine,
+            tries: 1,
+            ask: Ask::Report,
+        }
+    }
+}
--- a/crates/group/src/pilot/mod.rs
+++ b/crates/group/src/pilot/mod.rs
@@ -113,6 +113,29 @@
     sure: bool,
 }
 
+/// Numbers that a pilot has used in its term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Used {
+    /// Calls.
+    pub calls: u64,
+    /// Fencing tokens.
+    pub tokens: u64,
+    /// Versions of maps.
+    pub versions: u64,
+}
+
+impl Used {
+    /// The highest of both.
+    #[must_use]
+    pub fn or(self, other: Used) -> Used {
+        Used {
+            calls: self.calls.max(other.calls),
+            tokens: self.tokens.max(other.tokens),
+            versions: self.versions.max(other.versions),
+        }
+    }
+}
+
 /// The switching of one group by one leader.
 #[derive(Debug, Clone)]
 pub struct Pilot {
@@ -183,6 +206,35 @@
         }
     }
 
+    /// Begins with ranks that reported just now, without asking them again.
+    pub fn begin(&mut self, now: Duration, members: IndexMap<EngineId, View>) -> Vec<Call> {
+        self.registered = members.keys().cloned().collect();
+        let back = members.into_iter().map(|(e, v)| (e, Reply::View(v)));
+        self.met(now, back.collect())
+    }
+
+    /// The ranks may not be those that were known: something was in the way.
+    pub fn is_unsure(&self) -> bool {
+        self.registered.is_empty()
+    }
+
+    /// How far calls, tokens and versions have gone.
+    pub fn used(&self) -> Used {
+        Used {
+            calls: self.calls,
+            tokens: self.tokens,
+            versions: self.versions,
+        }
+    }
+
+    /// Goes on above what other pilots of the same term used: ranks that change groups have seen
+    /// their tokens and versions, and would refuse lower ones.
+    pub fn go_above(&mut self, used: Used) {
+        self.calls = self.calls.max(used.calls);
+        self.tokens = self.tokens.max(used.tokens);
+        self.versions = self.versions.max(used.versions);
+    }
+
     /// What happened since the last call.
     pub fn notes(&mut self) -> Vec<Note> {
         std::mem::take(&mut self.notes)
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -52,6 +52,9 @@
     pub condition: Condition,
     /// Number of its latest announcement.
     pub sequence: Sequence,
+    /// Lock-step group that it is a rank of, as it told the coordinator that leads; empty where
+    /// none is known. It comes apart from announcements, so these don't take it away.
+    pub group: String,
 }
 
 /// What taking a record in did.
@@ -81,9 +84,22 @@
 }
 
 impl Record {
-    /// This is news of `held`, not older than it and not of an earlier start.
-    pub fn follows(&self, held: &Record) -> bool {
-        follows(held, self)
+    /// What holds of a backend server of which `held` is known, once this has come too; none
+    /// where it brings nothing.
+    pub fn over(&self, held: &Record) -> Option<Record> {
+        let newer = follows(held, self);
+        let regrouped = self.began == held.began && !self.group.is_empty();
+        let regrouped = regrouped && self.group != held.group;
+        if !newer && !regrouped {
+            return None;
+        }
+        let mut record = if newer { self.clone() } else { held.clone() };
+        if regrouped {
+            record.group.clone_from(&self.group);
+        } else if self.began == held.began {
+            record.group.clone_from(&held.group);
+        }
+        Some(record)
     }
 }
 
@@ -106,9 +122,9 @@
             self.rows.insert(id, row);
             return Change::News;
         };
-        if !follows(&row.record, &record) {
+        let Some(record) = record.over(&row.record) else {
             return Change::Stale;
-        }
+        };
         row.heard = now;
         let same = Record {
             sequence: row.record.sequence,
@@ -135,6 +151,7 @@
             slots: 0,
             condition: Condition::Gone,
             sequence: 0,
+            group: String::new(),
         });
         let gone = Record {
             condition: Condition::Gone,
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -24,6 +24,7 @@
             },
             sequence: r.sequence,
             began: r.began,
+            group: r.group.clone(),
         }
     }
 }
@@ -44,6 +45,7 @@
         Ok(Record {
             id: r.id,
             began: r.began,
+            group: r.group,
             service: r.service,
             address,
             domain: r.domain,
--- a/crates/registry/tests/table.rs
+++ b/crates/registry/tests/table.rs
@@ -23,6 +23,7 @@
         slots: 4,
         condition,
         sequence,
+        group: String::new(),
     }
 }
 
@@ -153,3 +154,26 @@
         expect_that!(registry.get("a").unwrap().sequence, eq(1), "{late:?}");
     }
 }
+
+/// Symptom: gateways fill ranks of several groups as if they were one. Sequence: the leader learns
+/// the group of a rank; the rank announces itself again, which says nothing of groups. Cause: the
+/// later announcement took the group away, or the group was refused for its old sequence.
+#[googletest::test]
+fn a_group_outlasts_announcements_and_ends_with_a_start() {
+    let mut registry = Registry::default();
+    registry.take(NOW, started("a", 1_000, 5, Condition::Ready));
+    let told = Record {
+        group: "g".into(),
+        ..started("a", 1_000, 3, Condition::Ready)
+    };
+
+    let change = registry.take(NOW, told);
+    registry.take(NOW, started("a", 1_000, 6, Condition::Draining));
+    let kept = registry.get("a").unwrap().clone();
+    registry.take(NOW, started("a", 2_000, 1, Condition::Ready));
+
+    expect_that!(change, eq(Change::News));
+    expect_that!((kept.group.as_str(), kept.sequence), eq(("g", 6)));
+    expect_that!(kept.condition, eq(Condition::Draining));
+    expect_that!(registry.get("a").unwrap().group.as_str(), eq(""));
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -2,12 +2,14 @@
 //! registered, the load they tell with their answers, and how requests fared there.
 
 use crate::standing::Standing;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Id of a backend server.
 pub type ServerId = String;
+/// What shares fate and pace: a lock-step group, or a service without groups.
+pub type Unit = String;
 /// Which start of a backend server, in Unix milliseconds; 0 where it does not tell.
 pub type Began = u64;
 
@@ -52,6 +54,8 @@
     pub began: Began,
     /// Its service.
     pub service: String,
+    /// What it shares fate and pace with.
+    pub unit: Unit,
     /// Where it takes requests.
     pub address: SocketAddr,
     /// Failure domain.
@@ -76,6 +80,7 @@
             id: id.into(),
             began: 0,
             service: service.into(),
+            unit: service.into(),
             address,
             domain: domain.into(),
             slots,
@@ -87,6 +92,13 @@
         }
     }
 
+    /// It is a rank of this lock-step group of its service; empty: of none.
+    pub fn join(&mut self, group: &str) {
+        if !group.is_empty() {
+            self.unit = format!("{}/{group}", self.service);
+        }
+    }
+
     /// Requests there now, predicted: those of this gateway, and of others what was told
     /// as far as it still holds, else `usual` of each slot.
     pub fn load(&self, now: Duration, usual: f64) -> f64 {
@@ -104,22 +116,23 @@
         self.mine
     }
 
-    fn cost(&self, now: Duration, usual: f64, near: bool) -> f64 {
-        let slots = self.slots();
+    /// `part` is what its unit bears against the one that bears most.
+    fn cost(&self, now: Duration, usual: f64, part: f64, near: bool) -> f64 {
+        let slots = self.slots() * part;
         let far = if near { 0.0 } else { FAR };
         (self.load(now, usual) + 1.0) / slots + far + FAILING * self.standing.failing()
     }
 }
 
 /// What a request asks of the fleet.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct Want<'a> {
     /// The service.
     pub service: &'a str,
     /// Backend servers it was sent to already.
     pub tried: &'a [ServerId],
-    /// Load over slots up to which a backend server is taken.
-    pub room: f64,
+    /// Load over slots up to which a backend server of a unit is taken.
+    pub room: &'a dyn Fn(&str) -> f64,
 }
 
 /// Why there is no backend server for a request.
@@ -133,15 +146,21 @@
     Still,
 }
 
+/// What one backend server of a unit bears, and what others cause there.
+struct Bearing {
+    room: f64,
+    usual: f64,
+}
+
 /// All backend servers that a gateway knows.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
     servers: IndexMap<ServerId, Server>,
     domain: String,
-    /// Load over slots that others cause, by service: its mean of late, and when it was heard.
-    heard: IndexMap<String, (f64, Duration)>,
-    /// Services whose group stands still, and when the next probe may go there.
-    still: IndexMap<String, Duration>,
+    /// Load over slots that others cause, by unit: its mean of late, and when it was heard.
+    heard: IndexMap<Unit, (f64, Duration)>,
+    /// Units that stand still, and when the next probe may go there.
+    still: IndexMap<Unit, Duration>,
     /// Other gateways that send requests to the same backend servers.
     pub peers: u32,
 }
@@ -163,6 +182,7 @@
         match self.servers.get_mut(&server.id) {
             Some(known) => {
                 known.leaving = server.leaving;
+                known.unit = server.unit;
                 known.slots = server.slots;
             }
             None => {
@@ -181,8 +201,8 @@
         self.servers.get(id)
     }
 
-    /// Picks the backend server that costs least; `random` gives numbers in `0..1`.
-    /// Where all are out for failing, the one that has been longest is tried: being
+    /// Picks the backend server that costs least; `random` gives numbers in `0..1`. Load counts
+    /// against what its unit bears: a slow group is full sooner than a quick one. Where all are out for failing, the one that has been longest is tried: being
     /// refused at once is worse than one more failure.
     pub fn pick(
         &self,
@@ -195,40 +215,61 @@
         if open.is_empty() {
             return Err(Lack::Servers);
         }
-        if self
-            .still
-            .get(want.service)
-            .is_some_and(|probe| now < *probe)
-        {
+        let moves = |s: &&Server| self.still.get(&s.unit).is_none_or(|probe| now >= *probe);
+        let open: Vec<&Server> = open.into_iter().filter(moves).collect();
+        if open.is_empty() {
             return Err(Lack::Still);
         }
-        let usual = self.usual(now, &open);
-        let sound: Vec<&Server> = open
-            .iter()
-            .copied()
-            .filter(|s| !s.standing.out(now))
-            .collect();
-        if sound.is_empty() {
+        if open.iter().all(|s| s.standing.out(now)) {
             let first = open.into_iter().min_by_key(|s| s.standing.back_at());
             return first.ok_or(Lack::Servers);
         }
-        let has_room =
-            |s: &&Server| s.load(now, usual) < want.room * s.slots() * s.standing.share(now);
-        let priced = sound.into_iter().filter(has_room).map(|s| {
+        let units = self.units(now, want, &open);
+        let widest = units.values().map(|u| u.room).fold(0.0, f64::max);
+        let sound = open.into_iter().filter(|s| !s.standing.out(now));
+        let priced = sound.filter_map(|s| {
+            let unit = units.get(s.unit.as_str())?;
+            let room = unit.room * s.slots() * s.standing.share(now);
+            let part = unit.room / widest.max(f64::MIN_POSITIVE);
             let near = s.domain == self.domain;
-            (s.cost(now, usual, near) + JITTER * random(), s)
+            let cost = s.cost(now, unit.usual, part, near) + JITTER * random();
+            (s.load(now, unit.usual) < room).then_some((cost, s))
         });
         let best = priced.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, s)| s).ok_or(Lack::Room)
     }
 
+    /// Room and usual load of the units of these backend servers.
+    fn units<'a>(
+        &self,
+        now: Duration,
+        want: &Want<'_>,
+        open: &[&'a Server],
+    ) -> IndexMap<&'a str, Bearing> {
+        let mut units: IndexMap<&str, Vec<&Server>> = IndexMap::new();
+        for server in open {
+            units.entry(&server.unit).or_default().push(server);
+        }
+        let bearing = |(unit, servers): (&'a str, Vec<&Server>)| {
+            let (room, usual) = ((want.room)(unit), self.usual(now, &servers));
+            (unit, Bearing { room, usual })
+        };
+        units.into_iter().map(bearing).collect()
+    }
+
+    /// Units of a service.
+    pub fn units_of(&self, service: &str) -> IndexSet<&str> {
+        self.of(service).map(|s| s.unit.as_str()).collect()
+    }
+
     fn of<'a, 'b>(&'a self, service: &'b str) -> impl Iterator<Item = &'a Server> + use<'a, 'b> {
         self.servers.values().filter(move |s| s.service == service)
     }
 
-    /// Mean load over slots of a service's backend servers that take work.
-    pub fn mean_load(&self, now: Duration, service: &str) -> f64 {
-        let open: Vec<&Server> = self.of(service).filter(|s| !s.leaving).collect();
+    /// Mean load over slots of a unit's backend servers that take work.
+    pub fn mean_load(&self, now: Duration, unit: &str) -> f64 {
+        let taking = |s: &&Server| s.unit == unit && !s.leaving;
+        let open: Vec<&Server> = self.servers.values().filter(taking).collect();
         let usual = self.usual(now, &open);
         let loads = open.iter().map(|s| s.load(now, usual) / s.slots());
         loads.sum::<f64>() / open.len().max(1) as f64
@@ -241,7 +282,7 @@
     /// as this one. That is wrong by the share of gateways that callers do not reach: while
     /// three of seven were cut off, the others took a group that was half full for full.
     fn usual(&self, now: Duration, servers: &[&Server]) -> f64 {
-        let heard = servers.first().and_then(|s| self.heard.get(&s.service));
+        let heard = servers.first().and_then(|s| self.heard.get(&s.unit));
         if let Some((mean, at)) = heard
             && now < *at + HEARD_FOR
         {
@@ -259,7 +300,7 @@
     pub fn sent(&mut self, now: Duration, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
             server.mine += 1;
-            if let Some(probe) = self.still.get_mut(&server.service) {
+            if let Some(probe) = self.still.get_mut(&server.unit) {
                 *probe = now + STILL_PROBE;
             }
         }
@@ -268,13 +309,14 @@
     /// A rank says that its group stands still.
     pub fn stands_still(&mut self, now: Duration, id: &str) {
         if let Some(server) = self.servers.get(id) {
-            self.still.insert(server.service.clone(), now + STILL_PROBE);
+            self.still.insert(server.unit.clone(), now + STILL_PROBE);
         }
     }
 
-    /// Whether the group of a service stands still, as far as is known.
+    /// Whether all of a service stands still, as far as is known.
     pub fn is_still(&self, service: &str) -> bool {
-        self.still.contains_key(service)
+        let mut taking = self.of(service).filter(|s| !s.leaving).peekable();
+        taking.peek().is_some() && taking.all(|s| self.still.contains_key(&s.unit))
     }
 
     /// A request ended there, or turned out never to have arrived. One that went to an earlier
@@ -295,11 +337,11 @@
         let all = f64::from(told.running + told.waiting);
         server.others = (all - f64::from(server.mine)).max(0.0);
         server.told = now;
-        let (others, service) = (server.others / server.slots(), server.service.clone());
-        let alike: Vec<&Server> = self.of(&service).collect();
+        let (others, unit) = (server.others / server.slots(), server.unit.clone());
+        let alike: Vec<&Server> = self.servers.values().filter(|s| s.unit == unit).collect();
         let before = self.usual(now, &alike);
         let mean = before + HEARD * (others - before);
-        self.heard.insert(service, (mean, now));
+        self.heard.insert(unit, (mean, now));
     }
 
     /// A request failed there on its account; `true` where this puts it out.
@@ -312,7 +354,7 @@
     pub fn succeeded(&mut self, now: Duration, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
             server.standing.succeed(now);
-            self.still.shift_remove(&server.service);
+            self.still.shift_remove(&server.unit);
         }
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use backend::{Backend, Report};
 pub use budget::Budget;
-pub use fleet::{Began, Fleet, Lack, Server, ServerId, Told, Want};
+pub use fleet::{Began, Fleet, Lack, Server, ServerId, Told, Unit, Want};
 pub use health::Health;
 pub use pace::{Bounds, Judged, Pace, room_for};
 pub use patience::Patience;
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -33,10 +33,6 @@
 const UP: f64 = 0.3;
 /// Least room: one request a rank or two must always pass, else nothing is learnt.
 const LEAST: f64 = 0.25;
-/// Room at the start, before any pause was seen, and after the group stood still: it begins with
-/// a map that fits no demand, and bore a load of 0.3 with pauses of 0.7 of the limit. With half of
-/// the slots in its place, who had waited for the group filled it at once, and all were late.
-const FIRST: f64 = LEAST;
 
 /// Part of the room that requests get which are late already. What is left is for those that
 /// can still be in time, and are worth several times as much to their callers: in a burst those
@@ -73,7 +69,7 @@
     pub pause: f64,
 }
 
-/// Room of one service, as load over slots of a backend server.
+/// Room of one unit, as load over slots of a backend server.
 #[derive(Debug, Clone)]
 pub struct Pace {
     room: f64,
@@ -84,7 +80,7 @@
 impl Default for Pace {
     fn default() -> Pace {
         Pace {
-            room: FIRST,
+            room: Pace::FIRST,
             pauses: Vec::new(),
             began: Duration::ZERO,
         }
@@ -92,9 +88,14 @@
 }
 
 impl Pace {
+    /// Room at the start, before any pause was seen, and after the group stood still: it begins with
+    /// a map that fits no demand, and bore a load of 0.3 with pauses of 0.7 of the limit. With half of
+    /// the slots in its place, who had waited for the group filled it at once, and all were late.
+    pub const FIRST: f64 = LEAST;
+
     /// The group stands still: what was learnt of it does not hold when it runs again.
     pub fn forget(&mut self) {
-        self.room = FIRST;
+        self.room = Pace::FIRST;
         self.pauses.clear();
     }
 
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -22,7 +22,7 @@
     Want {
         service: "s",
         tried,
-        room: 1.0,
+        room: &|_| 1.0,
     }
 }
 
@@ -336,3 +336,54 @@
     expect_that!(again, eq([true; 3]));
     expect_that!(others, eq([false; 2]));
 }
+
+/// A fleet whose backend servers are ranks of two groups: b0 and b1 of `a`, b2 and b3 of `b`.
+fn two_groups() -> Fleet {
+    let mut fleet = Fleet::new("elsewhere");
+    for (n, group) in ["a", "a", "b", "b"].into_iter().enumerate() {
+        let address = ([10, 0, 0, n as u8], 80).into();
+        let mut server = Server::new(&format!("b{n}"), "s", address, "d", 4);
+        server.join(group);
+        fleet.put(server);
+    }
+    fleet
+}
+
+/// Symptom: all callers of a service are refused although two thirds of its ranks are well.
+/// Sequence: a rank of one group crashes; its group stands still. Cause: stillness was kept for
+/// the service as a whole.
+#[googletest::test]
+fn one_group_that_stands_still_leaves_the_others_alone() {
+    let mut fleet = two_groups();
+
+    fleet.stands_still(NOW, "b0");
+    let other = pick(&fleet, NOW, &[]);
+    let still = fleet.is_still("s");
+    fleet.stands_still(NOW, "b2");
+
+    expect_that!(other, ok(any![eq("b2"), eq("b3")]));
+    expect_false!(still);
+    expect_true!(fleet.is_still("s"));
+    expect_that!(pick(&fleet, NOW, &[]), err(eq(&Lack::Still)));
+}
+
+/// Symptom: streams at one group are late while another is half empty. Sequence: a rank of the
+/// first is slow, so that it bears a third; requests go to all ranks alike. Cause: load was
+/// counted against slots, not against what the group bears.
+#[googletest::test]
+fn a_group_that_bears_less_gets_less() {
+    let mut fleet = two_groups();
+    let bears = |unit: &str| if unit == "s/a" { 0.34 } else { 1.0 };
+    let want = Want {
+        room: &bears,
+        ..want(&[])
+    };
+    for _ in 0..8 {
+        let id = fleet.pick(NOW, &want, || 0.0).unwrap().id.clone();
+        fleet.sent(NOW, &id);
+    }
+
+    let mine = |id: &str| fleet.get(id).unwrap().mine();
+    expect_that!(mine("b0") + mine("b1"), eq(2));
+    expect_that!(mine("b2") + mine("b3"), eq(6));
+}
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -916,6 +916,9 @@
     /// Unix ms of the start that it speaks of; 0: not told
     #[prost(uint64, tag = "8")]
     pub began: u64,
+    /// lock-step group that it is a rank of; empty: none is known
+    #[prost(string, tag = "9")]
+    pub group: ::prost::alloc::string::String,
 }
 /// Gateway or coordinator to a coordinator, a few times a second: what it has, and
 /// what it is, so that the answer and the list of gateways stay current.
