--- a/crates/coordinator/src/groups.rs
+++ b/crates/coordinator/src/groups.rs
@@ -83,7 +83,13 @@
         let Some(muster) = self.groups.musters.get(service) else {
             return;
         };
-        for name in muster.whole() {
+        let mut names = muster.whole();
+        // One that lacks a rank may be held by its pilot, which must be able to end that.
+        let steered = self.groups.pilots.keys().filter(|g| g.service == service);
+        names.extend(steered.map(|g| g.name.clone()));
+        names.sort_unstable();
+        names.dedup();
+        for name in names {
             let id = group_id(service, &name);
             let known = self.groups.pilots.get(&id);
             if known.is_some_and(|p| !p.is_due(now)) {
--- a/crates/group/src/muster.rs
+++ b/crates/group/src/muster.rs
@@ -45,9 +45,11 @@
             return Vec::new();
         }
         self.due = now + GAP;
+        // A rank that left takes its group apart; the others form it anew, and smaller.
+        let whole = self.whole();
         let open = |e: &&EngineId| {
             let view = self.views.get(*e);
-            view.is_none_or(|v| v.group.is_empty() || unsure(&v.group))
+            view.is_none_or(|v| !whole.contains(&v.group) || unsure(&v.group))
         };
         let open: Vec<EngineId> = engines.iter().filter(open).cloned().collect();
         self.asked.retain(|_, e| !open.contains(e));
