--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -1,11 +1,10 @@
 //! `buckthornnotch explain ID FILE...`: the story of one request from the logs of several
 //! processes, with what each of these processes believed meanwhile.
 
-use crate::error::{CliResult, FailedSnafu, IoSnafu};
-use serde_json::{Map, Value};
-use snafu::ResultExt;
-use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
+use crate::error::{CliResult, FailedSnafu};
+use crate::lines::{self, Line};
+use serde_json::Value;
+use std::path::PathBuf;
 
 /// Beliefs shown that changed within this time before the request's first line, in ms.
 const BEFORE_MS: u64 = 5_000;
@@ -33,20 +32,8 @@
     files: Vec<PathBuf>,
 }
 
-/// One line of a log.
-struct Line {
-    ms: u64,
-    process: String,
-    event: String,
-    fields: Map<String, Value>,
-}
-
 pub(crate) fn run(args: &Args) -> CliResult {
-    let mut lines = Vec::new();
-    for file in &args.files {
-        lines.extend(read(file)?);
-    }
-    lines.sort_by_key(|l| l.ms);
+    let lines = lines::read_all(&args.files)?;
     let mine = |l: &&Line| l.fields.get("request").and_then(Value::as_str) == Some(&args.id);
     let ends = lines.iter().filter(mine).map(|l| l.ms);
     let Some((first, last)) = ends.clone().min().zip(ends.max()) else {
@@ -68,25 +55,6 @@
     Ok(())
 }
 
-/// Lines that are no JSON are passed over: a log may be cut anywhere.
-fn read(file: &Path) -> CliResult<Vec<Line>> {
-    let what = file.display().to_string();
-    let opened = std::fs::File::open(file).context(IoSnafu { what })?;
-    let lines = BufReader::new(opened).lines().map_while(Result::ok);
-    Ok(lines.filter_map(|l| parse(&l)).collect())
-}
-
-fn parse(text: &str) -> Option<Line> {
-    let mut fields: Map<String, Value> = serde_json::from_str(text).ok()?;
-    let mut word = |name: &str| fields.remove(name);
-    Some(Line {
-        ms: word("ms")?.as_u64()?,
-        process: word("process")?.as_str()?.into(),
-        event: word("event")?.as_str()?.into(),
-        fields,
-    })
-}
-
 /// Times are milliseconds from the request's first line.
 fn show(line: &Line, first: u64, own: bool) -> String {
     let at = line.ms as i64 - first as i64;
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -6,5 +6,6 @@
 pub(crate) mod demo;
 pub(crate) mod explain;
 pub(crate) mod fake;
+pub(crate) mod losses;
 pub(crate) mod run;
 pub(crate) mod timeline;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod cmd;
 mod error;
 mod http;
+mod lines;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -34,6 +35,8 @@
     Timeline(cmd::timeline::Args),
     /// Tell the story of one request from the logs of several processes.
     Explain(cmd::explain::Args),
+    /// Count late and refused requests by time and cause, from logs.
+    Losses(cmd::losses::Args),
     /// Send one request of each kind through a running system.
     Demo(cmd::demo::Args),
     /// Measure a running system, or the policies alone.
@@ -62,6 +65,7 @@
         Command::Ctl(args) => cmd::ctl::run(&args),
         Command::Timeline(args) => cmd::timeline::run(&args),
         Command::Explain(args) => cmd::explain::run(&args),
+        Command::Losses(args) => cmd::losses::run(&args),
         Command::Demo(args) => cmd::demo::run(&args),
         Command::Bench(args) => cmd::bench::run(&args),
         Command::Fake(args) => cmd::fake::run(args),
--- /dev/null
+++ b/crates/cli/tests/losses.rs
@@ -0,0 +1,49 @@
+//! Counting losses from logs.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use googletest::prelude::*;
+use std::process::Command;
+use tempfile::TempDir;
+
+const LOG: &str = r#"{"ms":1000,"process":"g","event":"started"}
+{"ms":1500,"process":"g","event":"stream_whole","in_time":true,"first_ms":90,"longest_pause_ms":60}
+{"ms":1600,"process":"g","event":"stream_whole","in_time":false,"first_ms":90,"longest_pause_ms":160}
+{"ms":1700,"process":"g","event":"stream_whole","in_time":false,"first_ms":900,"longest_pause_ms":60}
+{"ms":1800,"process":"g","event":"stream_whole","in_time":false,"first_ms":900,"longest_pause_ms":60,"came_back":true}
+   3.5 g {"ms":3500,"process":"g","event":"refused","why":"all are full"}
+{"ms":3600,"process":"c","event":"hold_found","number":7}
+{"ms":3700,"process":"g","event":"ref"#;
+
+#[googletest::test]
+fn losses_are_counted_by_time_and_cause() {
+    let folder = TempDir::new().unwrap();
+    let file = folder.path().join("g.log");
+    std::fs::write(&file, LOG).unwrap();
+
+    let output = Command::new(env!("CARGO_BIN_EXE_buckthornnotch"))
+        .arg("losses")
+        .arg(&file)
+        .output()
+        .unwrap();
+
+    let text = String::from_utf8(output.stdout).unwrap();
+    let counted = |text: &str| {
+        let words = |l: &str| l.split_whitespace().collect::<Vec<_>>().join(" ");
+        text.lines().map(words).collect::<Vec<_>>()
+    };
+    let rows = counted(&text);
+    let (windows, sums) = rows.split_at(rows.iter().position(|r| r == "in all").unwrap());
+    expect_that!(windows[0].as_str(), starts_with("0.0 s 3 #"));
+    expect_that!(windows[4].as_str(), starts_with("2.0 s 2 #"));
+    expect_that!(
+        sums[1..].to_vec(),
+        unordered_elements_are![
+            eq("1 late: a pause"),
+            eq("1 late: first event"),
+            eq("1 late: came back"),
+            eq("1 refused: all are full"),
+            eq("1 group: hold_found"),
+        ]
+    );
+}
