--- a/crates/group/src/pilot/survey.rs
+++ b/crates/group/src/pilot/survey.rs
@@ -71,6 +71,11 @@
         if let Some(calls) = self.renew_found_hold() {
             return calls;
         }
+        if self.current {
+            // Made after the ranks were fenced, these show all that will ever show of an earlier
+            // leader: the map follows 0.7 s sooner after a change of leader.
+            return self.ask_all(Phase::Survey, Ask::Look);
+        }
         self.phase = Phase::Lag(now + LAG);
         Vec::new()
     }
--- a/crates/group/tests/engines/mod.rs
+++ b/crates/group/tests/engines/mod.rs
@@ -155,6 +155,10 @@
         self.engines.iter_mut().for_each(|e| e.fence = u64::MAX);
     }
 
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
     pub(crate) fn pass(&self) -> u64 {
         self.pass
     }
--- a/crates/group/tests/pilot.rs
+++ b/crates/group/tests/pilot.rs
@@ -180,3 +180,28 @@
         eq(2)
     );
 }
+
+/// Symptom: for a second after a change of leader every pass runs on a map that fits no demand any
+/// more. Sequence: a leader dies, demand moves, the next one fences the ranks and waits until old
+/// reports must have passed. Cause: it waited, though all reports were fresh.
+#[googletest::test]
+fn a_new_leader_that_sees_fresh_reports_switches_soon() {
+    let time_to_switch = |beside: f64| {
+        let trouble = Trouble {
+            beside,
+            ..Trouble::default()
+        };
+        let mut world = World::new(1, RANKS, trouble);
+        world.freeze_leader();
+        world.run(Duration::from_secs(3));
+        let before = world.now();
+        world.elect();
+        world.run_until(|w| w.switches > 0, Duration::from_secs(20));
+        assert_that!(world.mixed, none());
+        world.now() - before
+    };
+
+    // Copies take 0.3 s, a switch two passes of 0.09 s, the wait for old reports 0.7 s.
+    expect_that!(time_to_switch(1.0), lt(Duration::from_millis(1_000)));
+    expect_that!(time_to_switch(0.0), gt(Duration::from_millis(1_000)));
+}
