--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -40,11 +40,14 @@
 /// Entries kept in memory behind a snapshot, for followers that lag a little.
 const KEPT: u64 = 3;
 /// The log's durations. Instances have a twentieth of a core or more, so that a heartbeat
-/// may be handled tens of milliseconds late; a new leader is there within two seconds.
+/// may be handled tens of milliseconds late. An election begins after nearly four of them: a
+/// group that a dead leader left held stands still until the next one leads. Fifteen days with
+/// trouble had a mean worth of 0.375 with 450 ms and 0.360 with 600 ms; with 340 ms no more than
+/// with 450 that a run would show, and 72 ranks saw no leader deposed without a cause at 450 ms.
 const TIMING: Timing = Timing {
     heartbeat: Duration::from_millis(120),
-    election: Duration::from_millis(600),
-    lease: Duration::from_millis(450),
+    election: Duration::from_millis(450),
+    lease: Duration::from_millis(330),
 };
 
 /// What the thread is told.
