Links: a connection's end is told apart from the next one's; the library's thread never closes one

Change: connections are kept as a set; a last owner in a callback hands the link to another thread. Test: links_that_are_let_go_while_they_connect_do_not_stand_still.

--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -9,10 +9,11 @@
 //! there is one; so that is kept here.
 
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, SendBufferSize};
-use nng::{PipeEvent, Protocol, Socket};
-use std::collections::VecDeque;
+use nng::{Pipe, PipeEvent, Protocol, Socket};
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::Duration;
 
 /// Messages that a link holds while its peer does not take them, or is not there.
@@ -28,7 +29,9 @@
 
 #[derive(Default)]
 struct State {
-    connected: bool,
+    /// Connections that stand. The library may tell of the end of one after it told of the
+    /// next: a mere flag would then stand for none, and all messages would wait for ever.
+    pipes: HashSet<Pipe>,
     /// What was sent before there was a connection.
     waiting: VecDeque<Vec<u8>>,
 }
@@ -46,9 +49,14 @@
         });
         // Weak: the socket holds this function, and must not hold itself.
         let weak = Arc::downgrade(&link);
-        link.socket.pipe_notify(move |_, event| {
+        link.socket.pipe_notify(move |pipe, event| {
             if let Some(link) = weak.upgrade() {
-                link.note(event);
+                link.note(pipe, event);
+                // The last owner closes the socket, which waits for this very call to end: that
+                // one must be another thread.
+                if let Some(last) = Arc::into_inner(link) {
+                    thread::spawn(move || drop(last));
+                }
             }
         })?;
         link.socket.dial_async(&format!("tcp://{to}"))?;
@@ -58,7 +66,7 @@
     /// Queues a message; `false` where that is not possible. Never waits for the peer.
     pub(crate) fn send(&self, bytes: Vec<u8>) -> bool {
         let mut state = self.state();
-        if state.connected {
+        if !state.pipes.is_empty() {
             return self.socket.try_send(&bytes[..]).is_ok();
         }
         let room = state.waiting.len() < MESSAGES;
@@ -74,18 +82,20 @@
         self.socket.close();
     }
 
-    fn note(&self, event: PipeEvent) {
+    fn note(&self, pipe: Pipe, event: PipeEvent) {
         let mut state = self.state();
         match event {
             PipeEvent::AddPost => {
-                state.connected = true;
+                state.pipes.insert(pipe);
                 for bytes in state.waiting.drain(..) {
                     if self.socket.try_send(&bytes[..]).is_err() {
                         metrics::counter!("link_refused").increment(1);
                     }
                 }
             }
-            PipeEvent::RemovePost => state.connected = false,
+            PipeEvent::RemovePost => {
+                state.pipes.remove(&pipe);
+            }
             _ => {}
         }
     }
--- a/crates/net/tests/links.rs
+++ b/crates/net/tests/links.rs
@@ -137,3 +137,28 @@
 
     expect_that!(heard.is_ok(), eq(true));
 }
+
+/// Symptom: a process does not end, or a thread stands still for good. Sequence: the last owner of
+/// a link lets go of it just as its connection comes about. Cause: the library's own thread closed
+/// the socket, and waited for itself.
+#[googletest::test]
+fn links_that_are_let_go_while_they_connect_do_not_stand_still() {
+    let address = free_address();
+    let peer = inbox(address);
+    let (done, ended) = std::sync::mpsc::channel();
+    let opening = thread::spawn(move || {
+        for turn in 0..300u64 {
+            let (_, net) = open();
+            net.send(address, Body::News(News::default()));
+            thread::sleep(Duration::from_micros(turn % 10 * 50));
+            drop(net);
+        }
+        done.send(()).unwrap();
+    });
+
+    let in_time = ended.recv_timeout(WITHIN);
+
+    expect_that!(in_time.is_ok(), eq(true));
+    opening.join().unwrap();
+    peer.close();
+}
