Maps go to relays packed, and no more than their links take; arms to many ranks go by relay; 48 ranks are counted

Cause: at each switch 14 relays passed the map, 25 KB as engines read it, on to 13 others each, over links of 6 Mbit/s: 0.4 s, so that 30 to 99 of 192 relays counted as silent and were passed over for 4 s. The leader then called their engines itself, reports were no longer fresh, and the next look came a second later. Orders to arm went straight to 192 engines, 0.15 ms each on 0.075 of a core; counts of 3,840 experts from every rank filled the links of those that collect them. Ruled out: a map as a difference (half as large, but relays would need to know what is in use); more levels of relays (more hops, as many bytes). Changes, all of the way from leader to ranks: the map packed (6 KB), a part by bytes, orders to arm and disarm by relay first where there are more than 16 ranks, counts of every fourth rank, a silent relay passed over for 0.6 s at first and twice as long each time (after a common start of coordinators all relays were passed over for 4 s and the hold that was left stood for 11.8 s).

--- a/crates/coordinator/src/asks.rs
+++ b/crates/coordinator/src/asks.rs
@@ -13,7 +13,10 @@
 
 /// The last map that was ordered, as orders have it.
 #[derive(Default)]
-pub(crate) struct Written(Option<(Arc<ExpertMap>, RankedMap)>);
+pub(crate) struct Written {
+    ranked: Option<(Arc<ExpertMap>, RankedMap)>,
+    packed: Option<(Arc<ExpertMap>, Vec<u8>)>,
+}
 
 impl Written {
     /// Path and body of a call to an engine, and what reads its answer.
@@ -36,23 +39,45 @@
         }
     }
 
+    /// The same as relays are sent it.
+    pub(crate) fn packed(&mut self, map: &Arc<ExpertMap>) -> Vec<u8> {
+        if let Some((known, packed)) = &self.packed
+            && Arc::ptr_eq(known, map)
+        {
+            return packed.clone();
+        }
+        let packed = bn_engine::pack_places(ranks(map), &map.layers);
+        // A relay refuses an empty map, and its engine is then called straight.
+        let packed = packed.unwrap_or_else(|e| {
+            log::error!("a map: {e}");
+            Vec::new()
+        });
+        self.packed = Some((map.clone(), packed.clone()));
+        packed
+    }
+
     /// A map as orders have it. It is written once for all ranks: it is some KB, and the
     /// leader has a small share of a core. Not measured apart.
-    pub(crate) fn ranked(&mut self, map: &Arc<ExpertMap>) -> Option<RankedMap> {
-        if let Some((known, ranked)) = &self.0
+    fn ranked(&mut self, map: &Arc<ExpertMap>) -> Option<RankedMap> {
+        if let Some((known, ranked)) = &self.ranked
             && Arc::ptr_eq(known, map)
         {
             return Some(ranked.clone());
         }
         let ranked = RankedMap::new(&by_rank(map));
         let ranked = ranked.map_err(|e| log::error!("a map: {e}")).ok()?;
-        self.0 = Some((map.clone(), ranked.clone()));
+        self.ranked = Some((map.clone(), ranked.clone()));
         Some(ranked)
     }
 }
 
-/// What a relay is asked, and what that is about.
-pub(crate) fn engine_ask(number: u64, relay: SocketAddr, call: &pilot::Call) -> (EngineAsk, About) {
+/// What a relay is asked, and what that is about; `counts` where a look takes them, too.
+pub(crate) fn engine_ask(
+    number: u64,
+    relay: SocketAddr,
+    call: &pilot::Call,
+    counts: bool,
+) -> (EngineAsk, About) {
     let mut ask = EngineAsk {
         call: number,
         engine: call.engine.clone(),
@@ -71,14 +96,14 @@
         Ask::Order(command, epoch, token) => {
             let body = operation(command).map(|o| engine::order(o, *epoch, *token));
             ask.order = body.unwrap_or_default();
-            About::Order
+            About::Held
         }
         Ask::Copied(version) => {
             ask.copied = *version;
             About::Copies
         }
         Ask::Look => {
-            ask.counts = true;
+            ask.counts = counts;
             About::Look
         }
         Ask::Report | Ask::Counts | Ask::List => About::Look,
@@ -97,10 +122,14 @@
     })
 }
 
+fn ranks(map: &ExpertMap) -> usize {
+    let last = map.layers.iter().flatten().flatten().max();
+    last.map_or(0, |r| *r as usize + 1)
+}
+
 /// The experts of each rank, set by set.
 fn by_rank(map: &ExpertMap) -> Vec<Vec<Vec<u32>>> {
-    let ranks = map.layers.iter().flatten().flatten().max();
-    let ranks = ranks.map_or(0, |r| *r as usize + 1);
+    let ranks = ranks(map);
     let layer = |layer: &Vec<Vec<u32>>| {
         let mut held = vec![Vec::new(); ranks];
         for (expert, holders) in layer.iter().enumerate() {
--- a/crates/coordinator/src/groups.rs
+++ b/crates/coordinator/src/groups.rs
@@ -21,6 +21,10 @@
 /// Such calls of one term at most.
 const PER_TERM: u64 = 1 << 20;
 
+/// Ranks up to which the leader arms each itself, in a third of a pass: 0.15 ms each on a whole
+/// core, 2 ms on the share that it has.
+const MANY: usize = 16;
+
 /// What the leader keeps of groups.
 #[derive(Default)]
 pub(crate) struct Groups {
@@ -162,6 +166,8 @@
             if answer.unheard {
                 self.relays.pass_over(now, ask.relay);
                 self.note_silent_relay(ask.relay, ask.about);
+            } else {
+                self.relays.heard(ask.relay);
             }
             // Counts are of all engines together: they go with any one.
             let lately = answer.view.as_ref().and_then(|_| lately.take());
@@ -237,51 +243,66 @@
 
     fn carry(&mut self, now: Duration, group: &GroupId, calls: Vec<pilot::Call>) {
         let port = self.inbox.port();
+        let count = calls.len();
+        let ranks = self.groups.pilots.get(group).map_or(0, Pilot::ranks);
         let mut beside = Vec::new();
-        for call in calls {
+        for (at, call) in calls.into_iter().enumerate() {
             let record = self.registry.get(&call.engine);
             let Some(address) = record.and_then(|r| r.address) else {
                 self.hand_back(group, call.call, Reply::Silent);
                 continue;
             };
             let relay = self.relays.beside(now, address, port);
-            match relay.filter(|_| goes_by_relay(&call)) {
-                Some(relay) => beside.push((relay, call)),
+            match relay.filter(|_| goes_by_relay(&call, ranks)) {
+                Some(relay) => beside.push(Beside {
+                    relay,
+                    counts: relays::is_counted(at, count),
+                    call,
+                }),
                 None => self.call_straight(group, address, call),
             }
         }
-        let part = relays::part(beside.len());
+        let map = self.map_of(&beside);
+        let part = relays::part(beside.len(), map.len());
         for calls in beside.chunks(part) {
-            self.ask_relays(now, group, calls);
+            self.ask_relays(now, group, calls, &map);
         }
     }
 
+    /// The map that orders among these are about, packed; they are all about the same.
+    fn map_of(&mut self, calls: &[Beside]) -> Vec<u8> {
+        let map = calls.iter().find_map(|b| match &b.call.ask {
+            Ask::Order(Command::Prepare(_, map), ..) => Some(map.clone()),
+            _ => None,
+        });
+        map.map_or_else(Vec::new, |map| self.groups.written.packed(&map))
+    }
+
     /// Asks some relays, all by way of one of them.
-    fn ask_relays(&mut self, now: Duration, group: &GroupId, calls: &[(SocketAddr, pilot::Call)]) {
+    fn ask_relays(&mut self, now: Duration, group: &GroupId, calls: &[Beside], map: &[u8]) {
         // Any of them: one that is dead is found out and passed over.
         let at = rand::random_range(0..calls.len().max(1));
-        let Some((head, _)) = calls.get(at) else {
+        let Some(head) = calls.get(at).map(|b| b.relay) else {
             return;
         };
-        let mut asks = EngineAsks::default();
-        for (relay, call) in calls {
+        let mut asks = EngineAsks {
+            map: map.to_vec(),
+            ..EngineAsks::default()
+        };
+        for Beside {
+            relay,
+            counts,
+            call,
+        } in calls
+        {
             let number = self.next_call();
-            let (ask, about) = engine_ask(number, *relay, call);
-            if let Ask::Order(Command::Prepare(_, map), ..) = &call.ask
-                && asks.map.is_empty()
-            {
-                asks.map = self
-                    .groups
-                    .written
-                    .ranked(map)
-                    .map_or_else(Vec::new, |m| m.as_bytes().to_vec());
-            }
+            let (ask, about) = engine_ask(number, *relay, call, *counts);
             asks.asks.push(ask);
-            let to = (*relay, *head);
+            let to = (*relay, head);
             self.relays
                 .asked(now, number, (group, call.call), to, about);
         }
-        self.net.send(*head, Body::EngineAsks(asks));
+        self.net.send(head, Body::EngineAsks(asks));
     }
 
     fn call_straight(&mut self, group: &GroupId, address: SocketAddr, call: pilot::Call) {
@@ -317,17 +338,29 @@
     }
 }
 
-/// What is asked through a relay. Orders around a hold go straight from the leader: a relay
-/// that stops with one in its hands leaves the group standing until it is back, since the
-/// machine that it stands on has the rank, too. Where the leader stops, the next one ends
-/// the hold within a second (measured: 3.9 s through a frozen relay, 0.7 s otherwise).
+/// A call that goes by the relay beside its engine.
+struct Beside {
+    relay: SocketAddr,
+    /// A look takes counts, too.
+    counts: bool,
+    call: pilot::Call,
+}
+
+/// What is asked through a relay, in a group of so many ranks. Orders around a hold go straight from
+/// the leader: a relay that stops with one in its hands leaves the group standing until the next
+/// try. Those that all of many ranks get go through relays, too: 192 calls take a leader with
+/// 0.075 of a core 0.4 s, for which the group stands if the switch is not set that far ahead.
 ///
 /// Each further try goes the other way: new connections to an engine may be refused while
 /// the link to its relay still stands, and the other way round.
-pub fn goes_by_relay(call: &pilot::Call) -> bool {
+pub fn goes_by_relay(call: &pilot::Call, ranks: usize) -> bool {
     let first = match &call.ask {
         Ask::Report | Ask::Look | Ask::Copied(_) => true,
-        Ask::Order(command, ..) => matches!(command, Command::Prepare(..)),
+        Ask::Order(command, ..) => match command {
+            Command::Prepare(..) => true,
+            Command::Arm(..) | Command::Disarm(..) => ranks > MANY,
+            Command::Hold(..) | Command::Go(..) => false,
+        },
         Ask::Counts | Ask::List => return false,
     };
     first != call.tries.is_multiple_of(2)
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -22,7 +22,7 @@
 pub use self::directory::{Directory, Gateway};
 pub use self::groups::goes_by_relay;
 pub use self::news::Lag;
-pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, part};
+pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part};
 pub use self::ring::{Event, Inlet, Ring, ring};
 
 use snafu::Snafu;
--- a/crates/coordinator/src/relays.rs
+++ b/crates/coordinator/src/relays.rs
@@ -20,13 +20,25 @@
 /// that is busy. What is asked of relays keeps no group waiting. With 200 ms a busy leader took
 /// them for dead, called 72 engines itself, and was busier still (666 such asks in a day).
 const TIMEOUT: Duration = Duration::from_millis(600);
+/// The same for orders around a hold: a group may stand still until the next try, and the relay
+/// that passes them on has given up on the others by then.
+const HELD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The same where they wait for copies: 400 ms more.
 const COPY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Up to so many asks at once need nobody to pass them on.
 const FEW: usize = 3;
-/// A relay that did not answer is passed over for so long: a restart takes a second or two,
-/// a cut some more.
-const PASSED_OVER: Duration = Duration::from_secs(4);
+/// Bytes that a relay passes on at once: 20 ms on the slowest links (6 Mbit/s).
+const PASSED_ON: usize = 16 << 10;
+/// Ranks of a group that are counted, about: at 500 requests a second some 10,000 tokens a look.
+const COUNTED: usize = 48;
+/// A relay that did not answer once is passed over for so long, and for twice as long each further
+/// time in a row. One that is dead or cut off is found out soon enough. Where many are silent at once
+/// it is rather the asker that was held up or whose links are new: passing all over for 4 s, a new
+/// leader called 192 engines itself, took 7 s to find the hold that the one before had left, and the
+/// group stood for 11.8 s.
+const FIRST_PASS: Duration = Duration::from_millis(600);
+/// A relay is passed over for so long at most: a restart takes a second or two, a cut some more.
+const LONGEST_PASS: Duration = Duration::from_secs(4);
 
 /// What an ask is about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +49,8 @@
     Copies,
     /// An order.
     Order,
+    /// An order around a hold.
+    Held,
 }
 
 /// A lock-step group of a service; without a name, what asks all engines of the service for
@@ -69,14 +83,21 @@
 #[derive(Debug, Default)]
 pub struct Relays {
     asks: IndexMap<u64, Ask>,
-    silent: IndexMap<IpAddr, Duration>,
+    silent: IndexMap<IpAddr, Silence>,
+}
+
+/// How long a relay is passed over, and until when.
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    time: Duration,
+    until: Duration,
 }
 
 impl Relays {
     /// The relay beside an engine, unless it was silent of late.
     pub fn beside(&self, now: Duration, engine: SocketAddr, port: u16) -> Option<SocketAddr> {
-        let until = self.silent.get(&engine.ip());
-        let passed_over = until.is_some_and(|until| now < *until);
+        let silence = self.silent.get(&engine.ip());
+        let passed_over = silence.is_some_and(|s| now < s.until);
         (!passed_over).then(|| SocketAddr::new(engine.ip(), port))
     }
 
@@ -93,6 +114,7 @@
         let time = match about {
             About::Copies => COPY_TIMEOUT,
             About::Look | About::Order => TIMEOUT,
+            About::Held => HELD_TIMEOUT,
         };
         let ask = Ask {
             group: call.0.clone(),
@@ -110,9 +132,20 @@
         self.asks.swap_remove(&number)
     }
 
-    /// A relay did not answer.
+    /// A relay did not answer. Asks that were out together count once.
     pub fn pass_over(&mut self, now: Duration, relay: SocketAddr) {
-        self.silent.insert(relay.ip(), now + PASSED_OVER);
+        let before = self.silent.get(&relay.ip());
+        if before.is_some_and(|s| now < s.until) {
+            return;
+        }
+        let time = before.map_or(FIRST_PASS, |s| (s.time * 2).min(LONGEST_PASS));
+        let until = now + time;
+        self.silent.insert(relay.ip(), Silence { time, until });
+    }
+
+    /// A relay answered.
+    pub fn heard(&mut self, relay: SocketAddr) {
+        self.silent.swap_remove(&relay.ip());
     }
 
     /// Takes out what is overdue; its relays are passed over from now on.
@@ -130,18 +163,29 @@
         for ask in &asks {
             self.pass_over(now, ask.head);
         }
-        self.silent.retain(|_, until| now < *until);
+        // Remembered for some time after it is asked again, to tell the next silence from a first one.
+        self.silent.retain(|_, s| now < s.until + LONGEST_PASS);
         asks
     }
 }
 
-/// How many of `count` asks one relay gets: about as many relays are asked as each asks
-/// others, which makes for the fewest messages at the busiest.
-pub fn part(count: usize) -> usize {
-    match count {
+/// How many of `count` asks one relay gets, where each is passed on with `bytes`: about as many
+/// relays are asked as each asks others, which makes for the fewest messages at the busiest; but
+/// no more than its link takes in a moment.
+pub fn part(count: usize, bytes: usize) -> usize {
+    let fewest = match count {
         0..=FEW => 1,
         many => many.isqrt() + 1,
-    }
+    };
+    let others = PASSED_ON.checked_div(bytes).unwrap_or(fewest);
+    fewest.min(1 + others)
+}
+
+/// Whether the look at one of `count` engines takes counts, too. Requests are spread over ranks
+/// whatever they are about, so that some tell what all choose; counts of 3,840 experts are 4 KB, and
+/// took the links of those that collect them from 13 others 70 ms a look.
+pub fn is_counted(at: usize, count: usize) -> bool {
+    at.is_multiple_of(count.div_ceil(COUNTED).max(1))
 }
 
 /// What an answer says to the pilot; `lately` are counts that came beside it.
@@ -149,7 +193,7 @@
     let silent = answer.status == 0;
     match (about, answer.view) {
         _ if silent => Reply::Silent,
-        (About::Order, _) => crate::asks::read_status(answer.status),
+        (About::Order | About::Held, _) => crate::asks::read_status(answer.status),
         (_, Some(seen)) => Reply::View(View {
             lately,
             ..view(seen)
--- a/crates/coordinator/src/ring.rs
+++ b/crates/coordinator/src/ring.rs
@@ -118,6 +118,7 @@
     /// Drops all that waits; whether a stop was among it.
     pub(crate) fn drain(&self) -> bool {
         let waiting = self.first.try_iter().chain(self.rest.try_iter());
-        waiting.fold(false, |stop, e| stop || matches!(e, Event::Stop))
+        let stops = waiting.filter(|e| matches!(e, Event::Stop));
+        stops.count() > 0
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,9 +4,11 @@
 
 mod calls;
 mod others;
+mod places;
 mod relay;
 
 pub use calls::{Answer, Call, Calls, What};
+pub use places::{pack_places, unpack_places};
 pub use relay::{Handle, start};
 
 use snafu::Snafu;
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -7,6 +7,7 @@
 
 use crate::calls::{Answer, What, ask};
 use crate::others::Others;
+use crate::places::unpack_places;
 use crate::{Result, RuntimeSnafu};
 use bn_conf::{Relay as Conf, Settings};
 use bn_net::Net;
@@ -262,9 +263,15 @@
     let Some(prepare) = &ask.prepare else {
         return (!ask.order.is_empty()).then(|| ask.order.clone());
     };
-    let map = RankedMap::from_bytes(map);
     // An engine refuses an empty order, and the asker sees that.
-    let map = map.map_err(|e| log::warn!("a map: {e}")).ok();
+    let map = unpack_places(map)
+        .map_err(|e| log::warn!("a map: {e}"))
+        .ok();
+    let map = map.and_then(|map| {
+        RankedMap::new(&map)
+            .map_err(|e| log::warn!("a map: {e}"))
+            .ok()
+    });
     let operation = map.map(|map| Operation::Prepare {
         version: prepare.version,
         map,
--- a/crates/engine/tests/relay.rs
+++ b/crates/engine/tests/relay.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use bn_conf::{Logging, Relay, Settings};
+use bn_engine::pack_places;
 use bn_net::Net;
 use bn_platform::header::EXPECT;
 use bn_trace::Lines;
@@ -128,11 +129,11 @@
     }
 
     fn ask(&self, ask: EngineAsk) {
-        self.ask_all(vec![(self.relay, ask)], "");
+        self.ask_all(vec![(self.relay, ask)], &[]);
     }
 
     /// Asks several relays by way of this one.
-    fn ask_all(&self, asks: Vec<(SocketAddr, EngineAsk)>, map: &str) {
+    fn ask_all(&self, asks: Vec<(SocketAddr, EngineAsk)>, map: &[u8]) {
         let named = asks.into_iter().map(|(relay, ask)| EngineAsk {
             engine: "e1".into(),
             relay: relay.to_string(),
@@ -232,10 +233,10 @@
     let ((first, _), (second, _)) = (engine(Box::new(counting)), engine(Box::new(counting)));
     let (bed, other) = (Bed::new(first), Bed::new(second));
     let asks = || vec![(bed.relay, look(1)), (other.relay, look(2))];
-    bed.ask_all(asks(), "");
+    bed.ask_all(asks(), &[]);
     bed.answers();
 
-    bed.ask_all(asks(), "");
+    bed.ask_all(asks(), &[]);
     let mut all = bed.answers();
 
     all.answers.sort_by_key(|a| a.call);
@@ -253,7 +254,7 @@
     let gone = free_port();
     let began = Instant::now();
 
-    bed.ask_all(vec![(bed.relay, look(1)), (gone, look(2))], "");
+    bed.ask_all(vec![(bed.relay, look(1)), (gone, look(2))], &[]);
     let mut all = bed.answers();
 
     all.answers.sort_by_key(|a| a.call);
@@ -277,12 +278,15 @@
         ..EngineAsk::default()
     };
 
-    bed.ask_all(vec![(bed.relay, ask)], "[[[0,2],[1,0]]]");
+    // Expert 0 on both ranks, 1 on the second, 2 on the first.
+    let map = pack_places(2, &[vec![vec![0, 1], vec![1], vec![0]]]).unwrap();
+
+    bed.ask_all(vec![(bed.relay, ask)], &map);
     let answer = bed.answer();
 
     expect_that!(answer.status, eq(202));
     let seen = seen.lock().unwrap();
-    for part in ["[[[0,2],[1,0]]]", "\"version\":4", "\"epoch\":3", ":77"] {
+    for part in ["[[[0,2],[0,1]]]", "\"version\":4", "\"epoch\":3", ":77"] {
         expect_that!(seen[0], contains_substring(part));
     }
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -101,7 +101,7 @@
 
     fn ask_next(&mut self) {
         self.shared.pool.sweep(self.shared.now());
-        if let Some(inbox) = self.sources.next() {
+        if let Some(inbox) = self.sources.turn() {
             self.ask(inbox);
         }
     }
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -67,7 +67,7 @@
     }
 
     /// The one whose turn it is.
-    pub fn next(&mut self) -> Option<SocketAddr> {
+    pub fn turn(&mut self) -> Option<SocketAddr> {
         let count = self.rows.len().max(1);
         let at = self.next % count;
         self.next = (at + 1) % count;
--- a/crates/gateway/tests/sources.rs
+++ b/crates/gateway/tests/sources.rs
@@ -23,7 +23,7 @@
 fn asks_do_not_grow_with_the_coordinators() {
     let mut sources = six();
 
-    let asked: Vec<SocketAddr> = (0..6).map(|_| sources.next().unwrap()).collect();
+    let asked: Vec<SocketAddr> = (0..6).map(|_| sources.turn().unwrap()).collect();
 
     let mut all = asked.clone();
     all.sort_unstable();
--- a/crates/group/src/pilot/mod.rs
+++ b/crates/group/src/pilot/mod.rs
@@ -218,6 +218,11 @@
         self.registered.is_empty()
     }
 
+    /// Ranks that form the group, as far as is known.
+    pub fn ranks(&self) -> usize {
+        self.engines.len()
+    }
+
     /// How far calls, tokens and versions have gone.
     pub fn used(&self) -> Used {
         Used {
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -113,10 +113,29 @@
 pub struct EngineAsks {
     #[prost(message, repeated, tag = "1")]
     pub asks: ::prost::alloc::vec::Vec<EngineAsk>,
-    /// experts by set and rank, as engines read them
+    /// an ExpertPlaces, packed; empty: no order needs one
     #[prost(bytes = "vec", tag = "2")]
     pub map: ::prost::alloc::vec::Vec<u8>,
 }
+/// Who holds which expert, in bytes that pack well. Ranks stand expert by expert, set by set.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ExpertPlaces {
+    /// of the group
+    #[prost(uint32, tag = "1")]
+    pub ranks: u32,
+    /// of a set
+    #[prost(uint32, tag = "2")]
+    pub experts: u32,
+    /// how many ranks hold each expert
+    #[prost(bytes = "vec", tag = "3")]
+    pub holders: ::prost::alloc::vec::Vec<u8>,
+    /// low byte of each of those ranks
+    #[prost(bytes = "vec", tag = "4")]
+    pub low: ::prost::alloc::vec::Vec<u8>,
+    /// high byte of each
+    #[prost(bytes = "vec", tag = "5")]
+    pub high: ::prost::alloc::vec::Vec<u8>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EngineAnswer {
     #[prost(uint64, tag = "1")]
