A link ends when its peer shows a new start

Cause: an instance that lost power and is back says nothing of its earlier connections. A link to it goes on as if it stood until a message on it is answered with a reset, and that message is lost. Ruled out: shorter keep-alive probes on each of some hundred links a process. Change: the inbox's thread remembers the start of each peer and forgets the link when it is another one. Test: a_link_to_an_earlier_start_of_a_peer_is_not_used failed before (no second connection in 5 s).

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,7 +13,7 @@
 use snafu::{ResultExt, Snafu};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::thread;
 
 /// Messages that wait for the inbox's thread; beyond them the oldest are lost.
@@ -59,14 +59,19 @@
         sink: impl Fn(Envelope) + Send + 'static,
     ) -> Result<Net> {
         let socket = open(listen).context(OpenSnafu { address: listen })?;
-        thread::spawn(move || receive(&socket, sink));
-        let inner = Inner {
+        let inner = Arc::new(Inner {
             id: id.into(),
             incarnation,
             inbox: inbox.to_string(),
             links: Mutex::default(),
+        });
+        // Weak: the inbox's thread must not keep links open that nobody uses any more.
+        let starts = Starts {
+            known: HashMap::new(),
+            inner: Arc::downgrade(&inner),
         };
-        Ok(Net(Arc::new(inner)))
+        thread::spawn(move || receive(&socket, starts, sink));
+        Ok(Net(inner))
     }
 
     /// Opens the inbox of a process that begins now: `put` takes each message into a bounded
@@ -173,7 +178,36 @@
     Ok(socket)
 }
 
-fn receive(socket: &Socket, sink: impl Fn(Envelope)) {
+/// Which start of each peer was heard last.
+///
+/// A peer that lost power and is back says nothing of the connections it had, and the link to it
+/// goes on as if it stood until the next message on it is answered with a reset: that message is
+/// lost. Each of 192 relays lost its answer to a new leader in turn, which took ten seconds to see
+/// its group. So a link ends as soon as its peer shows a new start.
+struct Starts {
+    known: HashMap<String, u64>,
+    inner: Weak<Inner>,
+}
+
+impl Starts {
+    fn note(&mut self, envelope: &Envelope) {
+        match self.known.get_mut(&envelope.inbox) {
+            Some(known) if *known == envelope.incarnation => return,
+            Some(known) => *known = envelope.incarnation,
+            None => {
+                let first = envelope.incarnation;
+                self.known.insert(envelope.inbox.clone(), first);
+                return;
+            }
+        }
+        if let (Some(inner), Ok(peer)) = (self.inner.upgrade(), envelope.inbox.parse()) {
+            metrics::counter!("links_of_earlier_starts").increment(1);
+            Net(inner).forget(peer);
+        }
+    }
+}
+
+fn receive(socket: &Socket, mut starts: Starts, sink: impl Fn(Envelope)) {
     loop {
         let bytes = match socket.recv() {
             Ok(bytes) => bytes,
@@ -183,6 +217,7 @@
         match Envelope::decode(&bytes[..]) {
             Ok(envelope) => {
                 metrics::counter!("link_received_bytes").increment(bytes.len() as u64);
+                starts.note(&envelope);
                 sink(envelope);
             }
             Err(_) => metrics::counter!("link_undecodable").increment(1),
--- a/crates/net/tests/links.rs
+++ b/crates/net/tests/links.rs
@@ -65,6 +65,56 @@
     }
 }
 
+fn process(inbox: SocketAddr, incarnation: u64) -> Net {
+    Net::open("p", incarnation, inbox, free_address(), |_| ()).unwrap()
+}
+
+/// The next connection to an inbox, greeted; none where there is none in time.
+fn connection(listener: &TcpListener) -> Option<std::net::TcpStream> {
+    let until = Instant::now() + Duration::from_secs(5);
+    listener.set_nonblocking(true).unwrap();
+    while Instant::now() < until {
+        if let Ok((mut stream, _)) = listener.accept() {
+            stream.write_all(&GREETING).unwrap();
+            return Some(stream);
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    None
+}
+
+/// Symptom: a new leader hears nothing of its group for ten seconds. Sequence: its instance lost
+/// power and is back; to the relays, their connections to it still stand, and the first answer of
+/// each goes into one of those. Cause: only a failed send ended such a connection.
+#[googletest::test]
+fn a_link_to_an_earlier_start_of_a_peer_is_not_used() {
+    let peer = TcpListener::bind("127.0.0.1:0").unwrap();
+    let inbox = peer.local_addr().unwrap();
+    let address = free_address();
+    let (heard, news) = std::sync::mpsc::channel();
+    let net = Net::begin("a", address, address, move |e| {
+        heard.send(e.incarnation).is_ok()
+    });
+    let net = net.unwrap();
+    let tell = |incarnation: u64| {
+        let process = process(inbox, incarnation);
+        process.send(address, Body::News(News::default()));
+        let told = news.recv_timeout(WITHIN).unwrap();
+        assert_eq!(told, incarnation);
+    };
+
+    tell(1);
+    net.send(inbox, Body::News(News::default()));
+    // It stands for good, and nobody reads it.
+    let earlier = connection(&peer);
+    tell(2);
+    net.send(inbox, Body::News(News::default()));
+    let later = connection(&peer);
+
+    expect_true!(earlier.is_some());
+    expect_true!(later.is_some());
+}
+
 /// Symptom: a process aborts with `pthread_mutex_lock: Invalid argument` while others stop.
 /// Sequence: a peer ends its inbox while a message to it is being written; the write succeeds
 /// just as the connection closes; the next message to that peer is sent. Cause: the links'
