--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -74,13 +74,12 @@
     let now = shared.now();
     let mut state = shared.state();
     let line = state.lines.entry(ticket.service.clone()).or_default();
-    let priority = priority(ticket, now);
-    if line.holds(priority) {
+    if line.holds(priority(ticket, now)) {
         return Err(Lack::Room);
     }
     let seat = take(shared, &mut state, ticket, tried)?;
     if let Some(line) = state.lines.get_mut(&ticket.service) {
-        line.note_start(now, priority);
+        line.note_start(now);
     }
     Ok(seat)
 }
@@ -202,7 +201,7 @@
         if !outwaits(ticket, began) && shared.state().fleet.is_still(&ticket.service) {
             return Err(refusal(shared, ticket, STILL));
         }
-        if shared.now() >= until || spot.is_hopeless() {
+        if shared.now() >= until {
             return Err(refusal(shared, ticket, "all backend servers are full"));
         }
     }
@@ -254,16 +253,6 @@
     }
 }
 
-impl Spot<'_> {
-    /// Its turn will come too late, as it looks now: the caller is told at once.
-    fn is_hopeless(&self) -> bool {
-        let now = self.shared.now();
-        let state = self.shared.state();
-        let line = state.lines.get(&self.ticket.service);
-        line.is_some_and(|l| l.is_hopeless(now, self.id))
-    }
-}
-
 impl Drop for Spot<'_> {
     fn drop(&mut self) {
         let mut state = self.shared.state();
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -35,36 +35,9 @@
     /// Service that the account served last had had: where a new account starts.
     floor: IndexMap<u32, f64>,
     length: usize,
-    /// How fast requests start, all of them and by priority.
-    all: Starts,
-    starts: IndexMap<u32, Starts>,
-}
-
-/// How fast requests start.
-#[derive(Debug, Clone, Copy, Default)]
-struct Starts {
-    /// Seconds between starts, smoothed.
+    /// Seconds between starts, smoothed, and when the last one was.
     gap: f64,
     last: Option<Duration>,
-    /// Since when some wait without a break.
-    waiting: Option<Duration>,
-}
-
-impl Starts {
-    fn note(&mut self, now: Duration) {
-        if let Some(last) = self.last {
-            let gap = now.saturating_sub(last).as_secs_f64().min(LONGEST_GAP);
-            self.gap += ALPHA * (gap - self.gap);
-        }
-        self.last = Some(now);
-    }
-
-    /// For how long some have waited without a start, in seconds.
-    fn standing(&self, now: Duration) -> f64 {
-        let since = |waiting| self.last.map_or(waiting, |last| last.max(waiting));
-        let since = self.waiting.map(since);
-        since.map_or(0.0, |since| now.saturating_sub(since).as_secs_f64())
-    }
 }
 
 /// A quiet time says nothing of how fast requests can start: it counts as this, in
@@ -93,13 +66,11 @@
     /// Takes a request in, or says how long it would wait if that is past its
     /// deadline or the queue is full.
     pub fn push(&mut self, now: Duration, entry: Waiting, most: usize) -> Result<(), Duration> {
-        let wait = self.expected_wait(now, &entry);
+        let wait = self.expected_wait(&entry);
         if self.length >= most || now + wait > entry.deadline {
             return Err(wait);
         }
         let floor = self.floor.get(&entry.priority).copied().unwrap_or(0.0);
-        let starts = self.starts.entry(entry.priority).or_default();
-        starts.waiting.get_or_insert(now);
         let line = self
             .lines
             .entry((entry.priority, entry.account.clone()))
@@ -113,46 +84,25 @@
         Ok(())
     }
 
-    /// How long a request would wait that is not in line: those before it, at the pace of late.
-    pub fn expected_wait(&self, now: Duration, entry: &Waiting) -> Duration {
-        let own = self.lines.get(&(entry.priority, entry.account.clone()));
-        self.wait_behind(now, entry, own.map_or(0, |l| l.waiting.len()))
-    }
-
-    /// Whether a request in line will not start before its deadline, at the pace of late. The first
-    /// one is not given up: it shows whether there is a place.
-    pub fn is_hopeless(&self, now: Duration, id: u64) -> bool {
-        let mut lines = self.lines.values();
-        let found = lines.find_map(|l| {
-            let at = l.waiting.iter().position(|e| e.id == id)?;
-            Some((l.waiting.get(at)?, at))
-        });
-        found.is_some_and(|(entry, at)| now + self.wait_behind(now, entry, at) > entry.deadline)
-    }
-
-    /// How long a request waits behind so many of its account, and behind those of others.
-    fn wait_behind(&self, now: Duration, entry: &Waiting, own: usize) -> Duration {
-        let (mut above, mut beside) = (0.0, 0.0);
-        for ((priority, account), line) in &self.lines {
+    /// How long a request would wait: those before it, at the pace of late.
+    pub fn expected_wait(&self, entry: &Waiting) -> Duration {
+        let ahead = |((priority, account), line): (&(u32, AccountId), &Line)| {
             let waiting = line.waiting.len() as f64;
             match priority.cmp(&entry.priority) {
-                std::cmp::Ordering::Greater => above += waiting,
-                std::cmp::Ordering::Less => {}
-                std::cmp::Ordering::Equal if *account == entry.account => beside += own as f64,
+                std::cmp::Ordering::Greater => waiting,
+                std::cmp::Ordering::Less => 0.0,
+                std::cmp::Ordering::Equal if *account == entry.account => waiting,
                 // Of another account only its share of the starts meanwhile.
                 std::cmp::Ordering::Equal => {
-                    let mine = own as f64 + 1.0;
+                    let own = self.lines.get(&(entry.priority, entry.account.clone()));
+                    let mine = own.map_or(0, |l| l.waiting.len()) as f64 + 1.0;
                     let shares = line.waiting.front().map_or(1, |e| e.share.max(1));
-                    beside += waiting.min(mine * f64::from(shares) / f64::from(entry.share.max(1)));
+                    waiting.min(mine * f64::from(shares) / f64::from(entry.share.max(1)))
                 }
             }
-        }
-        // The pace of before does not hold while some wait and none of their priority starts: a line
-        // in front of a group that took nothing any more promised places that came too late.
-        let alike = self.starts.get(&entry.priority);
-        let standing = alike.map_or(0.0, |s| s.standing(now));
-        let wait = above * self.all.gap + beside * self.all.gap.max(standing);
-        Duration::from_secs_f64(wait.min(3600.0))
+        };
+        let before: f64 = self.lines.iter().map(ahead).sum();
+        Duration::from_secs_f64((before * self.gap).min(3600.0))
     }
 
     /// The next request to try, and the one after it if the first finds no room, and
@@ -184,27 +134,18 @@
         };
         let floor = line.served;
         line.served += 1.0 / f64::from(entry.share.max(1));
-        let priority = *priority;
-        self.floor.insert(priority, floor);
+        self.floor.insert(*priority, floor);
         self.length -= 1;
-        self.note_start(now, priority);
-        self.note_empty();
+        self.note_start(now);
     }
 
     /// A start that did not wait here counts towards the pace too.
-    pub fn note_start(&mut self, now: Duration, priority: u32) {
-        self.all.note(now);
-        self.starts.entry(priority).or_default().note(now);
-    }
-
-    /// Where nobody waits, time without a start says nothing.
-    fn note_empty(&mut self) {
-        for (priority, starts) in &mut self.starts {
-            let mut alike = self.lines.iter().filter(|((p, _), _)| p == priority);
-            if alike.all(|(_, l)| l.waiting.is_empty()) {
-                starts.waiting = None;
-            }
+    pub fn note_start(&mut self, now: Duration) {
+        if let Some(last) = self.last {
+            let gap = now.saturating_sub(last).as_secs_f64().min(LONGEST_GAP);
+            self.gap += ALPHA * (gap - self.gap);
         }
+        self.last = Some(now);
     }
 
     /// Takes out requests for which `over` says so, such as past deadlines.
@@ -222,7 +163,6 @@
         self.length -= gone.len();
         self.lines
             .retain(|_, l| !l.waiting.is_empty() || l.served > 0.0);
-        self.note_empty();
         gone
     }
 }
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -47,10 +47,6 @@
     fn try_place(&mut self, id: u64, ask: &Ask) -> bool {
         let now = self.now();
         let mut rng = self.rng.clone();
-        let priority = self
-            .requests
-            .get(&id)
-            .map_or(0, |r| r.arrival.priority as u32);
         let picked = self
             .router
             .pick(now, ask, |below| rng.random_range(0..below.max(1)));
@@ -58,7 +54,7 @@
         match picked {
             Some(backend) => {
                 if let Some(queue) = self.queues.get_mut(&ask.service) {
-                    queue.note_start(now, priority);
+                    queue.note_start(now);
                 }
                 self.dispatch(id, &backend);
                 true
