--- a/crates/coordinator/src/relays.rs
+++ b/crates/coordinator/src/relays.rs
@@ -20,9 +20,9 @@
 /// that is busy. What is asked of relays keeps no group waiting. With 200 ms a busy leader took
 /// them for dead, called 72 engines itself, and was busier still (666 such asks in a day).
 const TIMEOUT: Duration = Duration::from_millis(600);
-/// The same for orders around a hold: a group may stand still until the next try. With 250 ms a
-/// busy new leader took 187 of 192 answers for lost.
-const HELD_TIMEOUT: Duration = Duration::from_millis(400);
+/// The same for orders around a hold: a group may stand still until the next try, and the relay
+/// that passes them on has given up on the others by then.
+const HELD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The same where they wait for copies: 400 ms more.
 const COPY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Up to so many asks at once need nobody to pass them on.
--- a/crates/group/src/pilot/mod.rs
+++ b/crates/group/src/pilot/mod.rs
@@ -43,6 +43,8 @@
 const LONG_REST: Duration = Duration::from_millis(600);
 /// Tries of a question or of an order that may be given up.
 const TRIES: u32 = 4;
+/// Tries of a look at a rank from beside it, by a leader that found the group as another left it.
+const FRESH_TRIES: u32 = 3;
 /// Tries of an order to prepare: nothing stands still meanwhile, and a switch that is begun
 /// anew takes longer.
 const PREPARE_TRIES: u32 = 8;
@@ -290,6 +292,12 @@
             return Vec::new();
         };
         let bound = self.bound();
+        // One try to look from beside a rank costs 0.1 s, waiting until an old report must have
+        // passed 0.7 s, for which a group that was left held stands still.
+        let old = matches!(&reply, Reply::View(v) if !v.fresh) && self.phase == Phase::Early;
+        if old && tries < FRESH_TRIES {
+            return self.again(&engine, tries + 1);
+        }
         if matches!(reply, Reply::Silent | Reply::Odd) && bound.is_none_or(|b| tries < b) {
             let mut calls = self.again(&engine, tries + 1);
             if bound.is_none() && tries.is_multiple_of(TRIES) {
--- a/crates/group/tests/pilot.rs
+++ b/crates/group/tests/pilot.rs
@@ -51,13 +51,19 @@
         beside: 1.0,
         ..Trouble::default()
     };
-    let (mut near, mut far) = (World::new(1, RANKS, beside), calm(1));
-
-    near.run(Duration::from_secs(20));
-    far.run(Duration::from_secs(20));
+    let (mut near_for, mut far_for) = (Duration::ZERO, Duration::ZERO);
+
+    // Of one schedule the ratio is 0.6 to 0.8, by chance; of twelve 0.70.
+    for seed in 1..=12 {
+        let (mut near, mut far) = (World::new(seed, RANKS, beside), calm(seed));
+        near.run(Duration::from_secs(20));
+        far.run(Duration::from_secs(20));
+        assert_that!(near.mixed, none(), "seed {seed}");
+        near_for += near.uneven_for;
+        far_for += far.uneven_for;
+    }
 
-    expect_that!(near.mixed, none());
-    expect_that!(near.uneven_for, lt(far.uneven_for.mul_f64(0.75)));
+    expect_that!(near_for, lt(far_for.mul_f64(0.75)));
 }
 
 /// Symptom: two ranks of one pass use different maps. Sequence: orders go unanswered and
@@ -227,3 +233,29 @@
     expect_that!(world.told[..calm].iter().map(|t| t.1).sum::<u32>(), eq(0));
     expect_that!(&world.told[calm..], eq(&slow));
 }
+
+/// Symptom: a group that a dead leader left held stands still for a second longer than it must.
+/// Sequence: the next leader looks at all ranks, the answer of one relay is lost, and that rank is
+/// looked at from afar. Cause: one old report among fresh ones made it wait until all must be new.
+#[googletest::test]
+fn a_hold_ends_soon_though_a_first_look_was_from_afar() {
+    let mut stood = Duration::ZERO;
+    for seed in 0..40 {
+        let trouble = Trouble {
+            beside: 0.8,
+            ..Trouble::default()
+        };
+        let mut world = World::new(seed, RANKS, trouble);
+        world.run_until(|w| w.last_order() == Some("hold"), Duration::from_secs(20));
+        world.freeze_leader();
+        world.run(Duration::from_secs(1));
+        let (began, before) = (world.now(), world.pass());
+        world.elect();
+        world.run_until(|w| w.pass() > before, Duration::from_secs(6));
+        stood += world.now() - began;
+        assert_that!(world.mixed, none(), "seed {seed}");
+    }
+
+    // Mean of 40: 0.9 s where one old report was enough to wait.
+    expect_that!(stood / 40, lt(Duration::from_millis(450)));
+}
