Gateways that are off are not named, however many they are

Cause: a rule of: where fewer than half of the gateways heard of in 15 s had spoken of late, all were named, since the coordinator might have been held up. Ruled out: no such rule at all, which sends all callers to the first few gateways that are heard after a stall. Change: it holds for 0.9 s after a time of 0.7 s without a word of any gateway. Test: gateways_that_are_off_are_not_named_however_many_they_are failed before (6 for 2).

--- a/crates/coordinator/src/directory.rs
+++ b/crates/coordinator/src/directory.rs
@@ -12,12 +12,15 @@
 /// A gateway that has not asked for news for this long is left out: two of its asks, and
 /// below the two seconds for which callers keep an answer.
 const SILENCE: Duration = Duration::from_millis(1_700);
-/// Where most gateways are silent it is rather this process that is cut off or was held up:
-/// those heard of within this time are still named, since callers may reach them.
+/// Where every gateway is silent it is rather this process that is cut off: those heard
+/// of within this time are still named, since callers may reach them.
 const STATIC: Duration = Duration::from_secs(15);
-/// After the first gateway was heard of so long passes until all others were: each asks a
-/// coordinator every 0.8 s. Callers go on with older answers until then.
+/// After the first gateway was heard of, so long passes until all others were: each asks a
+/// coordinator every 0.8 s.
 const MEETING: Duration = Duration::from_millis(900);
+/// Time without a word of any gateway after which it was this process that was held up. Where there
+/// are two gateways a word comes every 0.4 s.
+const HELD_UP: Duration = Duration::from_millis(700);
 /// A gateway that was there within this time counts among those that share budgets.
 const COUNTED: Duration = Duration::from_secs(10);
 /// Fewest gateways that callers are sent to, where there are so many: the loss of one in ten
@@ -52,14 +55,20 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     rows: IndexMap<SocketAddr, Row>,
-    /// When the first gateway was heard of.
+    /// When the first gateway was heard of, and the first after nothing was heard for a while.
     first: Option<Duration>,
+    again: Option<Duration>,
+    latest: Duration,
 }
 
 impl Directory {
     /// A gateway tells of itself.
     pub fn hear(&mut self, now: Duration, inbox: SocketAddr, gateway: Gateway) {
         self.first.get_or_insert(now);
+        if now > self.latest + HELD_UP {
+            self.again = Some(now);
+        }
+        self.latest = now;
         let row = Row {
             turn: turn(gateway.callers, ""),
             gateway,
@@ -72,8 +81,7 @@
     /// gateways are still being met after a start: all callers would be sent to the first few.
     pub fn addresses(&self, now: Duration, domain: &str) -> Vec<SocketAddr> {
         let mut used = self.used(now);
-        let meeting = self.first.is_some_and(|first| now < first + MEETING);
-        if meeting && used.len() < FEWEST {
+        if is_meeting(now, self.first) && used.len() < FEWEST {
             return Vec::new();
         }
         // Those of a domain are rotated for each domain of callers: an answer that holds only the
@@ -85,10 +93,13 @@
     /// Gateways that are named to callers: as many as the requests need, of each failure domain
     /// in turn. All coordinators that hear of the same gateways choose the same ones.
     fn used(&self, now: Duration) -> Vec<&Gateway> {
-        let mut ready = self.ready(now, SILENCE);
-        let known = self.ready(now, STATIC);
-        if 2 * ready.len() < known.len() {
-            ready = known;
+        let mut ready = match is_meeting(now, self.again) {
+            // The others are heard of within the second; the few of until now are not all.
+            true => self.ready(now, STATIC),
+            false => self.ready(now, SILENCE),
+        };
+        if ready.is_empty() {
+            ready = self.ready(now, STATIC);
         }
         ready.sort_by_key(|r| r.turn);
         let ready: Vec<&Gateway> = ready.into_iter().map(|r| &r.gateway).collect();
@@ -133,6 +144,11 @@
     }
 }
 
+/// Gateways are being met since `began`.
+fn is_meeting(now: Duration, began: Option<Duration>) -> bool {
+    began.is_some_and(|began| now < began + MEETING)
+}
+
 /// How many of these gateways the requests need that they take in now.
 fn needed(gateways: &[&Gateway]) -> usize {
     let rate: usize = gateways.iter().map(|g| g.rate as usize).sum();
--- a/crates/coordinator/tests/soft.rs
+++ b/crates/coordinator/tests/soft.rs
@@ -98,6 +98,21 @@
     expect_that!(held_up.addresses(at(4_010), "d0").len(), eq(24));
 }
 
+/// Symptom: callers are sent to machines that have long been off. Sequence: four of six gateways
+/// lose power; the others go on. Cause: where most were silent the coordinator took itself to
+/// be cut off, though it heard the others all the time.
+#[googletest::test]
+fn gateways_that_are_off_are_not_named_however_many_they_are() {
+    let mut directory = five_domains(6);
+    for ms in (200..4_000).step_by(200) {
+        for n in 0..2 {
+            directory.hear(at(ms), gateway(n), told(n, "d", true));
+        }
+    }
+
+    expect_that!(directory.addresses(at(3_900), "d").len(), eq(2));
+}
+
 /// Symptom: gateways are overrun while others idle. Sequence: requests grow to 50 a second and
 /// gateway on the average. Cause: too few were named.
 #[googletest::test]
