Modules with one job: what is durable, what is carried, one backend server

Change, moved lines only: durable.rs keeps the log on disk, carry.rs brings pilots' calls to engines and back, server.rs is one backend server. No behaviour differs; the crates' tests pass. The circle around core.rs stands: its parts are impl blocks of one Core.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -1,25 +1,25 @@
 //! The thread that owns the log, the settled document and the registrations.
 
 use crate::directory::Directory;
+use crate::durable::{first_members, restored};
 use crate::ring::{Event, Inlet, Ring, ring};
-use crate::settled::{Settled, decode, encode};
+use crate::settled::{Settled, decode};
 use crate::supervise::{Opening, supervise};
 use crate::{
-    CallsSnafu, DecodeSnafu, ListenSnafu, Result, groups, http, members, news, reads, relays,
-    settling, tell,
+    CallsSnafu, ListenSnafu, Result, groups, http, members, news, reads, relays, settling, tell,
 };
 use bn_conf::{Coordinator as Conf, Settings};
 use bn_engine::Calls;
 use bn_net::Net;
-use bn_quorum::{Entry, Member, Message, Output, Payload, Quorum, Restored, Role, Setup, Timing};
+use bn_quorum::{Entry, Message, Output, Payload, Quorum, Role, Setup, Timing};
 use bn_registry::Registry;
-use bn_store::{Disk, Loaded, Store};
+use bn_store::{Disk, Store};
 use bn_trace::Lines;
+use bn_wire::messages::Envelope;
 use bn_wire::messages::envelope::Body;
-use bn_wire::messages::{self as wire, Envelope};
 use indexmap::IndexSet;
 use serde_json::json;
-use snafu::{OptionExt, ResultExt};
+use snafu::ResultExt;
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
@@ -30,14 +30,6 @@
 /// Time for which events that may wait are taken before the thread turns to consensus again: a
 /// sixth of the time between heartbeats.
 const TURN: Duration = Duration::from_millis(20);
-/// Bytes of documents in the log after which a snapshot replaces it: some times the newest
-/// document, which is all that matters. A follower that lags gets that one in place of
-/// dozens: documents with hundreds of routes have some 30 KB packed, and sending all of them
-/// again and again takes the link and the processor from everything else.
-const SNAPSHOT_TIMES: usize = 4;
-const SNAPSHOT_BYTES: usize = 128 << 10;
-/// Entries kept in memory behind a snapshot, for followers that lag a little.
-const KEPT: u64 = 3;
 /// The log's durations. Instances have a twentieth of a core or more, so that a heartbeat
 /// may be handled tens of milliseconds late. An election begins after nearly four of them: a
 /// group that a dead leader left held stands still until the next one leads. Fifteen days with
@@ -61,11 +53,11 @@
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) losses: u32,
     pub(crate) quorum: Quorum,
-    store: Store,
+    pub(crate) store: Store,
     identity: u64,
     pub(crate) settled: Settled,
-    applied: u64,
-    logged_bytes: usize,
+    pub(crate) applied: u64,
+    pub(crate) logged_bytes: usize,
     pub(crate) registry: Registry,
     /// Services that the document of that version names.
     pub(crate) services: (u64, IndexSet<String>),
@@ -318,26 +310,6 @@
         }
     }
 
-    fn persist(&mut self, out: &Output) -> Result<()> {
-        if let Some(snapshot) = &out.snapshot {
-            self.store.snapshot(&snapshot.into(), Vec::new())?;
-            self.applied = snapshot.index;
-            self.adopt(decode(&snapshot.state)?);
-        }
-        if out.hard.is_none() && out.cut_from.is_none() && out.append.is_empty() {
-            return Ok(());
-        }
-        let batch = wire::Batch {
-            hard: out.hard.as_ref().map(Into::into),
-            cut_from: out.cut_from.unwrap_or(0),
-            entries: out.append.iter().map(Into::into).collect(),
-        };
-        let began = self.now();
-        self.store.append(&batch)?;
-        metrics::histogram!("log_commit_seconds").record(self.now() - began);
-        Ok(())
-    }
-
     fn send_member(&self, to: &str, message: &Message) {
         let member = self.quorum.members().get(to);
         let known = member.and_then(|m| m.address.parse::<SocketAddr>().ok());
@@ -373,7 +345,7 @@
     }
 
     /// Takes a committed document; an older one than is in force changes nothing.
-    fn adopt(&mut self, settled: Settled) {
+    pub(crate) fn adopt(&mut self, settled: Settled) {
         let older = settled.version <= self.settled.version;
         self.lines.put(
             "document_committed",
@@ -388,23 +360,6 @@
         self.finish_settling();
     }
 
-    fn compact(&mut self) -> Result<()> {
-        let most = SNAPSHOT_BYTES + SNAPSHOT_TIMES * self.settled.document.len();
-        if self.logged_bytes < most {
-            return Ok(());
-        }
-        let state = encode(&self.settled);
-        if let Some(snapshot) = self.quorum.compact_keeping(self.applied, state, KEPT) {
-            let rest = self.quorum.held_after(snapshot.index);
-            let rest = rest.iter().map(Into::into).collect();
-            self.store.snapshot(&(&snapshot).into(), rest)?;
-            self.logged_bytes = 0;
-            self.lines
-                .put("snapshot_taken", json!({ "index": snapshot.index }));
-        }
-        Ok(())
-    }
-
     fn note_role(&mut self) {
         let role = self.quorum.role();
         if role == self.role {
@@ -433,29 +388,3 @@
         .map(|s| SocketAddr::new(s.ip(), port))
         .collect()
 }
-
-fn first_members(seeds: &[SocketAddr]) -> bn_quorum::Snapshot {
-    let member = |inbox: &SocketAddr| {
-        let member = Member {
-            identity: 0,
-            address: inbox.to_string(),
-            voter: true,
-        };
-        (inbox.ip().to_string(), member)
-    };
-    bn_quorum::Snapshot {
-        members: seeds.iter().map(member).collect(),
-        state: encode(&Settled::default()),
-        ..bn_quorum::Snapshot::default()
-    }
-}
-
-fn restored(loaded: Loaded) -> Result<Restored> {
-    let entries = loaded.entries.into_iter().map(Entry::try_from);
-    let entries = entries.collect::<std::result::Result<_, _>>();
-    Ok(Restored {
-        hard: loaded.hard.into(),
-        snapshot: loaded.snapshot.map(Into::into),
-        entries: entries.ok().context(DecodeSnafu { what: "log entry" })?,
-    })
-}
--- /dev/null
+++ b/crates/coordinator/src/durable.rs
@@ -0,0 +1,85 @@
+//! What the log keeps on disk: entries and votes before they are answered, a snapshot in place of
+//! many documents.
+
+use crate::core::Core;
+use crate::settled::{Settled, decode, encode};
+use crate::{DecodeSnafu, Result};
+use bn_quorum::{Entry, Member, Output, Restored};
+use bn_store::Loaded;
+use bn_wire::messages as wire;
+use serde_json::json;
+use snafu::OptionExt;
+use std::net::SocketAddr;
+
+/// Bytes of documents in the log after which a snapshot replaces it: some times the newest
+/// document, which is all that matters. A follower that lags gets that one in place of
+/// dozens: documents with hundreds of routes have some 30 KB packed, and sending all of them
+/// again and again takes the link and the processor from everything else.
+const SNAPSHOT_TIMES: usize = 4;
+const SNAPSHOT_BYTES: usize = 128 << 10;
+/// Entries kept in memory behind a snapshot, for followers that lag a little.
+const KEPT: u64 = 3;
+impl Core {
+    pub(super) fn persist(&mut self, out: &Output) -> Result<()> {
+        if let Some(snapshot) = &out.snapshot {
+            self.store.snapshot(&snapshot.into(), Vec::new())?;
+            self.applied = snapshot.index;
+            self.adopt(decode(&snapshot.state)?);
+        }
+        if out.hard.is_none() && out.cut_from.is_none() && out.append.is_empty() {
+            return Ok(());
+        }
+        let batch = wire::Batch {
+            hard: out.hard.as_ref().map(Into::into),
+            cut_from: out.cut_from.unwrap_or(0),
+            entries: out.append.iter().map(Into::into).collect(),
+        };
+        let began = self.now();
+        self.store.append(&batch)?;
+        metrics::histogram!("log_commit_seconds").record(self.now() - began);
+        Ok(())
+    }
+
+    pub(super) fn compact(&mut self) -> Result<()> {
+        let most = SNAPSHOT_BYTES + SNAPSHOT_TIMES * self.settled.document.len();
+        if self.logged_bytes < most {
+            return Ok(());
+        }
+        let state = encode(&self.settled);
+        if let Some(snapshot) = self.quorum.compact_keeping(self.applied, state, KEPT) {
+            let rest = self.quorum.held_after(snapshot.index);
+            let rest = rest.iter().map(Into::into).collect();
+            self.store.snapshot(&(&snapshot).into(), rest)?;
+            self.logged_bytes = 0;
+            self.lines
+                .put("snapshot_taken", json!({ "index": snapshot.index }));
+        }
+        Ok(())
+    }
+}
+
+pub(super) fn first_members(seeds: &[SocketAddr]) -> bn_quorum::Snapshot {
+    let member = |inbox: &SocketAddr| {
+        let member = Member {
+            identity: 0,
+            address: inbox.to_string(),
+            voter: true,
+        };
+        (inbox.ip().to_string(), member)
+    };
+    bn_quorum::Snapshot {
+        members: seeds.iter().map(member).collect(),
+        state: encode(&Settled::default()),
+        ..bn_quorum::Snapshot::default()
+    }
+}
+
+pub(super) fn restored(loaded: Loaded) -> Result<Restored> {
+    let entries = loaded.entries.into_iter().map(Entry::try_from);
+    let entries = entries.collect::<std::result::Result<_, _>>();
+    Ok(Restored {
+        hard: loaded.hard.into(),
+        snapshot: loaded.snapshot.map(Into::into),
+        entries: entries.ok().context(DecodeSnafu { what: "log entry" })?,
+    })
+}
--- a/crates/coordinator/src/groups.rs
+++ b/crates/coordinator/src/groups.rs
@@ -1,19 +1,14 @@
 //! Balancing of lock-step groups, by the leader alone: carries the calls of each group's
 //! [`Pilot`] to the engines and their replies back.
 
-use crate::asks::{Written, engine_ask};
+use crate::asks::Written;
 use crate::core::Core;
-use crate::relays::{self, About, GroupId};
-use crate::ring::Event;
-use bn_engine::{Answer, Call, What};
+use crate::relays::GroupId;
 use bn_group::Muster;
-use bn_group::pilot::{self, Ask, Command, EngineId, Note, Pilot, Reply, Shape, Used, View};
+use bn_group::pilot::{self, EngineId, Note, Pilot, Reply, Shape, Used, View};
 use bn_quorum::Role;
-use bn_wire::messages::envelope::Body;
-use bn_wire::messages::{EngineAnswers, EngineAsks};
 use indexmap::IndexMap;
 use serde_json::json;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Numbers of calls that ask for groups begin here, far from those of pilots.
@@ -21,10 +16,6 @@
 /// Such calls of one term at most.
 const PER_TERM: u64 = 1 << 20;
 
-/// Ranks up to which the leader arms each itself, in a third of a pass: 0.15 ms each on a whole
-/// core, 2 ms on the share that it has.
-const MANY: usize = 16;
-
 /// What the leader keeps of groups.
 #[derive(Default)]
 pub(crate) struct Groups {
@@ -35,12 +26,12 @@
     shapes: IndexMap<String, Shape>,
     /// Who forms which group, by service.
     musters: IndexMap<String, Muster>,
-    pilots: IndexMap<GroupId, Pilot>,
+    pub(crate) pilots: IndexMap<GroupId, Pilot>,
     /// Change of the registrations that musters know.
     mark: u64,
     /// The most that pilots of this term have used.
     used: Used,
-    written: Written,
+    pub(crate) written: Written,
 }
 
 impl Core {
@@ -141,41 +132,6 @@
         calls
     }
 
-    /// Asks that a relay left unanswered: the pilot asks again, straight this time.
-    fn drop_overdue(&mut self, now: Duration) {
-        for ask in self.relays.overdue(now) {
-            self.net.forget(ask.head);
-            self.note_silent_relay(ask.head, ask.about);
-            self.on_called(now, &ask.group, ask.call, Reply::Silent);
-        }
-    }
-
-    fn note_silent_relay(&self, relay: SocketAddr, about: About) {
-        let fields = json!({ "relay": relay, "about": format!("{about:?}") });
-        self.lines.put("relay_silent", fields);
-    }
-
-    pub(crate) fn on_engine_answers(&mut self, now: Duration, answers: EngineAnswers) {
-        let EngineAnswers { answers, counts } = answers;
-        let mut lately = (!counts.is_empty()).then_some(counts);
-        for answer in answers {
-            // One that comes after its time was followed up already.
-            let Some(ask) = self.relays.answered(answer.call) else {
-                continue;
-            };
-            if answer.unheard {
-                self.relays.pass_over(now, ask.relay);
-                self.note_silent_relay(ask.relay, ask.about);
-            } else {
-                self.relays.heard(ask.relay);
-            }
-            // Counts are of all engines together: they go with any one.
-            let lately = answer.view.as_ref().and_then(|_| lately.take());
-            let reply = relays::read(ask.about, answer, lately);
-            self.on_called(now, &ask.group, ask.call, reply);
-        }
-    }
-
     pub(crate) fn on_called(&mut self, now: Duration, group: &GroupId, call: u64, reply: Reply) {
         let odd = match reply {
             Reply::Conflict | Reply::Fenced | Reply::Odd | Reply::Silent => Some(reply.clone()),
@@ -241,93 +197,6 @@
         }
     }
 
-    fn carry(&mut self, now: Duration, group: &GroupId, calls: Vec<pilot::Call>) {
-        let port = self.inbox.port();
-        let count = calls.len();
-        let ranks = self.groups.pilots.get(group).map_or(0, Pilot::ranks);
-        let mut beside = Vec::new();
-        for (at, call) in calls.into_iter().enumerate() {
-            let record = self.registry.get(&call.engine);
-            let Some(address) = record.and_then(|r| r.address) else {
-                self.hand_back(group, call.call, Reply::Silent);
-                continue;
-            };
-            let relay = self.relays.beside(now, address, port);
-            match relay.filter(|_| goes_by_relay(&call, ranks)) {
-                Some(relay) => beside.push(Beside {
-                    relay,
-                    counts: relays::is_counted(at, count),
-                    call,
-                }),
-                None => self.call_straight(group, address, call),
-            }
-        }
-        let map = self.map_of(&beside);
-        let part = relays::part(beside.len(), map.len());
-        for calls in beside.chunks(part) {
-            self.ask_relays(now, group, calls, &map);
-        }
-    }
-
-    /// The map that orders among these are about, packed; they are all about the same.
-    fn map_of(&mut self, calls: &[Beside]) -> Vec<u8> {
-        let map = calls.iter().find_map(|b| match &b.call.ask {
-            Ask::Order(Command::Prepare(_, map), ..) => Some(map.clone()),
-            _ => None,
-        });
-        map.map_or_else(Vec::new, |map| self.groups.written.packed(&map))
-    }
-
-    /// Asks some relays, all by way of one of them.
-    fn ask_relays(&mut self, now: Duration, group: &GroupId, calls: &[Beside], map: &[u8]) {
-        // Any of them: one that is dead is found out and passed over.
-        let at = rand::random_range(0..calls.len().max(1));
-        let Some(head) = calls.get(at).map(|b| b.relay) else {
-            return;
-        };
-        let mut asks = EngineAsks {
-            map: map.to_vec(),
-            ..EngineAsks::default()
-        };
-        for Beside {
-            relay,
-            counts,
-            call,
-        } in calls
-        {
-            let number = self.next_call();
-            let (ask, about) = engine_ask(number, *relay, call, *counts);
-            asks.asks.push(ask);
-            let to = (*relay, head);
-            self.relays
-                .asked(now, number, (group, call.call), to, about);
-        }
-        self.net.send(head, Body::EngineAsks(asks));
-    }
-
-    fn call_straight(&mut self, group: &GroupId, address: SocketAddr, call: pilot::Call) {
-        let (path, body, read) = self.groups.written.call(call.ask);
-        let (ring, group) = (self.ring.clone(), group.clone());
-        let number = call.call;
-        let done = move |answer: Answer| {
-            let reply = answer.map_or(Reply::Silent, |(status, body)| read(status, &body));
-            ring.put(Event::Called(group, number, reply));
-        };
-        self.calls.put(Call {
-            what: What {
-                address,
-                path,
-                body,
-                server: call.engine,
-            },
-            done: Box::new(done),
-        });
-    }
-
-    fn hand_back(&self, group: &GroupId, call: u64, reply: Reply) {
-        self.ring.put(Event::Called(group.clone(), call, reply));
-    }
-
     fn note_group(&self, group: &GroupId, note: &Note) {
         let (before, after) = note.skew.map_or((None, None), |(b, a)| (Some(b), Some(a)));
         let fields = json!({
@@ -338,34 +207,6 @@
     }
 }
 
-/// A call that goes by the relay beside its engine.
-struct Beside {
-    relay: SocketAddr,
-    /// A look takes counts, too.
-    counts: bool,
-    call: pilot::Call,
-}
-
-/// What is asked through a relay, in a group of so many ranks. Orders around a hold go straight from
-/// the leader: a relay that stops with one in its hands leaves the group standing until the next
-/// try. Those that all of many ranks get go through relays, too: 192 calls take a leader with
-/// 0.075 of a core 0.4 s, for which the group stands if the switch is not set that far ahead.
-///
-/// Each further try goes the other way: new connections to an engine may be refused while
-/// the link to its relay still stands, and the other way round.
-pub fn goes_by_relay(call: &pilot::Call, ranks: usize) -> bool {
-    let first = match &call.ask {
-        Ask::Report | Ask::Look | Ask::Copied(_) => true,
-        Ask::Order(command, ..) => match command {
-            Command::Prepare(..) => true,
-            Command::Arm(..) | Command::Disarm(..) => ranks > MANY,
-            Command::Hold(..) | Command::Go(..) => false,
-        },
-        Ask::Counts | Ask::List => return false,
-    };
-    first != call.tries.is_multiple_of(2)
-}
-
 fn group_id(service: &str, name: &str) -> GroupId {
     GroupId {
         service: service.into(),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -4,8 +4,10 @@
 //! One thread owns all state (`core`); HTTP and the inbox reach it over two bounded rings.
 
 mod asks;
+mod carry;
 mod core;
 mod directory;
+mod durable;
 mod groups;
 mod http;
 mod members;
@@ -18,9 +20,9 @@
 mod supervise;
 mod tell;
 
+pub use self::carry::goes_by_relay;
 pub use self::core::start;
 pub use self::directory::{Directory, Gateway};
-pub use self::groups::goes_by_relay;
 pub use self::news::Lag;
 pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part};
 pub use self::ring::{Event, Inlet, Ring, ring};
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,11 +13,12 @@
 mod prefix;
 mod retries;
 mod router;
+mod server;
 mod standing;
 
 pub use backend::{Backend, Report};
 pub use budget::Budget;
-pub use fleet::{Began, Fleet, Lack, Server, ServerId, Told, Unit, Want};
+pub use fleet::{Fleet, Lack, Want};
 pub use health::Health;
 pub use late::LatePart;
 pub use pace::{Bounds, Judged, Pace};
@@ -25,6 +26,7 @@
 pub use prefix::Prefixes;
 pub use retries::{Allowance, Retries};
 pub use router::{Ask, Policy, Router, least_reported, predicted};
+pub use server::{Began, Server, ServerId, Told, Unit};
 pub use standing::Standing;
 
 /// Id of a backend server.
