Settings of gateways take fractions: a deployment whose allowance of second tries is 33.7 did not start at all

Cause: the users' pages give bounds as whole numbers or fractions. Change: seconds and the allowance are numbers with fractions, checked; a part of a try is none. Tests: gateways_take_fractions and times_and_counts_below_nothing_are_faults, neither of which the old settings could pass.

--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -228,8 +228,8 @@
             "operators": self.at(n, 1).to_string(), "log": { "level": "info", "json": true },
             "gateway": {
                 "callers": self.at(n, 4).to_string(), "readiness": self.at(n, 5).to_string(),
-                "seeds": self.seeds(), "grace_ms": 4000, "retry_ratio": 0.2, "retry_slack": 200,
-                "retry_window_ms": 10_000,
+                "seeds": self.seeds(), "grace_s": 4, "retry_ratio": 0.2, "retry_slack": 200,
+                "retry_window_s": 10,
             },
         });
         self.run(&format!("g{n}"), &settings);
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -195,6 +195,17 @@
         })
     }
 
+    /// A time in seconds, fractions of one allowed; `default` where none is given.
+    pub(crate) fn seconds(&mut self, field: &str, value: f64, default: Duration) -> Duration {
+        if value == 0.0 {
+            return default;
+        }
+        Duration::try_from_secs_f64(value).unwrap_or_else(|_| {
+            self.add(field, value.to_string(), "give a time in seconds from 0 on");
+            default
+        })
+    }
+
     pub(crate) fn addresses(&mut self, field: &str, values: &[String]) -> Vec<SocketAddr> {
         if values.is_empty() {
             self.add(field, "[]", "give at least one address");
--- a/crates/conf/src/roles.rs
+++ b/crates/conf/src/roles.rs
@@ -65,14 +65,23 @@
         let value = raw.retry_ratio.to_string();
         faults.add("gateway.retry_ratio", value, "give a part from 0 to 1");
     }
+    if !(raw.retry_slack >= 0.0 && raw.retry_slack.is_finite()) {
+        let value = raw.retry_slack.to_string();
+        faults.add(
+            "gateway.retry_slack",
+            value,
+            "give a number of tries from 0 on",
+        );
+    }
     Gateway {
         callers: faults.address("gateway.callers", &raw.callers),
         readiness: faults.address("gateway.readiness", &raw.readiness),
         seeds: faults.addresses("gateway.seeds", &raw.seeds),
-        grace: millis(raw.grace_ms, DEFAULT_GRACE),
+        grace: faults.seconds("gateway.grace_s", raw.grace_s, DEFAULT_GRACE),
         retry_ratio: raw.retry_ratio,
-        retry_slack: raw.retry_slack,
-        retry_window: millis(raw.retry_window_ms, DEFAULT_WINDOW),
+        // A part of a try is none.
+        retry_slack: raw.retry_slack.max(0.0) as u32,
+        retry_window: faults.seconds("gateway.retry_window_s", raw.retry_window_s, DEFAULT_WINDOW),
     }
 }
 
@@ -89,10 +98,3 @@
         losses: raw.losses,
     }
 }
-
-fn millis(ms: u64, default: Duration) -> Duration {
-    match ms {
-        0 => default,
-        ms => Duration::from_millis(ms),
-    }
-}
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -112,3 +112,42 @@
         ]
     );
 }
+
+/// Symptom: no gateway starts, 1,090 ends in a day. Sequence: a deployment is played at a share of its
+/// size, and its allowance of second tries is 33.7. Cause: settings took whole numbers alone, and
+/// a fraction of a second with three noughts behind it was read as milliseconds.
+#[gtest]
+fn gateways_take_fractions() {
+    let text = r#"{"id": "g", "domain": "d", "inbox": "127.0.0.1:1", "operators": "127.0.0.1:2",
+        "gateway": {"callers": "127.0.0.1:4", "readiness": "127.0.0.1:3",
+            "seeds": ["127.0.0.1:5"], "retry_ratio": 0.2, "retry_slack": 33.68421052631579,
+            "grace_s": 7.5, "retry_window_s": 2.25}}"#;
+
+    let gateway = parse(text).unwrap().gateway.unwrap();
+
+    expect_that!(gateway.retry_slack, eq(33));
+    expect_that!(gateway.grace, eq(std::time::Duration::from_millis(7_500)));
+    expect_that!(
+        gateway.retry_window,
+        eq(std::time::Duration::from_millis(2_250))
+    );
+}
+
+#[gtest]
+fn times_and_counts_below_nothing_are_faults() {
+    let text = r#"{"id": "g", "domain": "d", "inbox": "127.0.0.1:1", "operators": "127.0.0.1:2",
+        "gateway": {"callers": "127.0.0.1:4", "readiness": "127.0.0.1:3",
+            "seeds": ["127.0.0.1:5"], "retry_ratio": 0.2, "retry_slack": -1, "grace_s": -8,
+            "retry_window_s": -0.5}}"#;
+
+    let found = fields(text);
+
+    expect_that!(
+        found.iter().map(String::as_str).collect::<Vec<_>>(),
+        unordered_elements_are![
+            eq(&"gateway.retry_slack"),
+            eq(&"gateway.grace_s"),
+            eq(&"gateway.retry_window_s")
+        ]
+    );
+}
--- a/crates/coordinator/src/carry.rs
+++ b/crates/coordinator/src/carry.rs
@@ -18,6 +18,7 @@
 const MANY: usize = 16;
 
 impl Core {
+    /// Sends calls on their ways: through relays in parts, each by way of one of them, or straight.
     pub(super) fn carry(&mut self, now: Duration, group: &GroupId, calls: Vec<pilot::Call>) {
         let port = self.inbox.port();
         let count = calls.len();
@@ -120,6 +121,7 @@
         self.lines.put("relay_silent", fields);
     }
 
+    /// Takes the answers that a relay collected.
     pub(crate) fn on_engine_answers(&mut self, now: Duration, answers: EngineAnswers) {
         let EngineAnswers { answers, counts } = answers;
         let mut lately = (!counts.is_empty()).then_some(counts);
--- a/crates/coordinator/src/durable.rs
+++ b/crates/coordinator/src/durable.rs
@@ -19,7 +19,9 @@
 const SNAPSHOT_BYTES: usize = 128 << 10;
 /// Entries kept in memory behind a snapshot, for followers that lag a little.
 const KEPT: u64 = 3;
+
 impl Core {
+    /// Writes and syncs what the log gave out: only then may anything be answered that rests on it.
     pub(super) fn persist(&mut self, out: &Output) -> Result<()> {
         if let Some(snapshot) = &out.snapshot {
             self.store.snapshot(&snapshot.into(), Vec::new())?;
@@ -40,6 +42,7 @@
         Ok(())
     }
 
+    /// Puts a snapshot in place of the entries once they are large against the newest document.
     pub(super) fn compact(&mut self) -> Result<()> {
         let most = SNAPSHOT_BYTES + SNAPSHOT_TIMES * self.settled.document.len();
         if self.logged_bytes < most {
--- a/crates/wire/src/gen/bn.settings.rs
+++ b/crates/wire/src/gen/bn.settings.rs
@@ -131,16 +131,16 @@
     #[prost(string, repeated, tag = "3")]
     pub seeds: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// from the signal to the forced end
-    #[prost(uint64, tag = "4")]
-    pub grace_ms: u64,
+    #[prost(double, tag = "4")]
+    pub grace_s: f64,
     /// second tries, as a part of requests
     #[prost(double, tag = "5")]
     pub retry_ratio: f64,
     /// second tries beyond that, all gateways together
-    #[prost(uint32, tag = "6")]
-    pub retry_slack: u32,
-    #[prost(uint64, tag = "7")]
-    pub retry_window_ms: u64,
+    #[prost(double, tag = "6")]
+    pub retry_slack: f64,
+    #[prost(double, tag = "7")]
+    pub retry_window_s: f64,
 }
 /// A process that keeps the settled documents and the registrations.
 #[derive(serde::Serialize, serde::Deserialize)]
