Connections to backend servers are reset when closed: what was given up is not delivered later

A request whose caller left arrives when a cut ends or a frozen machine wakes, up to 3 s later, and is begun. Ruled out: asking the machine first, a round trip for every request.

--- a/crates/serve/src/client.rs
+++ b/crates/serve/src/client.rs
@@ -153,6 +153,11 @@
 
 /// A machine without power, or behind a cut, answers nothing: without bounds of its own a
 /// connection to it hangs for minutes.
+///
+/// A connection that is closed is reset. After an ordinary close the system goes on sending what the
+/// other side has not acknowledged: a request that was given up arrives, and is begun, when a cut
+/// ends or a frozen machine wakes, seconds after its caller left. A reset drops it. Six plays of a day
+/// with frozen machines had two in which such requests arrived, and none so.
 fn guard(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
@@ -161,6 +166,7 @@
         .with_retries(PROBES);
     let set = [
         stream.set_nodelay(true),
+        socket.set_linger(Some(Duration::ZERO)),
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)),
         socket.set_tcp_keepalive(&probes),
     ];
