Test: a request that ends backend servers is known to all gateways (fails)

Ruled out as needed for the fault: groups, resumed streams in a group that stands still, a particular size.

--- /dev/null
+++ b/crates/cli/tests/fatal.rs
@@ -0,0 +1,90 @@
+//! Requests that end the backend servers that run them, over separate processes.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+// The other tests of a fleet use the rest of it.
+#[allow(dead_code)]
+mod fleet;
+
+use fleet::mortal::{self, FATAL, Record};
+use fleet::{Fleet, Message, call, request};
+use googletest::prelude::*;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Time after the third end within which all gateways must know, and tries allowed after it: the
+/// users' bound.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+const TRIES_AFTER: usize = 3;
+/// Ends under a request after which it counts as the cause.
+const ENDS: usize = 3;
+
+/// Requests sent to all of `gateways` at once, every `gap` for `time`; the answers with the time
+/// of their request, and whether each was whole.
+fn ask_all(
+    gateways: &[SocketAddr],
+    body: &'static str,
+    gap: Duration,
+    time: Duration,
+) -> Vec<(Instant, Message)> {
+    let until = Instant::now() + time;
+    let ask = |at: SocketAddr| {
+        thread::spawn(move || {
+            let mut answers = Vec::new();
+            for n in 0.. {
+                let asked = Instant::now();
+                if asked >= until {
+                    break;
+                }
+                let head = request("POST", "/draft/1", &format!("{at}-{body}-{n}"), "key-1");
+                answers.push((asked, call(at, &head, body).unwrap_or_default()));
+                thread::sleep(gap.saturating_sub(asked.elapsed()));
+            }
+            answers
+        })
+    };
+    let asking: Vec<_> = gateways.iter().map(|at| ask(*at)).collect();
+    asking.into_iter().flat_map(|a| a.join().unwrap()).collect()
+}
+
+/// Symptom: backend servers end one after the other, for as long as a caller goes on asking.
+/// Sequence: a request ends the backend server that runs it; the same one, from the same caller, comes
+/// again at other gateways, at several at once, and ends the next ones, which come back meanwhile.
+/// Cause: nobody remembered which requests ran where a backend server ended.
+/// Evidence: at each end of a day with 17, the request in question was one that had brought no event
+/// yet, and its caller had been there before.
+#[googletest::test]
+fn a_request_that_ends_backend_servers_is_known_to_all_gateways() {
+    let mut fleet = Fleet::start(38);
+    fleet.run_gateway(6);
+    fleet.wait("third gateway", |f| f.ready(6));
+    let gateways: Vec<SocketAddr> = (4..=6).map(|n| fleet.callers(n)).collect();
+    let record: Arc<Mutex<Record>> = Arc::default();
+    for name in ["a", "b", "c", "d", "e", "f"] {
+        mortal::run(name, "engines", fleet.control(2), &record);
+    }
+    fleet.wait("backend servers", |f| {
+        (4..=6).all(|n| f.ask(n, "POST", "/draft/1", "first").whole)
+    });
+
+    let time = Duration::from_secs(14);
+    let others = gateways.clone();
+    let ordinary =
+        thread::spawn(move || ask_all(&others, "ordinary", Duration::from_millis(50), time));
+    ask_all(&gateways, FATAL, Duration::from_millis(700), time);
+    let ordinary = ordinary.join().unwrap();
+
+    let record = record.lock().unwrap();
+    expect_that!(record.ends.len(), ge(ENDS), "the request ends nobody");
+    let known = record.ends[ENDS - 1] + KNOWN_WITHIN;
+    let late = record.arrivals.iter().filter(|a| **a > known).count();
+    expect_that!(late, le(TRIES_AFTER), "{} ended", record.ends.len());
+    // Once it is known, and all backend servers are back, the others are served as ever.
+    let calm = known + Duration::from_secs(2);
+    let served = ordinary.iter().filter(|(at, _)| *at > calm);
+    let (whole, cut): (Vec<_>, Vec<_>) = served.partition(|(_, m)| m.status() == 200 && m.whole);
+    expect_that!(whole.len(), gt(100));
+    expect_that!(cut.len(), eq(0));
+}
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -1,6 +1,10 @@
 //! Coordinators, gateways and scripted backend servers on this machine, as separate
 //! processes on loopback.
 
+// Each test program uses a part of these.
+#[allow(dead_code)]
+pub(crate) mod mortal;
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -311,6 +315,12 @@
         call(self.at(n, 3), &head, "").map_or(String::new(), |m| m.text())
     }
 
+    /// Where a coordinator takes documents and announcements.
+    #[allow(dead_code)]
+    pub(crate) fn control(&self, n: u8) -> SocketAddr {
+        self.at(n, 2)
+    }
+
     pub(crate) fn inbox(&self, n: u8) -> SocketAddr {
         self.at(n, 0)
     }
