Requests that end backend servers are suspected, tried alone, and refused everywhere

Cause: each gateway judged each copy of such a request as if it were the first. Class: a query of death; the memory that would have stopped it was kept by nobody. Change: a gateway that lost a run looks whether its backend server still listens, and tells all coordinators of an end and who ran there. Two ends make a suspect: one try at a time in the fleet, by the leader's word, and no second one by itself. A test goes with it for a common kill of all processes: what was refused stays refused.

--- a/crates/cli/tests/fatal.rs
+++ b/crates/cli/tests/fatal.rs
@@ -88,3 +88,47 @@
     expect_that!(whole.len(), gt(100));
     expect_that!(cut.len(), eq(0));
 }
+
+/// Symptom: after a common restart backend servers end again under a request that was refused before.
+/// Sequence: it is refused; all coordinators and gateways are killed and start again; it comes once more at
+/// each gateway. Cause: only memory knew of it.
+#[googletest::test]
+fn a_refused_request_is_refused_after_all_processes_were_killed() {
+    let mut fleet = Fleet::start(39);
+    let record: Arc<Mutex<Record>> = Arc::default();
+    for name in ["a", "b", "c", "d"] {
+        mortal::run(name, "engines", fleet.control(2), &record);
+    }
+    fleet.wait("backend servers", |f| {
+        (4..=5).all(|n| f.ask(n, "POST", "/draft/1", "first").whole)
+    });
+    let fatal = |f: &Fleet, n: u8| {
+        let head = request("POST", "/draft/1", "fatal-1", "key-1");
+        call(f.callers(n), &head, FATAL).unwrap_or_default()
+    };
+    let refused = |m: &Message| m.text().contains("ended under this request");
+    fleet.wait("refusal", |f| (4..=5).all(|n| refused(&fatal(f, n))));
+    let known = record.lock().unwrap().arrivals.len();
+
+    for id in ["g4", "g5", "c1", "c2", "c3"] {
+        fleet.kill(id);
+    }
+    for n in 1..=3 {
+        fleet.run_coordinator(n, false);
+    }
+    for n in 4..=5 {
+        fleet.run_gateway(n);
+    }
+    fleet.wait("gateways", |f| {
+        (4..=5).all(|n| f.ask(n, "POST", "/draft/1", "again").whole)
+    });
+    let answers: Vec<Message> = (4..=5).map(|n| fatal(&fleet, n)).collect();
+
+    for answer in &answers {
+        expect_that!(answer.status(), eq(503));
+        expect_true!(refused(answer));
+        // Nothing says that coming back would help.
+        expect_that!(answer.header("retry-after"), eq(""));
+    }
+    expect_that!(record.lock().unwrap().arrivals.len(), eq(known));
+}
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -6,7 +6,8 @@
 use crate::settled::{Settled, decode};
 use crate::supervise::{Opening, supervise};
 use crate::{
-    CallsSnafu, ListenSnafu, Result, groups, http, members, news, reads, relays, settling, tell,
+    CallsSnafu, ListenSnafu, Result, cases, groups, http, members, news, reads, relays, settling,
+    tell,
 };
 use bn_conf::{Coordinator as Conf, Settings};
 use bn_engine::Calls;
@@ -68,6 +69,7 @@
     pub(crate) reads: reads::Reads,
     pub(crate) members: members::Upkeep,
     pub(crate) groups: groups::Groups,
+    pub(crate) cases: cases::Cases,
     pub(crate) calls: Calls,
     pub(crate) relays: relays::Relays,
     pub(crate) ring: Ring,
@@ -166,6 +168,7 @@
             reads: Default::default(),
             members: Default::default(),
             groups: Default::default(),
+            cases: cases::Cases::open(&conf.data),
             calls: opening.calls.clone(),
             relays: Default::default(),
             ring: opening.ring.clone(),
@@ -176,6 +179,7 @@
     pub(crate) fn inherit(&mut self, before: Core) {
         self.registry = before.registry;
         self.directory = before.directory;
+        self.cases.inherit(self.now(), before.cases);
         self.seeds = before.seeds;
     }
 
@@ -198,6 +202,7 @@
             self.quorum.tick(now);
             self.flush()?;
             self.note_role();
+            self.keep_cases(now);
             self.answer_reads(now);
             self.press_settling(now);
             self.keep_members(now);
@@ -245,6 +250,10 @@
             Event::Leave(id, done) => self.on_leave(now, &id, done),
             Event::Settle(plan, document, done) => self.on_settle(now, &plan, document, done),
             Event::Read(done) => self.on_read(now, done),
+            Event::Cases(done) => answered(done.send(self.show_cases())),
+            Event::Pardon(digest, done) => {
+                answered(done.send(self.pardon(now, digest)));
+            }
             Event::Resolve(domain, done) => {
                 answered(done.send(self.directory.addresses(now, &domain)));
             }
@@ -275,6 +284,9 @@
             Some(Body::ReadAsk(ask)) => self.on_read_ask(now, inbox, &ask),
             Some(Body::ReadAnswer(answer)) => self.on_read_answer(&answer),
             Some(Body::JoinAsk(ask)) => self.on_join_ask(inbox, &ask),
+            Some(Body::Ended(ended)) => self.on_ended(now, inbox, ended),
+            Some(Body::TrialAsk(ask)) => self.on_trial_ask(now, inbox, &ask),
+            Some(Body::RunDone(done)) => self.on_run_done(now, inbox, &done),
             Some(Body::EngineAnswers(answers)) => self.on_engine_answers(now, answers),
             _ => {}
         }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod asks;
 mod carry;
+mod cases;
 mod core;
 mod directory;
 mod durable;
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -35,6 +35,7 @@
 struct Peer {
     source: u64,
     mark: u64,
+    cases: u64,
     unanswered: u32,
 }
 
@@ -165,12 +166,19 @@
         self.untold.add(record);
     }
 
-    /// Tells the document in force to the gateways that are this coordinator's to tell.
+    /// Tells the document in force to the gateways that are this coordinator's to tell. One that has
+    /// just started serves from then on, so it has to know which requests it must not send.
     pub(crate) fn push_document(&mut self) {
         let news = wire::News {
             document: self.settled.document.clone(),
+            cases: self.cases.told_since(0, true),
             ..self.plain_news()
         };
+        self.push_to_own(&news);
+    }
+
+    /// Tells something to the gateways that are this coordinator's to tell.
+    pub(crate) fn push_to_own(&self, news: &wire::News) {
         for inbox in self.directory.inboxes().filter(|g| self.tells(*g)) {
             self.net.send(inbox, Body::News(news.clone()));
         }
@@ -223,9 +231,9 @@
             };
             self.directory.hear(now, inbox, gateway);
         }
-        let mark = match ask.source == self.net.incarnation() {
-            true => ask.mark,
-            false => 0,
+        let (mark, known) = match ask.source == self.net.incarnation() {
+            true => (ask.mark, ask.cases),
+            false => (0, 0),
         };
         let is_gateway = !ask.callers.is_empty();
         let behind = is_gateway && ask.version < self.settled.version;
@@ -242,6 +250,8 @@
             document,
             mark: self.registry.mark(),
             changed: changed.iter().map(Registration::from).collect(),
+            cases: self.cases.told_since(known, is_gateway),
+            cases_mark: self.cases.table.turn(),
             ..self.plain_news()
         };
         self.net.send(inbox, Body::News(news));
@@ -259,9 +269,17 @@
         peer.unanswered = 0;
         // A push has no mark: it says nothing of how far registrations are known.
         if news.mark > 0 {
+            if peer.source != incarnation {
+                // Another start counts its changes anew.
+                peer.cases = 0;
+            }
             peer.source = incarnation;
             peer.mark = news.mark;
         }
+        if news.cases_mark > 0 {
+            peer.cases = news.cases_mark;
+        }
+        self.take_cases(now, inbox, news.cases);
         for raw in news.changed {
             let Ok(record) = Record::try_from(raw) else {
                 metrics::counter!("registrations_undecodable_total").increment(1);
@@ -298,6 +316,7 @@
             let ask = wire::NewsAsk {
                 source: peer.source,
                 mark: peer.mark,
+                cases: peer.cases,
                 unheard,
                 ..wire::NewsAsk::default()
             };
--- a/crates/coordinator/src/ring.rs
+++ b/crates/coordinator/src/ring.rs
@@ -35,6 +35,10 @@
     Settle(Box<Plan>, Vec<u8>, oneshot::Sender<bool>),
     /// An operator reads the document in force; answered with none where unsure.
     Read(oneshot::Sender<Option<Vec<u8>>>),
+    /// An operator asks which requests are refused; answered as JSON.
+    Cases(oneshot::Sender<String>),
+    /// An operator vouches for a request; answered with whether anything was held against it.
+    Pardon(bn_quarantine::Digest, oneshot::Sender<bool>),
     /// A caller in that failure domain asks for addresses.
     Resolve(String, oneshot::Sender<Vec<SocketAddr>>),
     /// An engine replied to a call about its group, or did not.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -43,8 +43,10 @@
     NotSent(&'static str),
     /// The backend server says that it did not run it.
     NotRun(Word),
-    /// A byte left and no word came back.
-    Unknown(&'static str),
+    /// A byte left, and the connection broke before a word came back.
+    Broke,
+    /// A byte left, and what came back answers another request.
+    Foreign,
 }
 
 /// A backend server's word that it did not run a request.
@@ -102,7 +104,7 @@
         Err(e) if e.message().is_some() => Outcome::NotSent("connection closed before sending"),
         Err(e) => {
             log::debug!("{}: {}", seat.server.id, e.error());
-            Outcome::Unknown("connection broke before an answer")
+            Outcome::Broke
         }
     }
 }
@@ -133,7 +135,7 @@
     }
     // An extra answer to an earlier request may lie where this one is expected.
     if text(headers, header::ATTEMPT) != Some(&ticket.id) {
-        return Outcome::Unknown("an answer to another request came");
+        return Outcome::Foreign;
     }
     Outcome::Head(Box::new(Head {
         response,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! `front` takes a request in, `place` finds it a backend server, `attempt` sends it
 //! there over pooled connections, `plain` and `stream` bring the answer back; `link` hears from the
-//! coordinators what is settled and which backend servers there are.
+//! coordinators what is settled and which backend servers there are, `suspects` keeps requests that
+//! end backend servers from ending more.
 
 mod answer;
 mod attempt;
@@ -16,6 +17,7 @@
 mod sources;
 mod start;
 mod stream;
+mod suspects;
 mod ticket;
 
 pub use events::Splitter;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -5,7 +5,9 @@
 
 use crate::shared::Shared;
 use crate::sources::Sources;
+use crate::suspects::{self, Report};
 use bn_net::Net;
+use bn_quarantine::{Digest, Start, Told, to_text};
 use bn_registry::{Condition, Record};
 use bn_route::Server;
 use bn_wire::messages::envelope::Body;
@@ -14,7 +16,7 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Time over which the rate of requests is a mean: some seconds, so that chance is not told.
 const RATE_OVER: Duration = Duration::from_secs(5);
@@ -23,6 +25,10 @@
 /// Requests a second below which a gateway counts as one without any.
 const LEAST_RATE: f64 = 0.05;
 
+/// Suspects that wait for a word at the most: those that no leader answers are forgotten, the
+/// oldest first.
+const MOST_ASKED: usize = 64;
+
 /// Requests taken in a second, of late.
 #[derive(Debug, Clone, Copy, Default)]
 struct Rate {
@@ -57,6 +63,9 @@
     told_ready: bool,
     registered: IndexMap<String, Record>,
     rate: Rate,
+    /// Suspects that wait for the leader's word, by call.
+    asked: IndexMap<u64, (Digest, oneshot::Sender<bool>)>,
+    calls: u64,
 }
 
 impl Link {
@@ -76,17 +85,24 @@
             told_ready: false,
             registered: IndexMap::new(),
             rate: Rate::default(),
+            asked: IndexMap::new(),
+            calls: 0,
         }
     }
 
     /// Runs until the process ends.
-    pub(crate) async fn run(mut self, mut inbox: mpsc::Receiver<Envelope>) {
+    pub(crate) async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Envelope>,
+        mut reports: mpsc::Receiver<Report>,
+    ) {
         let mut closing = self.shared.closing.subscribe();
         let due = tokio::time::sleep(Duration::ZERO);
         let mut due = std::pin::pin!(due);
         loop {
             tokio::select! {
                 Some(message) = inbox.recv() => self.take(message),
+                Some(report) = reports.recv() => self.report(report),
                 () = due.as_mut() => {
                     self.ask_next();
                     due.as_mut().reset(tokio::time::Instant::now() + self.sources.gap());
@@ -132,6 +148,7 @@
             version,
             source: position.incarnation,
             mark: position.mark,
+            cases: position.cases,
             unheard: position.unheard,
             rate: self.rate.note(self.shared.now(), self.shared.taken()),
         };
@@ -142,8 +159,10 @@
         let Ok(inbox) = envelope.inbox.parse::<SocketAddr>() else {
             return;
         };
-        let Some(Body::News(news)) = envelope.body else {
-            return;
+        let news = match envelope.body {
+            Some(Body::News(news)) => news,
+            Some(Body::TrialAnswer(answer)) => return self.take_word(&answer),
+            _ => return,
         };
         if self.sources.heard(inbox, envelope.incarnation, news.mark) {
             let fields = json!({ "coordinator": inbox, "version": news.version });
@@ -158,11 +177,80 @@
                 Err(e) => log::warn!("a registration from {inbox}: {e}"),
             }
         }
+        for raw in news.cases {
+            match Told::try_from(raw) {
+                Ok(told) => self.learn(&told),
+                Err(e) => log::warn!("a case from {inbox}: {e}"),
+            }
+        }
+        self.sources.told_cases(inbox, news.cases_mark);
         let mut state = self.shared.state();
         state.gateways = news.gateways.max(1);
         state.fleet.peers = state.gateways - 1;
     }
 
+    /// Takes in what a coordinator knows of a request under which backend servers ended.
+    fn learn(&self, told: &Told) {
+        let now = self.shared.now();
+        let digest = told.digest;
+        let (before, after, ends) = {
+            let mut state = self.shared.state();
+            let before = state.cases.standing(digest);
+            state.cases.merge(now, told);
+            state.cases.forget(now);
+            let ends = state.cases.get(digest).map_or(0, |c| c.ends.len());
+            (before, state.cases.standing(digest), ends)
+        };
+        if before != after {
+            self.shared.lines.put(
+                "request_standing",
+                json!({
+                    "digest": to_text(digest), "standing": format!("{after:?}"),
+                    "before": format!("{before:?}"), "ends": ends, "round": told.case.round,
+                }),
+            );
+        }
+    }
+
+    /// Tells all coordinators: each keeps what it is told, and the leader may be any of them.
+    fn report(&mut self, report: Report) {
+        let bytes = |d: Digest| d.to_be_bytes().to_vec();
+        let body = match report {
+            Report::End(end) => Body::Ended((&end).into()),
+            Report::Done(digest, whole) => Body::RunDone(wire::RunDone {
+                digest: bytes(digest),
+                whole,
+            }),
+            Report::Ask(digest, time, word) => {
+                self.calls += 1;
+                // Numbers of an earlier start of this process are others.
+                let call = self.net.incarnation().wrapping_add(self.calls);
+                self.asked.insert(call, (digest, word));
+                while self.asked.len() > MOST_ASKED {
+                    self.asked.shift_remove_index(0);
+                }
+                Body::TrialAsk(wire::TrialAsk {
+                    call,
+                    digest: bytes(digest),
+                    time_ms: time.as_millis() as u64,
+                })
+            }
+        };
+        for inbox in self.sources.all() {
+            self.net.send(inbox, body.clone());
+        }
+    }
+
+    fn take_word(&mut self, answer: &wire::TrialAnswer) {
+        let Some((digest, word)) = self.asked.swap_remove(&answer.call) else {
+            return;
+        };
+        // Nobody waits any more for a word that comes too late: others may try.
+        if word.send(answer.granted).is_err() && answer.granted {
+            self.report(Report::Done(digest, false));
+        }
+    }
+
     fn adopt(&self, news: &wire::News) {
         let held = self.shared.plan().map_or(0, |p| p.version());
         if news.document.is_empty() || news.version <= held {
@@ -183,12 +271,35 @@
         }
     }
 
+    /// A backend server that comes shows the end of the one before it.
+    fn note_ends(&self, record: &Record) {
+        if record.condition == Condition::Gone {
+            return;
+        }
+        let next = Start {
+            id: record.id.clone(),
+            began: record.began,
+        };
+        let now = self.shared.now();
+        let ends = self
+            .shared
+            .state()
+            .watch
+            .followed(now, &next, record.address);
+        for end in ends {
+            suspects::tell(&self.shared, end, "followed");
+        }
+    }
+
     fn register(&mut self, record: Record) {
         let known = self.registered.get(&record.id);
         let Some(record) = known.map_or(Some(record.clone()), |held| record.over(held)) else {
             return;
         };
         let again = known.is_some_and(|held| held.began != record.began);
+        if again || known.is_none() {
+            self.note_ends(&record);
+        }
         let mut state = self.shared.state();
         if again {
             // It holds and knows nothing of before: its load, its failures and connections to it
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -5,6 +5,7 @@
 use crate::attempt::{self, Head, Outcome, Word};
 use crate::place;
 use crate::shared::Shared;
+use crate::suspects::{self, Run, Trial};
 use crate::ticket::Ticket;
 use bn_quarantine::to_text;
 use bn_route::ServerId;
@@ -15,7 +16,7 @@
 const MOST_UNSENT: u32 = 3;
 
 /// What was tried for a request so far.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct Tries {
     pub(crate) tried: Vec<ServerId>,
     /// Backend servers that it was sent to.
@@ -23,6 +24,8 @@
     unsent: u32,
     /// It is at a backend server, or was, and nobody said that it did not run.
     pub(crate) unsure: bool,
+    /// It is a suspect, and this its only try in the fleet.
+    pub(crate) trial: Option<Trial>,
 }
 
 impl Tries {
@@ -52,9 +55,14 @@
     last_event: Option<&str>,
 ) -> Result<Box<Head>, Refusal> {
     loop {
+        suspects::refuse_known(shared, ticket).map_err(|refusal| tries.end(refusal))?;
         let seat = place::seat(shared, ticket, &tries.tried).await;
         let seat = seat.map_err(|refusal| tries.end(refusal))?;
+        // It waited for its place, and more may be known of it by now.
+        let admitted = suspects::admit(shared, ticket, tries).await;
+        admitted.map_err(|refusal| tries.end(refusal))?;
         let id = seat.server.id.clone();
+        let run = Run::at(&seat.server);
         tries.tried.push(id.clone());
         let unsure_before = tries.unsure;
         tries.unsure = true;
@@ -81,21 +89,50 @@
                 tries.unsure = unsure_before;
                 on_word(shared, ticket, tries, &id, word)?;
             }
-            Outcome::Unknown(why) => {
-                tries.sent += 1;
-                note(shared, ticket, &id, "unknown", why);
-                fail(shared, &id, false);
-                if !again(shared, ticket, tries) {
-                    return Err(Refusal::unknown(502, "the answer was lost"));
-                }
+            Outcome::Broke => {
+                suspects::lost(shared, ticket, tries, &run, false);
+                on_unknown(
+                    shared,
+                    ticket,
+                    tries,
+                    &id,
+                    "connection broke before an answer",
+                )?;
+            }
+            Outcome::Foreign => {
+                on_unknown(
+                    shared,
+                    ticket,
+                    tries,
+                    &id,
+                    "an answer to another request came",
+                )?;
             }
         }
     }
 }
 
-/// The request may go to another backend server although it may have run.
+/// The request may go to another backend server although it may have run. A suspect may not: the
+/// next one would end, too, before the end of this one is known.
 pub(crate) fn again(shared: &Shared, ticket: &Ticket, tries: &Tries) -> bool {
-    ticket.idempotent() && tries.sent < ticket.route.attempts && shared.may_retry(&ticket.service)
+    let may = ticket.idempotent() && tries.trial.is_none() && tries.sent < ticket.route.attempts;
+    may && shared.may_retry(&ticket.service)
+}
+
+fn on_unknown(
+    shared: &Shared,
+    ticket: &Ticket,
+    tries: &mut Tries,
+    id: &str,
+    why: &str,
+) -> Result<(), Refusal> {
+    tries.sent += 1;
+    note(shared, ticket, id, "unknown", why);
+    fail(shared, id, false);
+    match again(shared, ticket, tries) {
+        true => Ok(()),
+        false => Err(Refusal::unknown(502, "the answer was lost")),
+    }
 }
 
 fn on_word(
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -5,6 +5,7 @@
 use crate::attempt::{self, Head};
 use crate::offer::{self, Tries};
 use crate::shared::Shared;
+use crate::suspects::{self, Run};
 use crate::ticket::{Ticket, strip_hop};
 use bn_platform::header;
 use bn_serve::Body;
@@ -37,19 +38,27 @@
             Err(refusal) => return spare.map(response).ok_or(refusal),
         };
         let id = head.seat.server.id.clone();
-        let Some(whole) = collect(shared, head).await else {
-            offer::note(shared, ticket, &id, "cut", "the answer broke off");
-            offer::fail(shared, &id, false);
-            if offer::again(shared, ticket, tries) {
-                continue;
+        let run = Run::at(&head.seat.server);
+        let whole = match collect(shared, head).await {
+            Ok(whole) => whole,
+            Err(flaw) => {
+                if flaw == Flaw::Broke {
+                    suspects::lost(shared, ticket, tries, &run, false);
+                }
+                offer::note(shared, ticket, &id, "cut", "the answer broke off");
+                offer::fail(shared, &id, false);
+                if offer::again(shared, ticket, tries) {
+                    continue;
+                }
+                let lost = Refusal::unknown(502, "the answer broke off");
+                return spare.map(response).ok_or(lost);
             }
-            let lost = Refusal::unknown(502, "the answer broke off");
-            return spare.map(response).ok_or(lost);
         };
         let failed = whole.parts.status.is_server_error();
         if !failed {
             let now = shared.now();
             shared.state().fleet.succeeded(now, &id);
+            suspects::whole(shared, ticket);
             return Ok(response(whole));
         }
         let status = whole.parts.status.as_str().to_string();
@@ -62,9 +71,17 @@
     }
 }
 
-/// The whole answer; none where it broke off, is no backend server's own, or claims
-/// success without the mark of one.
-pub(crate) async fn collect(shared: &Shared, head: Box<Head>) -> Option<Whole> {
+/// Why there is no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Flaw {
+    /// It broke off.
+    Broke,
+    /// It is no backend server's own: it claims success without the mark of one.
+    Unmarked,
+}
+
+/// The whole answer of a backend server.
+pub(crate) async fn collect(shared: &Shared, head: Box<Head>) -> Result<Whole, Flaw> {
     let Head {
         response,
         connection,
@@ -73,10 +90,14 @@
     let (parts, body) = response.into_parts();
     let marked = parts.headers.contains_key(header::SIGNATURE);
     let limit = attempt::idle_limit(&parts.headers);
-    let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
+    let body = Limited::new(body, LARGEST).collect().await;
+    let body = body.map_err(|_| Flaw::Broke)?.to_bytes();
     shared.pool.keep(shared.now(), connection, limit);
     drop(seat);
-    (marked || !parts.status.is_success()).then_some(Whole { parts, body })
+    match marked || !parts.status.is_success() {
+        true => Ok(Whole { parts, body }),
+        false => Err(Flaw::Unmarked),
+    }
 }
 
 /// What the caller gets of a whole answer.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,9 @@
 //! State that all requests of a gateway share. It is locked for moments only, never
 //! across a wait.
 
+use crate::suspects::Report;
 use bn_limit::Queue;
+use bn_quarantine::{Table, Watch};
 use bn_route::{Allowance, Bounds, Fleet, Pace, Patience, Retries, Server, Unit};
 use bn_serve::client::Pool;
 use bn_settle::Plan;
@@ -11,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 /// Between two looks whether a configuration has come.
 const PLAN_LOOK: Duration = Duration::from_millis(25);
@@ -38,6 +40,8 @@
     open: AtomicU32,
     /// Requests taken in since the start.
     taken: AtomicU64,
+    /// What the link tells the coordinators.
+    pub(crate) reports: mpsc::Sender<Report>,
 }
 
 /// What is believed and counted.
@@ -56,6 +60,10 @@
     pub(crate) patience: Patience,
     /// Gateways that share the retry budget.
     pub(crate) gateways: u32,
+    /// Requests under which backend servers ended, as coordinators tell them.
+    pub(crate) cases: Table,
+    /// Runs that were lost here.
+    pub(crate) watch: Watch,
 }
 
 impl State {
@@ -77,7 +85,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(domain: &str, allowance: Allowance, lines: Lines) -> Shared {
+    pub(crate) fn new(
+        domain: &str,
+        allowance: Allowance,
+        lines: Lines,
+        reports: mpsc::Sender<Report>,
+    ) -> Shared {
         let state = State {
             plan: None,
             fleet: Fleet::new(domain),
@@ -87,6 +100,8 @@
             room_line_due: Duration::ZERO,
             patience: Patience::default(),
             gateways: 1,
+            cases: Table::default(),
+            watch: Watch::default(),
         };
         Shared(Arc::new(Inner {
             start: Instant::now(),
@@ -99,6 +114,7 @@
             shut: AtomicBool::new(false),
             open: AtomicU32::new(0),
             taken: AtomicU64::new(0),
+            reports,
         }))
     }
 }
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -22,6 +22,7 @@
 struct Source {
     incarnation: u64,
     mark: u64,
+    cases: u64,
     unanswered: u32,
 }
 
@@ -32,6 +33,8 @@
     pub incarnation: u64,
     /// Registrations are known up to there.
     pub mark: u64,
+    /// Cases are known up to there.
+    pub cases: u64,
     /// The last asks were not answered: the link back may be dead.
     pub unheard: bool,
     /// The link to it should be opened anew.
@@ -88,6 +91,7 @@
         Position {
             incarnation: source.incarnation,
             mark: source.mark,
+            cases: source.cases,
             unheard,
             reopen: unheard && before.is_multiple_of(SILENT_ASKS),
             lost: before == SILENT_ASKS,
@@ -101,12 +105,23 @@
         let regained = source.unanswered > SILENT_ASKS;
         source.unanswered = 0;
         if mark > 0 {
+            if source.incarnation != incarnation {
+                // Another start counts its changes anew.
+                source.cases = 0;
+            }
             source.incarnation = incarnation;
             source.mark = mark;
         }
         regained
     }
 
+    /// One told its cases up to a change; 0 where it pushed a few.
+    pub fn told_cases(&mut self, inbox: SocketAddr, cases: u64) {
+        if let Some(source) = self.rows.get_mut(&inbox).filter(|_| cases > 0) {
+            source.cases = cases;
+        }
+    }
+
     /// Coordinators that are no longer named and silent are asked no more, seeds excepted.
     pub fn follow(&mut self, named: &[SocketAddr]) {
         let seeds = &self.seeds;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -63,7 +63,8 @@
         slack: conf.retry_slack,
         window: conf.retry_window,
     };
-    let shared = Shared::new(&settings.domain, allowance, lines);
+    let (reports, reported) = mpsc::channel(RING);
+    let shared = Shared::new(&settings.domain, allowance, lines, reports);
     let (sink, inbox) = mpsc::channel(RING);
     let put = move |envelope| sink.try_send(envelope).is_ok();
     let net = Net::begin(&settings.id, settings.inbox, settings.listen, put)?;
@@ -86,7 +87,7 @@
     let running = shared.clone();
     let thread = std::thread::spawn(move || {
         runtime.block_on(async move {
-            tokio::spawn(link.run(inbox));
+            tokio::spawn(link.run(inbox, reported));
             tokio::spawn(serve_readiness(running.clone(), ready));
             let accepting = tokio::spawn(serve_callers(running.clone(), callers));
             until_stopped(&running, grace, || accepting.abort()).await;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,6 +8,7 @@
 use crate::offer::{self, Tries};
 use crate::plain;
 use crate::shared::{Flight, Shared};
+use crate::suspects::{self, Run};
 use crate::ticket::{Ticket, strip_hop};
 use bn_platform::header;
 use bn_route::Server;
@@ -44,11 +45,16 @@
         Err(_) => return Err(tries.timed_out()),
     };
     if !is_stream(&head) {
+        let run = Run::at(&head.seat.server);
         let collected = plain::collect(shared, head);
         let whole = tokio::time::timeout(ticket.left(shared.now()), collected).await;
         let whole = whole.map_err(|_| tries.timed_out())?;
-        let lost = || Refusal::unknown(502, "the answer broke off");
-        return whole.map(plain::response).ok_or_else(lost);
+        return whole.map(plain::response).map_err(|flaw| {
+            if flaw == plain::Flaw::Broke {
+                suspects::lost(shared, ticket, &tries, &run, false);
+            }
+            Refusal::unknown(502, "the answer broke off")
+        });
     }
     let (parts, body, source) = split(*head);
     let now = shared.now();
@@ -164,6 +170,7 @@
     async fn run(mut self, body: Incoming, source: Source) {
         let (mut body, mut source) = (body, source);
         loop {
+            let run = Run::at(&source.seat.server);
             let id = source.seat.server.id.clone();
             match self.read(&mut body, &source.seat.server).await {
                 End::Whole => {
@@ -171,16 +178,22 @@
                     let now = shared.now();
                     shared.pool.keep(now, source.connection, source.limit);
                     shared.state().fleet.succeeded(now, &id);
+                    suspects::whole(shared, &self.ticket);
                     return self.note("stream_whole", &id, "");
                 }
-                End::Left => return self.note("caller_left", &id, ""),
+                End::Left => {
+                    self.lost(&run, true);
+                    return self.note("caller_left", &id, "");
+                }
                 End::Late => {
+                    self.lost(&run, true);
                     self.note("stream_cut", &id, "deadline or timeout");
                     return self.cut().await;
                 }
                 End::Broken(why) => {
                     drop(source);
                     drop(body);
+                    self.lost(&run, false);
                     self.note("stream_broken", &id, why);
                     offer::fail(&self.shared, &id, false);
                     match self.resume().await {
@@ -192,6 +205,10 @@
         }
     }
 
+    fn lost(&self, run: &Run, given_up: bool) {
+        suspects::lost(&self.shared, &self.ticket, &self.tries, run, given_up);
+    }
+
     async fn read(&mut self, body: &mut Incoming, server: &Server) -> End {
         let until = self.ticket.left(self.shared.now());
         let late = tokio::time::sleep(until);
--- /dev/null
+++ b/crates/gateway/src/suspects.rs
@@ -0,0 +1,204 @@
+//! Requests that end backend servers, as this gateway meets them: what it tells the coordinators of
+//! runs that were lost, and whether a request may be sent.
+
+use crate::answer::Refusal;
+use crate::offer::Tries;
+use crate::place;
+use crate::shared::{Inner, Shared};
+use crate::ticket::Ticket;
+use bn_quarantine::{Digest, End, Lost, Next, Standing, Start, to_text};
+use bn_route::Server;
+use bn_serve::client;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// How long a suspect waits for the word that it may be tried. The leader answers in a few
+/// milliseconds; where none does it is being elected, which takes half a second and more.
+const WORD: Duration = Duration::from_millis(300);
+/// Why a request is sent no more.
+pub(crate) const ENDS_SERVERS: &str = "backend servers ended under this request";
+/// Why a suspect waits.
+const TRIED: &str = "backend servers ended under this request, and it is being tried elsewhere";
+
+/// What the link tells the coordinators.
+#[derive(Debug)]
+pub(crate) enum Report {
+    /// A backend server ended.
+    End(End),
+    /// May this request be tried now, for so long?
+    Ask(Digest, Duration, oneshot::Sender<bool>),
+    /// A run of a suspect is over, with a whole answer or without.
+    Done(Digest, bool),
+}
+
+/// One run of a request at a backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    start: Start,
+    address: SocketAddr,
+}
+
+impl Run {
+    pub(crate) fn at(server: &Server) -> Run {
+        let start = Start {
+            id: server.id.clone(),
+            began: server.began,
+        };
+        Run {
+            start,
+            address: server.address,
+        }
+    }
+}
+
+/// The only try of a suspect in the fleet. Its end is told when it is dropped.
+pub(crate) struct Trial {
+    shared: Shared,
+    digest: Digest,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.shared.report(Report::Done(self.digest, false));
+    }
+}
+
+impl Inner {
+    /// Hands a report to the link. One that is lost costs a backend server more: the next end tells
+    /// the same.
+    pub(crate) fn report(&self, report: Report) {
+        if self.reports.try_send(report).is_err() {
+            metrics::counter!("ring_lost_total").increment(1);
+        }
+    }
+
+    fn standing(&self, ticket: &Ticket) -> Standing {
+        let state = self.state();
+        // Without cases no digest is worked out.
+        match state.cases.is_empty() {
+            true => Standing::Free,
+            false => state.cases.standing(ticket.digest()),
+        }
+    }
+}
+
+/// Refuses what is known to end backend servers, before it waits for a place.
+pub(crate) fn refuse_known(shared: &Shared, ticket: &Ticket) -> Result<(), Refusal> {
+    match shared.standing(ticket) {
+        Standing::Refused => Err(known()),
+        _ => Ok(()),
+    }
+}
+
+/// Not run this time, and no word on when to come back: nothing says that it would help.
+fn known() -> Refusal {
+    metrics::counter!("requests_quarantined_total").increment(1);
+    Refusal::wrong(503, ENDS_SERVERS)
+}
+
+/// Whether the request may be sent now, with a place taken. A suspect needs the leader's word, and
+/// is the only one of its kind in the fleet until its run is over.
+pub(crate) async fn admit(
+    shared: &Shared,
+    ticket: &Ticket,
+    tries: &mut Tries,
+) -> Result<(), Refusal> {
+    match shared.standing(ticket) {
+        Standing::Free => return Ok(()),
+        Standing::Refused => return Err(known()),
+        Standing::Suspect if tries.trial.is_some() => return Ok(()),
+        Standing::Suspect => {}
+    }
+    let digest = ticket.digest();
+    let (word, told) = oneshot::channel();
+    shared.report(Report::Ask(digest, ticket.left(shared.now()), word));
+    let granted = matches!(tokio::time::timeout(WORD, told).await, Ok(Ok(true)));
+    shared.lines.put(
+        "suspect_asked",
+        json!({ "request": ticket.id, "digest": to_text(digest), "granted": granted }),
+    );
+    if !granted {
+        return Err(Refusal::later(TRIED, place::back_after(shared, ticket)));
+    }
+    metrics::counter!("suspects_tried_total").increment(1);
+    let shared = shared.clone();
+    tries.trial = Some(Trial { shared, digest });
+    Ok(())
+}
+
+/// A request got a whole answer: it ends nobody.
+pub(crate) fn whole(shared: &Shared, ticket: &Ticket) {
+    let open = {
+        let state = shared.state();
+        !state.cases.is_empty() && state.cases.is_open(ticket.digest())
+    };
+    if open {
+        shared.report(Report::Done(ticket.digest(), true));
+    }
+}
+
+/// A run broke off, or was given up here. Connections break for many reasons, so somebody looks
+/// whether the backend server is still there.
+pub(crate) fn lost(shared: &Shared, ticket: &Ticket, tries: &Tries, run: &Run, given_up: bool) {
+    let now = shared.now();
+    let lost = Lost {
+        digest: ticket.digest(),
+        alone: tries.trial.is_some(),
+        given_up,
+    };
+    let next = {
+        let mut state = shared.state();
+        // One that leaves, or is gone, ends with what it has: that is no request's doing.
+        let known = state.fleet.get(&run.start.id);
+        if known.is_none_or(|s| s.leaving || s.began != run.start.began) {
+            return;
+        }
+        state.watch.lost(now, &run.start, run.address, lost)
+    };
+    match next {
+        Next::Wait => {}
+        Next::Look => look(shared.clone(), run.clone()),
+        Next::Tell(end) => tell(shared, end, "refused"),
+    }
+}
+
+/// Opens a connection, which serves the next request where the backend server lives.
+fn look(shared: Shared, run: Run) {
+    tokio::spawn(async move {
+        let opened = client::open(run.address).await;
+        let now = shared.now();
+        match opened {
+            Ok(connection) => {
+                shared.state().watch.lives(&run.start);
+                shared.pool.keep(now, connection, None);
+            }
+            Err(e) if e.nobody_listens() => {
+                let end = shared.state().watch.ended(now, &run.start);
+                if let Some(end) = end {
+                    tell(&shared, end, "refused");
+                }
+            }
+            Err(e) => {
+                log::debug!("{}: {e}", run.start.id);
+                shared.state().watch.unclear(&run.start);
+            }
+        }
+    });
+}
+
+/// Tells the coordinators that a backend server ended; `sign` is what shows it here.
+pub(crate) fn tell(shared: &Shared, end: End, sign: &str) {
+    let digests: Vec<String> = end.runs.iter().map(|(d, _)| to_text(*d)).collect();
+    let alone = end.runs.iter().any(|(_, alone)| *alone);
+    shared.lines.put(
+        "backend_server_ended",
+        json!({
+            "id": end.start.id, "began": end.start.began, "sign": sign, "digests": digests,
+            "alone": alone,
+        }),
+    );
+    metrics::counter!("backend_server_ends_total").increment(1);
+    shared.report(Report::End(end));
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -166,6 +166,10 @@
         Body::JoinAsk(_) => "join_ask",
         Body::EngineAsks(_) => "engine_asks",
         Body::EngineAnswers(_) => "engine_answers",
+        Body::Ended(_) => "ended",
+        Body::TrialAsk(_) => "trial_ask",
+        Body::TrialAnswer(_) => "trial_answer",
+        Body::RunDone(_) => "run_done",
     }
 }
 
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -27,3 +27,8 @@
 pub fn to_text(digest: Digest) -> String {
     format!("{digest:032x}")
 }
+
+/// The digest that a text names, as [`to_text`] writes it.
+pub fn from_text(text: &str) -> Option<Digest> {
+    Digest::from_str_radix(text, 16).ok()
+}
--- a/crates/serve/src/client.rs
+++ b/crates/serve/src/client.rs
@@ -55,6 +55,14 @@
     },
 }
 
+impl Error {
+    /// The machine is there, and no process takes connections at that address.
+    pub fn nobody_listens(&self) -> bool {
+        let refused = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
+        matches!(self, Error::Refused { source } if refused(source))
+    }
+}
+
 /// Result of opening a connection.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod disk;
 mod frame;
+mod side;
 mod store;
 
 pub use disk::{Disk, Step};
+pub use side::Side;
 pub use store::{Loaded, Store};
 
 use snafu::Snafu;
--- /dev/null
+++ b/crates/store/src/side.rs
@@ -0,0 +1,45 @@
+//! A small file beside the log, replaced whole.
+
+use crate::disk::Disk;
+use crate::frame;
+use crate::{DamagedSnafu, IoSnafu, Result};
+use snafu::{OptionExt, ResultExt};
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// A file whose content is replaced at once and lasts once a write has returned.
+pub struct Side {
+    path: PathBuf,
+    disk: Disk,
+}
+
+impl Side {
+    /// The file `name` of a data folder.
+    pub fn new(folder: &Path, name: &str, disk: Disk) -> Side {
+        let path = folder.join(name);
+        Side { path, disk }
+    }
+
+    /// What was written last; none where nothing was.
+    pub fn read(&self) -> Result<Option<Vec<u8>>> {
+        let path = &self.path;
+        let bytes = match std::fs::read(path) {
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+            read => read.context(IoSnafu { path })?,
+        };
+        let reason = "the content does not match its checksum";
+        let damaged = DamagedSnafu {
+            path,
+            offset: 0u64,
+            reason,
+        };
+        Ok(Some(frame::open(&bytes).context(damaged)?.to_vec()))
+    }
+
+    /// Replaces the content: after a crash the old or the new one stands there, whole.
+    pub fn write(&mut self, content: &[u8]) -> Result<()> {
+        let bytes = frame::seal(content);
+        let written = self.disk.replace(&self.path, &bytes);
+        written.context(IoSnafu { path: &self.path })
+    }
+}
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use bn_store::{Disk, Error, Loaded, Step, Store};
+use bn_store::{Disk, Error, Loaded, Side, Step, Store};
 use bn_wire::messages::{Batch, HardState, LogEntry, Snapshot, log_entry::Kind};
 use googletest::prelude::*;
 use std::fs;
@@ -257,3 +257,45 @@
     expect_true!(matches!(opened, Err(Error::Io { .. })));
     Ok(())
 }
+
+/// Symptom: a file beside the log is half of the old and half of the new content, or gone. Sequence: the
+/// process ends at each step of a write. Cause: it was written in place.
+#[gtest]
+fn a_side_file_holds_the_old_or_the_new_content_whole() -> Result<()> {
+    for steps in 0..4 {
+        let folder = folder();
+        let mut side = Side::new(folder.path(), "side", Disk::default());
+        verify_that!(side.read().unwrap(), none())?;
+        side.write(b"old").unwrap();
+        let left = Arc::new(AtomicUsize::new(steps));
+        let failing = Disk::new(move |_| {
+            let left = left.fetch_sub(1, Ordering::Relaxed);
+            match left {
+                0 => Err(io::Error::other("the process ends here")),
+                _ => Ok(()),
+            }
+        });
+
+        let written = Side::new(folder.path(), "side", failing).write(b"new");
+
+        verify_that!(written, err(anything()))?;
+        let held = side.read().unwrap().unwrap();
+        // The last step makes the new name last; it stands there already.
+        let expected = if steps == 3 { b"new" } else { b"old" };
+        verify_that!(held.as_slice(), eq(expected.as_slice()))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_damaged_side_file_says_so() {
+    let folder = folder();
+    let mut side = Side::new(folder.path(), "side", Disk::default());
+    side.write(b"content").unwrap();
+    let path = folder.path().join("side");
+    let mut bytes = fs::read(&path).unwrap();
+    *bytes.last_mut().unwrap() ^= 1;
+    fs::write(&path, bytes).unwrap();
+
+    expect_that!(side.read(), err(matches_pattern!(Error::Damaged { .. })));
+}
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -13,7 +13,7 @@
     pub inbox: ::prost::alloc::string::String,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 70, 71"
+        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 70, 71, 80, 81, 82, 83"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -71,6 +71,14 @@
         EngineAsks(super::EngineAsks),
         #[prost(message, tag = "71")]
         EngineAnswers(super::EngineAnswers),
+        #[prost(message, tag = "80")]
+        Ended(super::Ended),
+        #[prost(message, tag = "81")]
+        TrialAsk(super::TrialAsk),
+        #[prost(message, tag = "82")]
+        TrialAnswer(super::TrialAnswer),
+        #[prost(message, tag = "83")]
+        RunDone(super::RunDone),
     }
 }
 /// What is asked of one engine: an order, or else a look.
@@ -972,6 +980,9 @@
     /// of a gateway: requests that it takes in, a second
     #[prost(uint32, tag = "8")]
     pub rate: u32,
+    /// change up to which cases of `source` are known
+    #[prost(uint64, tag = "9")]
+    pub cases: u64,
 }
 /// Answer to NewsAsk, or pushed at a change.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -993,6 +1004,80 @@
     /// that share budgets
     #[prost(uint32, tag = "6")]
     pub gateways: u32,
+    /// that changed
+    #[prost(message, repeated, tag = "7")]
+    pub cases: ::prost::alloc::vec::Vec<Case>,
+    /// change up to which `cases` goes; 0: pushed
+    #[prost(uint64, tag = "8")]
+    pub cases_mark: u64,
+}
+/// One start of a backend server.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerStart {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// Unix ms; 0: not told
+    #[prost(uint64, tag = "2")]
+    pub began: u64,
+}
+/// What is known of a request that ran where backend servers ended.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Case {
+    /// of caller, method, path and body; 16 bytes
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: ::prost::alloc::vec::Vec<u8>,
+    /// counts how often it was closed
+    #[prost(uint64, tag = "2")]
+    pub round: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub ends: ::prost::alloc::vec::Vec<ServerStart>,
+    /// it is sent no more
+    #[prost(bool, tag = "4")]
+    pub refused: bool,
+}
+/// A run that was lost with its backend server.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LostRun {
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: ::prost::alloc::vec::Vec<u8>,
+    /// it was the request's only try in the fleet
+    #[prost(bool, tag = "2")]
+    pub alone: bool,
+}
+/// Gateway to all coordinators: a backend server ended under these requests.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Ended {
+    #[prost(message, optional, tag = "1")]
+    pub start: ::core::option::Option<ServerStart>,
+    #[prost(message, repeated, tag = "2")]
+    pub runs: ::prost::alloc::vec::Vec<LostRun>,
+}
+/// Gateway to all coordinators, answered by the leader: may a suspected request be tried now?
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TrialAsk {
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    pub digest: ::prost::alloc::vec::Vec<u8>,
+    /// that the try takes at the most
+    #[prost(uint64, tag = "3")]
+    pub time_ms: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TrialAnswer {
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+}
+/// Gateway to all coordinators: a run of a suspected request is over.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RunDone {
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: ::prost::alloc::vec::Vec<u8>,
+    /// it got a whole answer; else nothing is said of how it ended
+    #[prost(bool, tag = "2")]
+    pub whole: bool,
 }
 /// A document for the leader to settle.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
