--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -43,18 +43,31 @@
         );
         return FailedSnafu { reason }.fail();
     };
-    for line in lines
+    let digests: Vec<&str> = lines
         .iter()
-        .filter(|l| l.ms + BEFORE_MS >= first && l.ms <= last)
-    {
+        .filter(mine)
+        .map(|l| l.text("digest"))
+        .collect();
+    let digest = digests.into_iter().find(|d| !d.is_empty());
+    // What is held against the request may be older than any of its tries.
+    let case = |l: &Line| digest.is_some_and(|d| names(l, d));
+    let near = |l: &Line| l.ms + BEFORE_MS >= first && l.ms <= last;
+    for line in lines.iter().filter(|l| near(l) || case(l)) {
         let own = mine(&line);
-        if own || BELIEFS.contains(&line.event.as_str()) {
+        if own || case(line) || BELIEFS.contains(&line.event.as_str()) {
             println!("{}", show(line, first, own));
         }
     }
     Ok(())
 }
 
+/// A line that says what became of this request before, of whichever caller's try.
+fn names(line: &Line, digest: &str) -> bool {
+    let listed = line.fields.get("digests").and_then(Value::as_array);
+    let listed = listed.is_some_and(|d| d.iter().any(|d| d.as_str() == Some(digest)));
+    listed || line.text("digest") == digest
+}
+
 /// Times are milliseconds from the request's first line.
 fn show(line: &Line, first: u64, own: bool) -> String {
     let at = line.ms as i64 - first as i64;
--- a/crates/cli/src/cmd/fake.rs
+++ b/crates/cli/src/cmd/fake.rs
@@ -62,6 +62,9 @@
     /// File for its record, JSON lines.
     #[arg(long)]
     record: Option<PathBuf>,
+    /// A request whose body holds this text ends the process.
+    #[arg(long)]
+    fatal: Option<String>,
 }
 
 pub(crate) fn run(args: Args) -> CliResult {
@@ -83,6 +86,7 @@
         load: Duration::from_millis(args.load_ms),
         record_steps: args.record_steps,
         record: args.record,
+        fatal: args.fatal,
     };
     bn_fake::run(fake).context(IoSnafu { what: "fake" })
 }
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod explain;
 pub(crate) mod fake;
 pub(crate) mod losses;
+pub(crate) mod quarantine;
 pub(crate) mod run;
 pub(crate) mod timeline;
--- a/crates/cli/src/cmd/run.rs
+++ b/crates/cli/src/cmd/run.rs
@@ -53,7 +53,7 @@
 fn run_gateway(conf: &Settings, gateway: &Gateway) -> CliResult<Ended> {
     let (lines, metrics) = start_lines(conf)?;
     let handle = bn_gateway::start(conf, gateway, lines.clone())?;
-    bn_node::serve_metrics(conf.operators, metrics)?;
+    bn_node::serve_metrics(conf.operators, metrics, Vec::new())?;
     lines.put(
         "started",
         json!({ "role": "gateway", "domain": conf.domain }),
@@ -66,7 +66,7 @@
 fn run_relay(conf: &Settings, relay: &Relay) -> CliResult<Ended> {
     let (lines, metrics) = start_lines(conf)?;
     let handle = bn_engine::start(conf, relay, lines.clone())?;
-    bn_node::serve_metrics(conf.operators, metrics)?;
+    bn_node::serve_metrics(conf.operators, metrics, Vec::new())?;
     let fields = json!({ "role": "relay", "domain": conf.domain, "engine": relay.engine });
     lines.put("started", fields);
     let reload = move || lines.put("reloaded", json!({ "changed": [] }));
@@ -77,7 +77,8 @@
 fn run_coordinator(conf: &Settings, coordinator: &Coordinator, file: &Path) -> CliResult<Ended> {
     let (lines, metrics) = start_lines(conf)?;
     let (ring, thread) = bn_coordinator::start(conf, coordinator, lines.clone())?;
-    bn_node::serve_metrics(conf.operators, metrics)?;
+    let pages = Box::new(bn_coordinator::pages(ring.clone()));
+    bn_node::serve_metrics(conf.operators, metrics, vec![pages])?;
     lines.put(
         "started",
         json!({ "role": "coordinator", "domain": conf.domain }),
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -60,6 +60,11 @@
     reply(url, agent(timeout).get(url).call())
 }
 
+/// DELETEs what a page stands for.
+pub(crate) fn delete(url: &str, timeout: Duration) -> CliResult<Reply> {
+    reply(url, agent(timeout).delete(url).call())
+}
+
 /// POSTs a text.
 pub(crate) fn post(url: &str, body: &str, timeout: Duration) -> CliResult<Reply> {
     reply(url, agent(timeout).post(url).send(body))
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -37,6 +37,8 @@
     Explain(cmd::explain::Args),
     /// Count late and refused requests by time and cause, from logs.
     Losses(cmd::losses::Args),
+    /// Show which requests end backend servers and are refused, or vouch for one.
+    Quarantine(cmd::quarantine::Args),
     /// Send one request of each kind through a running system.
     Demo(cmd::demo::Args),
     /// Measure a running system, or the policies alone.
@@ -66,6 +68,7 @@
         Command::Timeline(args) => cmd::timeline::run(&args),
         Command::Explain(args) => cmd::explain::run(&args),
         Command::Losses(args) => cmd::losses::run(&args),
+        Command::Quarantine(args) => cmd::quarantine::run(&args),
         Command::Demo(args) => cmd::demo::run(&args),
         Command::Bench(args) => cmd::bench::run(&args),
         Command::Fake(args) => cmd::fake::run(args),
--- a/crates/cli/tests/fatal.rs
+++ b/crates/cli/tests/fatal.rs
@@ -10,6 +10,7 @@
 use fleet::{Fleet, Message, call, request};
 use googletest::prelude::*;
 use std::net::SocketAddr;
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -132,3 +133,57 @@
     }
     expect_that!(record.lock().unwrap().arrivals.len(), eq(known));
 }
+
+/// An operator vouches for a request: it is tried again, and its backend servers end.
+#[googletest::test]
+fn operators_see_and_pardon_what_is_refused_and_explain_tells_why() {
+    let fleet = Fleet::start(40);
+    let record: Arc<Mutex<Record>> = Arc::default();
+    for name in ["a", "b", "c", "d"] {
+        mortal::run(name, "engines", fleet.control(2), &record);
+    }
+    fleet.wait("backend servers", |f| {
+        (4..=5).all(|n| f.ask(n, "POST", "/draft/1", "first").whole)
+    });
+    let fatal = |f: &Fleet, id: &str| {
+        let head = request("POST", "/draft/1", id, "key-1");
+        call(f.callers(4), &head, FATAL).unwrap_or_default()
+    };
+    let refused = |m: &Message| m.text().contains("ended under this request");
+    fleet.wait("refusal", |f| refused(&fatal(f, "fatal-1")));
+    let known = record.lock().unwrap().ends.len();
+    let command = |args: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornnotch"));
+        let output = command.args(args).output().expect("command");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    let page = fleet.operators(1).to_string();
+
+    let shown = command(&["quarantine", "--at", &page]);
+    let rows: serde_json::Value = serde_json::from_str(&shown).unwrap();
+    let row = &rows["requests"][0];
+    let digest = row["digest"].as_str().unwrap_or_default();
+    let pardoned = command(&["quarantine", "--at", &page, "--pardon", digest]);
+    fleet.wait("try after the pardon", |f| {
+        fatal(f, "fatal-2");
+        record.lock().unwrap().ends.len() > known
+    });
+    let logs: Vec<String> = ["g4", "g5", "c1", "c2", "c3"]
+        .map(|id| fleet.log(id).display().to_string())
+        .into();
+    let mut args = vec!["explain", "fatal-1"];
+    args.extend(logs.iter().map(String::as_str));
+    let story = command(&args);
+
+    expect_that!(row["standing"].as_str(), some(eq("Refused")));
+    expect_that!(row["ended"].as_array().map(Vec::len), some(ge(3)));
+    expect_true!(pardoned.contains("true"));
+    for event in [
+        "backend_server_ended",
+        "suspect_asked",
+        "request_case",
+        "quarantined",
+    ] {
+        expect_true!(story.contains(event), "{event} is missing in:\n{story}");
+    }
+}
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -315,6 +315,12 @@
         call(self.at(n, 3), &head, "").map_or(String::new(), |m| m.text())
     }
 
+    /// Where a process shows its metrics and pages.
+    #[allow(dead_code)]
+    pub(crate) fn operators(&self, n: u8) -> SocketAddr {
+        self.at(n, 1)
+    }
+
     /// Where a coordinator takes documents and announcements.
     #[allow(dead_code)]
     pub(crate) fn control(&self, n: u8) -> SocketAddr {
--- a/crates/coordinator/src/cases.rs
+++ b/crates/coordinator/src/cases.rs
@@ -70,13 +70,18 @@
 
     /// Cases that changed after `turn`. Gateways are told only of those that they act on.
     pub(crate) fn told_since(&self, turn: u64, gateway: bool) -> Vec<wire::Case> {
-        let acted_on = |c: &Case| c.standing() != Standing::Free || c.round > 0;
         let told = self.table.since(turn);
-        let told = told.iter().filter(|t| !gateway || acted_on(&t.case));
+        let told = told.iter().filter(|t| !gateway || is_acted_on(&t.case));
         told.map(Into::into).collect()
     }
 }
 
+/// Whether a gateway does anything else than without the case. A single end is held against a dozen
+/// requests, and says nothing yet.
+fn is_acted_on(case: &Case) -> bool {
+    case.standing() != Standing::Free || case.round > 0
+}
+
 impl Core {
     /// A gateway saw a backend server end.
     pub(crate) fn on_ended(&mut self, now: Duration, inbox: SocketAddr, raw: wire::Ended) {
@@ -84,6 +89,11 @@
             Ok(end) => end,
             Err(e) => return log::warn!("an end from {inbox}: {e}"),
         };
+        let digests: Vec<String> = end.runs.iter().map(|(d, _)| to_text(*d)).collect();
+        self.lines.put(
+            "end_heard",
+            json!({ "id": end.start.id, "began": end.start.began, "gateway": inbox, "digests": digests }),
+        );
         for (digest, alone) in &end.runs {
             if self.cases.table.ended(now, *digest, &end.start, *alone) {
                 self.note_case(*digest, &inbox.to_string());
@@ -160,7 +170,7 @@
     }
 
     fn note_case(&self, digest: Digest, source: &str) {
-        let Some(case) = self.cases.table.get(digest) else {
+        let Some(case) = self.cases.table.get(digest).filter(|c| is_acted_on(c)) else {
             return;
         };
         let ends: Vec<&str> = case.ends.iter().map(|s| s.id.as_str()).collect();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -13,6 +13,7 @@
 mod http;
 mod members;
 mod news;
+mod pages;
 mod reads;
 mod relays;
 mod ring;
@@ -25,6 +26,7 @@
 pub use self::core::start;
 pub use self::directory::{Directory, Gateway};
 pub use self::news::Lag;
+pub use self::pages::{QUARANTINE, pages};
 pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part};
 pub use self::ring::{Event, Inlet, Ring, ring};
 
--- /dev/null
+++ b/crates/coordinator/src/pages.rs
@@ -0,0 +1,50 @@
+//! Pages of a coordinator for operators, beside its metrics.
+
+use crate::ring::{Event, Ring};
+use bn_quarantine::from_text;
+use tokio::sync::oneshot;
+
+/// Page of the requests under which backend servers ended; `DELETE` of one below it closes its case.
+pub const QUARANTINE: &str = "/v1/quarantine";
+
+/// Answers the coordinator's own pages: status and JSON text. Waits for the coordinator's thread.
+pub fn pages(ring: Ring) -> impl Fn(&str, &str, &[u8]) -> Option<(u16, String)> {
+    move |method, path, _| {
+        let rest = path.strip_prefix(QUARANTINE)?;
+        match (method, rest.strip_prefix('/')) {
+            ("GET", None) => Some(show(&ring)),
+            ("DELETE", Some(text)) => Some(pardon(&ring, text)),
+            _ => None,
+        }
+    }
+}
+
+fn show(ring: &Ring) -> (u16, String) {
+    match ask(ring, Event::Cases) {
+        Some(rows) => (200, rows),
+        None => busy(),
+    }
+}
+
+fn pardon(ring: &Ring, text: &str) -> (u16, String) {
+    let Some(digest) = from_text(text) else {
+        return (400, r#"{"error":"that is no digest"}"#.into());
+    };
+    match ask(ring, |done| Event::Pardon(digest, done)) {
+        Some(true) => (200, r#"{"closed":true}"#.into()),
+        Some(false) => (404, r#"{"closed":false}"#.into()),
+        None => busy(),
+    }
+}
+
+fn busy() -> (u16, String) {
+    (503, r#"{"error":"too busy"}"#.into())
+}
+
+fn ask<T>(ring: &Ring, event: impl FnOnce(oneshot::Sender<T>) -> Event) -> Option<T> {
+    let (done, answer) = oneshot::channel();
+    if !ring.put(event(done)) {
+        return None;
+    }
+    answer.blocking_recv().ok()
+}
--- a/crates/fake/src/serve.rs
+++ b/crates/fake/src/serve.rs
@@ -62,6 +62,8 @@
     pub record_steps: bool,
     /// File for its record.
     pub record: Option<PathBuf>,
+    /// A request whose body holds this ends the process one step after it began to run.
+    pub fatal: Option<String>,
 }
 
 pub(crate) struct Shared {
@@ -76,6 +78,8 @@
     record: Arc<Record>,
     stalled_ms: AtomicU64,
     leaving: AtomicBool,
+    fatal: Option<String>,
+    step: Duration,
 }
 
 #[derive(Deserialize)]
@@ -178,6 +182,8 @@
         record,
         stalled_ms: AtomicU64::new(0),
         leaving: AtomicBool::new(false),
+        fatal: fake.fatal.clone(),
+        step: fake.step,
     });
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -236,6 +242,13 @@
     if let Some(order) = path.strip_prefix("/fake/") {
         return whole(&command(order, &body, shared));
     }
+    if shared
+        .fatal
+        .as_deref()
+        .is_some_and(|mark| body.contains(mark))
+    {
+        return end_under(shared, key, attempt, body).await;
+    }
     match shared.kind {
         Kind::Plain => {
             let line = Line {
@@ -272,6 +285,27 @@
     }
 }
 
+/// Exit code of a fake that ended under a request.
+const FATAL: i32 = 134;
+
+async fn end_under(
+    shared: &Shared,
+    key: String,
+    attempt: String,
+    prompt: String,
+) -> Response<Body> {
+    shared.record.add(Line {
+        event: "fatal".into(),
+        key,
+        attempt,
+        prompt,
+        step: 0,
+        map: 0,
+    });
+    tokio::time::sleep(shared.step).await;
+    std::process::exit(FATAL);
+}
+
 /// Orders to the fake itself: read the record, or fail in some way.
 fn command(order: &str, body: &str, shared: &Shared) -> String {
     match order {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -87,13 +87,16 @@
 /// Refuses what is known to end backend servers, before it waits for a place.
 pub(crate) fn refuse_known(shared: &Shared, ticket: &Ticket) -> Result<(), Refusal> {
     match shared.standing(ticket) {
-        Standing::Refused => Err(known()),
+        Standing::Refused => Err(known(shared, ticket)),
         _ => Ok(()),
     }
 }
 
 /// Not run this time, and no word on when to come back: nothing says that it would help.
-fn known() -> Refusal {
+fn known(shared: &Shared, ticket: &Ticket) -> Refusal {
+    let digest = to_text(ticket.digest());
+    let fields = json!({ "request": ticket.id, "digest": digest });
+    shared.lines.put("quarantined", fields);
     metrics::counter!("requests_quarantined_total").increment(1);
     Refusal::wrong(503, ENDS_SERVERS)
 }
@@ -107,7 +110,7 @@
 ) -> Result<(), Refusal> {
     match shared.standing(ticket) {
         Standing::Free => return Ok(()),
-        Standing::Refused => return Err(known()),
+        Standing::Refused => return Err(known(shared, ticket)),
         Standing::Suspect if tries.trial.is_some() => return Ok(()),
         Standing::Suspect => {}
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,7 @@
 mod tls;
 mod verdict;
 
-pub use pages::serve_metrics;
+pub use pages::{Extra, serve_metrics};
 pub use run::{Running, start};
 pub use verdict::{Refusal, Verdict};
 
--- a/crates/node/src/pages.rs
+++ b/crates/node/src/pages.rs
@@ -17,13 +17,13 @@
 const PLAIN: &str = "text/plain";
 
 /// Answers to the paths that a role adds: status and JSON text. May block.
-pub(crate) type Extra = Box<dyn Fn(&str, &str, &[u8]) -> Option<(u16, String)> + Send + Sync>;
+pub type Extra = Box<dyn Fn(&str, &str, &[u8]) -> Option<(u16, String)> + Send + Sync>;
 
 /// What the pages show.
 pub(crate) struct Pages {
     pub(crate) events: Arc<Events>,
     pub(crate) metrics: Metrics,
-    pub(crate) extra: Vec<Extra>,
+    pub(crate) extra: Arc<Vec<Extra>>,
 }
 
 /// Serves the pages on their own thread, until the process ends.
@@ -34,15 +34,19 @@
     bn_serve::serve(listener, "pages", tls, handle).context(ListenSnafu { address })
 }
 
-/// Serves metrics alone, for roles that have no other pages.
-pub fn serve_metrics(address: SocketAddr, metrics: Metrics) -> Result<()> {
+/// Serves metrics, for roles that have few other pages.
+pub fn serve_metrics(address: SocketAddr, metrics: Metrics, extra: Vec<Extra>) -> Result<()> {
     let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
+    let extra = Arc::new(extra);
     let handle = move |request: Request<Incoming>| {
-        let response = match request.uri().path() {
-            "/metrics" => rendered(&metrics),
-            _ => text(404, JSON, fault("there is no such page")),
-        };
-        async move { response }
+        let rendered = (request.uri().path() == "/metrics").then(|| rendered(&metrics));
+        let added = extra.clone();
+        async move {
+            match rendered {
+                Some(response) => response,
+                None => answer_extra(added, request).await,
+            }
+        }
     };
     bn_serve::serve(listener, "pages", None, handle).context(ListenSnafu { address })
 }
@@ -66,16 +70,13 @@
             let events = serde_json::to_string(&pages.events.recent()).unwrap_or_default();
             text(200, JSON, events)
         }
-        _ => extra(pages, method, path, request).await,
+        _ => answer_extra(pages.extra.clone(), request).await,
     }
 }
 
-async fn extra(
-    pages: Arc<Pages>,
-    method: String,
-    path: String,
-    request: Request<Incoming>,
-) -> Response<Body> {
+async fn answer_extra(extra: Arc<Vec<Extra>>, request: Request<Incoming>) -> Response<Body> {
+    let method = request.method().to_string();
+    let path = request.uri().path().to_string();
     let time = Bounds::default().body_time;
     let Ok(body) = whole_body(request.into_body(), LARGEST_BODY, time).await else {
         return text(
@@ -86,7 +87,7 @@
     };
     // A command's page waits for its outcome: off the runtime's thread, so that
     // metrics and announcements go on meanwhile.
-    let work = move || pages.extra.iter().find_map(|f| f(&method, &path, &body));
+    let work = move || extra.iter().find_map(|f| f(&method, &path, &body));
     match tokio::task::spawn_blocking(work).await {
         Ok(Some((status, answer))) => text(status, JSON, answer),
         Ok(None) => text(404, JSON, fault("there is no such page")),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -159,7 +159,7 @@
         Pages {
             events,
             metrics,
-            extra,
+            extra: extra.into(),
         },
     )?;
     Ok(running)
