An end that one gateway sees is told to all; a group stands still as soon as one of its ranks has ended

Hypothesis: after a rank ends, its group says that it stands still only 1.5 s later; until then requests are sent into the wait, and their callers refused after it. Change: who finds nobody listening tells all gateways (by their coordinators, one message a gateway and end); the group counts as still at once, and is probed as before. Ruled out: putting the ended start out for good: a wrong sign would then last until it is forgotten.

--- a/crates/coordinator/src/cases.rs
+++ b/crates/coordinator/src/cases.rs
@@ -6,11 +6,14 @@
 //! remember it, and it would end three backend servers again.
 
 use crate::core::Core;
-use bn_quarantine::{Case, Digest, End, Standing, Table, Told, Trials, read_digest, to_text};
+use bn_quarantine::{
+    Case, Digest, End, Standing, Start, Table, Told, Trials, read_digest, to_text,
+};
 use bn_quorum::Role;
 use bn_store::{Disk, Side};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire};
+use indexmap::IndexMap;
 use prost::Message;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -22,11 +25,17 @@
 /// Between two looks for cases that are too old.
 const FORGET_GAP: Duration = Duration::from_secs(10);
 
+/// Time within which several gateways tell of the same end: ranks that wait for another are given up
+/// after some seconds.
+const TOLD_FOR: Duration = Duration::from_secs(15);
+
 /// A coordinator's cases.
 pub(crate) struct Cases {
     pub(crate) table: Table,
     trials: Trials,
     side: Side,
+    /// Ends that gateways were told of.
+    ends: IndexMap<Start, Duration>,
     /// What the disk holds.
     written: Vec<Told>,
     due: Duration,
@@ -55,6 +64,7 @@
             table,
             trials: Trials::default(),
             side,
+            ends: IndexMap::new(),
             due: Duration::ZERO,
             pushed: 0,
         }
@@ -94,6 +104,7 @@
             "end_heard",
             json!({ "id": end.start.id, "began": end.start.began, "gateway": inbox, "digests": digests }),
         );
+        self.tell_end(now, &end.start);
         for (digest, alone) in &end.runs {
             if self.cases.table.ended(now, *digest, &end.start, *alone) {
                 self.note_case(*digest, &inbox.to_string());
@@ -101,6 +112,20 @@
         }
     }
 
+    /// Tells gateways of an end once: those that had nothing there would go on sending to its group, or
+    /// try to connect.
+    fn tell_end(&mut self, now: Duration, start: &Start) {
+        self.cases.ends.retain(|_, at| now < *at + TOLD_FOR);
+        if self.cases.ends.insert(start.clone(), now).is_some() {
+            return;
+        }
+        let news = wire::News {
+            ended: vec![start.into()],
+            ..self.plain_news()
+        };
+        self.push_to_own(&news);
+    }
+
     /// Another coordinator's cases.
     pub(crate) fn take_cases(&mut self, now: Duration, inbox: SocketAddr, raw: Vec<wire::Case>) {
         for told in raw.into_iter().map(Told::try_from) {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -184,6 +184,9 @@
             }
         }
         self.sources.told_cases(inbox, news.cases_mark);
+        for start in news.ended {
+            self.learn_end(&start.into());
+        }
         let mut state = self.shared.state();
         state.gateways = news.gateways.max(1);
         state.fleet.peers = state.gateways - 1;
@@ -212,6 +215,16 @@
         }
     }
 
+    /// Another gateway saw a backend server end. Runs that were lost there count at once.
+    fn learn_end(&self, start: &Start) {
+        suspects::fell(&self.shared, start, "told");
+        let now = self.shared.now();
+        let end = self.shared.state().watch.ended(now, start);
+        if let Some(end) = end {
+            suspects::tell(&self.shared, end, "told");
+        }
+    }
+
     /// Tells all coordinators: each keeps what it is told, and the leader may be any of them.
     fn report(&mut self, report: Report) {
         let bytes = |d: Digest| d.to_be_bytes().to_vec();
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -182,6 +182,7 @@
                 if let Some(end) = end {
                     tell(&shared, end, "refused");
                 }
+                fell(&shared, &run.start, "refused");
             }
             Err(e) => {
                 log::debug!("{}: {e}", run.start.id);
@@ -191,6 +192,25 @@
     });
 }
 
+/// A backend server has ended: nothing is sent there, nor to its group until it runs again.
+pub(crate) fn fell(shared: &Shared, start: &Start, sign: &str) {
+    let now = shared.now();
+    let address = {
+        let mut state = shared.state();
+        if !state.fleet.fell(now, &start.id, start.began) {
+            return;
+        }
+        state.forget_pace_of(&start.id);
+        state.fleet.get(&start.id).map(|s| s.address)
+    };
+    if let Some(address) = address {
+        shared.pool.forget(address);
+    }
+    shared.room.notify_waiters();
+    let fields = json!({ "id": start.id, "began": start.began, "sign": sign });
+    shared.lines.put("backend_server_fell", fields);
+}
+
 /// Tells the coordinators that a backend server ended; `sign` is what shows it here.
 pub(crate) fn tell(shared: &Shared, end: End, sign: &str) {
     let digests: Vec<String> = end.runs.iter().map(|(d, _)| to_text(*d)).collect();
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -216,6 +216,24 @@
         }
     }
 
+    /// A start of a backend server has ended: nobody listens there. Its group cannot make a pass
+    /// without it; told only by the ranks, which wait for it first, a gateway learns that 1.5 s
+    /// later, and sends its requests into the wait until then. `false` where this is no news: the
+    /// group may run again by the time at which somebody else tells of it.
+    pub fn fell(&mut self, now: Duration, id: &str, began: Began) -> bool {
+        let server = self.servers.get_mut(id);
+        let Some(server) = server.filter(|s| s.began == began && !s.leaving && !s.fallen) else {
+            return false;
+        };
+        server.fallen = true;
+        server.standing.fail(now, true);
+        let rank = server.is_rank();
+        if rank {
+            self.stands_still(now, id);
+        }
+        true
+    }
+
     /// Whether all of a service stands still, as far as is known.
     pub fn is_still(&self, service: &str) -> bool {
         let mut taking = self.of(service).filter(|s| !s.leaving).peekable();
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -63,6 +63,8 @@
     /// Load caused by others when it was told last.
     pub(crate) others: f64,
     pub(crate) told: Duration,
+    /// This start of it has ended, as far as is known.
+    pub(crate) fallen: bool,
 }
 
 impl Server {
@@ -82,6 +84,7 @@
             mine: 0,
             others: 0.0,
             told: Duration::ZERO,
+            fallen: false,
         }
     }
 
@@ -92,6 +95,11 @@
         }
     }
 
+    /// It is a rank of a lock-step group.
+    pub(crate) fn is_rank(&self) -> bool {
+        self.unit != self.service
+    }
+
     /// Requests there now, predicted: those of this gateway, and of others what was told
     /// as far as it still holds, else `usual` of each slot.
     pub fn load(&self, now: Duration, usual: f64) -> f64 {
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -421,6 +421,28 @@
     expect_that!(pick(&fleet, NOW, &[]), err(eq(&Lack::Still)));
 }
 
+/// Symptom: callers wait for 1.5 s and are refused then, after a rank ended. Sequence: nobody listens at
+/// the rank any more; requests go on to the other ranks, which cannot work without it and say so only
+/// after that time. Cause: only their word told that the group stands still.
+#[googletest::test]
+fn a_group_stands_still_as_soon_as_one_of_its_ranks_has_ended() {
+    let mut fleet = two_groups();
+
+    let news = fleet.fell(NOW, "b0", 0);
+    let other = pick(&fleet, NOW, &["b2".into(), "b3".into()]);
+
+    expect_true!(news);
+    expect_that!(other, err(eq(&Lack::Still)));
+    // The other group goes on, and so does this one once a request succeeds there.
+    expect_that!(pick(&fleet, NOW, &[]), ok(any![eq("b2"), eq("b3")]));
+    fleet.succeeded(NOW, "b1");
+    expect_that!(pick(&fleet, NOW, &["b2".into(), "b3".into()]), ok(eq("b1")));
+    // Whoever tells of it later brings no news, nor does one who means another start.
+    expect_false!(fleet.fell(NOW, "b0", 0));
+    expect_false!(fleet.fell(NOW, "b1", 7));
+    expect_that!(pick(&fleet, NOW, &["b2".into(), "b3".into()]), ok(eq("b1")));
+}
+
 /// Symptom: streams at one group are late while another is half empty. Sequence: a rank of the
 /// first is slow, so that it bears a third; requests go to all ranks alike. Cause: load was
 /// counted against slots, not against what the group bears.
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -1010,6 +1010,9 @@
     /// change up to which `cases` goes; 0: pushed
     #[prost(uint64, tag = "8")]
     pub cases_mark: u64,
+    /// nobody listens there any more
+    #[prost(message, repeated, tag = "9")]
+    pub ended: ::prost::alloc::vec::Vec<ServerStart>,
 }
 /// One start of a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
