--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -29,7 +29,7 @@
 const RING: usize = 256;
 /// An engine on the same machine answers within a millisecond; one whose answer is lost
 /// must be asked again before a held group makes its streams late.
-pub(crate) const TIMEOUT: Duration = Duration::from_millis(30);
+pub(crate) const TIMEOUT: Duration = Duration::from_millis(60);
 /// Between two looks whether copies are complete: a quarter of a pass.
 const COPY_LOOK: Duration = Duration::from_millis(15);
 /// Longest wait for copies under one ask. The asker gives up later than this.
