--- a/crates/group/src/pilot/mod.rs
+++ b/crates/group/src/pilot/mod.rs
@@ -39,8 +39,6 @@
 /// The same where every report is fresh and counts are free: two to three passes, in which
 /// enough tokens are counted.
 const FRESH_REST: Duration = Duration::from_millis(150);
-/// Between two looks whether a switch that was let go has come: a third of a pass.
-const ARMED_REST: Duration = Duration::from_millis(30);
 /// Rest where the group is not whole, or another leads.
 const LONG_REST: Duration = Duration::from_millis(600);
 /// Rest while a rank is away: the group opens some hundred milliseconds after it is back, and every
--- a/crates/group/src/pilot/rounds.rs
+++ b/crates/group/src/pilot/rounds.rs
@@ -21,12 +21,12 @@
         calls.collect()
     }
 
-    /// Adds the counts that came with fresh looks up: a relay tells each only once. Whether any came.
-    pub(super) fn gather(&mut self) -> bool {
+    /// Counts that came with fresh looks, or else those of the sampled ranks.
+    pub(super) fn count(&mut self, now: Duration) -> Vec<Call> {
         let counts = self.views.values_mut().filter_map(|v| v.lately.take());
         let counts: Vec<Vec<u64>> = counts.collect();
         if counts.is_empty() {
-            return false;
+            return self.ask_some();
         }
         let size = self.shape.sets * self.shape.experts;
         self.lately.resize(size, 0);
@@ -34,14 +34,6 @@
             let pairs = self.lately.iter_mut().zip(counts);
             pairs.for_each(|(sum, new)| *sum += new);
         }
-        true
-    }
-
-    /// Judges by the counts that `came` with fresh looks, or else asks for those of the sampled ranks.
-    pub(super) fn count(&mut self, now: Duration, came: bool) -> Vec<Call> {
-        if !came {
-            return self.ask_some();
-        }
         if self.lately.iter().sum::<u64>() < FEWEST {
             return self.rest_a_while(now);
         }
--- a/crates/group/src/pilot/survey.rs
+++ b/crates/group/src/pilot/survey.rs
@@ -2,9 +2,7 @@
 //! left behind, and which map is in use.
 
 use super::rounds::views;
-use super::{
-    ARMED_REST, Ask, Call, Command, EngineId, NO_VERSION, Phase, Pilot, Reply, Shape, Switch, View,
-};
+use super::{Ask, Call, Command, EngineId, NO_VERSION, Phase, Pilot, Reply, Shape, Switch, View};
 use crate::map::ExpertMap;
 use indexmap::IndexMap;
 use std::sync::Arc;
@@ -118,13 +116,9 @@
         if let Some(calls) = self.renew_found_hold() {
             return calls;
         }
-        let came = self.gather();
         if self.views.values().any(|v| v.armed.is_some()) {
             // The pass is still to come; an idle group makes none.
-            return match self.all_fresh() {
-                true => self.rest(now + ARMED_REST),
-                false => self.rest_a_while(now),
-            };
+            return self.rest_a_while(now);
         }
         self.clock_passes(now);
         self.note_paces();
@@ -133,9 +127,9 @@
             // pass on map 0 is slow.
             Some(true) if self.map_is_first() && !self.loads.is_empty() => match self.better() {
                 Some(map) => self.prepare(now, map),
-                None => self.count(now, came),
+                None => self.count(now),
             },
-            Some(true) => self.count(now, came),
+            Some(true) => self.count(now),
             Some(false) => self.ask_all(Phase::List, Ask::List),
             None => self.rest_a_while(now),
         }
@@ -211,7 +205,6 @@
             return self.unwell(now);
         };
         self.map = Some((version, Arc::new(ExpertMap { layers })));
-        let came = !self.lately.is_empty();
-        self.count(now, came)
+        self.count(now)
     }
 }
--- a/crates/group/src/pilot/switching.rs
+++ b/crates/group/src/pilot/switching.rs
@@ -1,7 +1,7 @@
 //! From a prepared map to one in use: hold, arm, go; or everything undone under the hold.
 
 use super::survey::LAG;
-use super::{Ask, Call, Command, EngineId, FURTHEST, NO_VERSION, Pass, Phase, Pilot, Reply};
+use super::{Call, Command, EngineId, FURTHEST, NO_VERSION, Pass, Phase, Pilot, Reply};
 use crate::Version;
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -100,11 +100,6 @@
             // Known from here on. A later switch that is undone must not replace it.
             self.map = Some((version, self.switch.map.clone()));
         }
-        // One switch copies a few experts only, and a move of demand needs several. What was chosen
-        // while it was under way is counted already, so the next look has nothing to wait for.
-        match sure && self.all_fresh() {
-            true => self.ask_all(Phase::Survey, Ask::Look),
-            false => self.rest_a_while(now),
-        }
+        self.rest_a_while(now)
     }
 }
