--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempt;
+mod cases;
 mod events;
 mod front;
 mod link;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -5,9 +5,9 @@
 
 use crate::shared::Shared;
 use crate::sources::Sources;
-use crate::suspects::{self, Report};
+use crate::suspects::Report;
 use bn_net::Net;
-use bn_quarantine::{Digest, Start, Told, to_text};
+use bn_quarantine::{Digest, Told};
 use bn_registry::{Condition, Record};
 use bn_route::Server;
 use bn_wire::messages::envelope::Body;
@@ -25,10 +25,6 @@
 /// Requests a second below which a gateway counts as one without any.
 const LEAST_RATE: f64 = 0.05;
 
-/// Suspects that wait for a word at the most: those that no leader answers are forgotten, the
-/// oldest first.
-const MOST_ASKED: usize = 64;
-
 /// Requests taken in a second, of late.
 #[derive(Debug, Clone, Copy, Default)]
 struct Rate {
@@ -58,14 +54,14 @@
     pub(crate) net: Net,
     pub(crate) callers: SocketAddr,
     pub(crate) domain: String,
-    sources: Sources,
+    pub(crate) sources: Sources,
     /// What coordinators were told last of whether callers may be sent here.
     told_ready: bool,
     registered: IndexMap<String, Record>,
     rate: Rate,
     /// Suspects that wait for the leader's word, by call.
-    asked: IndexMap<u64, (Digest, oneshot::Sender<bool>)>,
-    calls: u64,
+    pub(crate) asked: IndexMap<u64, (Digest, oneshot::Sender<bool>)>,
+    pub(crate) calls: u64,
 }
 
 impl Link {
@@ -192,78 +188,6 @@
         state.fleet.peers = state.gateways - 1;
     }
 
-    /// Takes in what a coordinator knows of a request under which backend servers ended.
-    fn learn(&self, told: &Told) {
-        let now = self.shared.now();
-        let digest = told.digest;
-        let (before, after, ends) = {
-            let mut state = self.shared.state();
-            let before = state.cases.standing(digest);
-            state.cases.merge(now, told);
-            state.cases.forget(now);
-            let ends = state.cases.get(digest).map_or(0, |c| c.ends.len());
-            (before, state.cases.standing(digest), ends)
-        };
-        if before != after {
-            self.shared.lines.put(
-                "request_standing",
-                json!({
-                    "digest": to_text(digest), "standing": format!("{after:?}"),
-                    "before": format!("{before:?}"), "ends": ends, "round": told.case.round,
-                }),
-            );
-        }
-    }
-
-    /// Another gateway saw a backend server end. Runs that were lost there count at once.
-    fn learn_end(&self, start: &Start) {
-        suspects::fell(&self.shared, start, "told");
-        let now = self.shared.now();
-        let end = self.shared.state().watch.ended(now, start);
-        if let Some(end) = end {
-            suspects::tell(&self.shared, end, "told");
-        }
-    }
-
-    /// Tells all coordinators: each keeps what it is told, and the leader may be any of them.
-    fn report(&mut self, report: Report) {
-        let bytes = |d: Digest| d.to_be_bytes().to_vec();
-        let body = match report {
-            Report::End(end) => Body::Ended((&end).into()),
-            Report::Done(digest, whole) => Body::RunDone(wire::RunDone {
-                digest: bytes(digest),
-                whole,
-            }),
-            Report::Ask(digest, time, word) => {
-                self.calls += 1;
-                // Numbers of an earlier start of this process are others.
-                let call = self.net.incarnation().wrapping_add(self.calls);
-                self.asked.insert(call, (digest, word));
-                while self.asked.len() > MOST_ASKED {
-                    self.asked.shift_remove_index(0);
-                }
-                Body::TrialAsk(wire::TrialAsk {
-                    call,
-                    digest: bytes(digest),
-                    time_ms: time.as_millis() as u64,
-                })
-            }
-        };
-        for inbox in self.sources.all() {
-            self.net.send(inbox, body.clone());
-        }
-    }
-
-    fn take_word(&mut self, answer: &wire::TrialAnswer) {
-        let Some((digest, word)) = self.asked.swap_remove(&answer.call) else {
-            return;
-        };
-        // Nobody waits any more for a word that comes too late: others may try.
-        if word.send(answer.granted).is_err() && answer.granted {
-            self.report(Report::Done(digest, false));
-        }
-    }
-
     fn adopt(&self, news: &wire::News) {
         let held = self.shared.plan().map_or(0, |p| p.version());
         if news.document.is_empty() || news.version <= held {
@@ -284,26 +208,6 @@
         }
     }
 
-    /// A backend server that comes shows the end of the one before it.
-    fn note_ends(&self, record: &Record) {
-        if record.condition == Condition::Gone {
-            return;
-        }
-        let next = Start {
-            id: record.id.clone(),
-            began: record.began,
-        };
-        let now = self.shared.now();
-        let ends = self
-            .shared
-            .state()
-            .watch
-            .followed(now, &next, record.address);
-        for end in ends {
-            suspects::tell(&self.shared, end, "followed");
-        }
-    }
-
     fn register(&mut self, record: Record) {
         let known = self.registered.get(&record.id);
         let Some(record) = known.map_or(Some(record.clone()), |held| record.over(held)) else {
