--- a/crates/coordinator/src/carry.rs
+++ b/crates/coordinator/src/carry.rs
@@ -210,7 +210,8 @@
 /// Each further try goes another way: new connections to an engine may be refused while the link to its
 /// relay still stands, and the other way round. Both begin at the leader, though, and one that
 /// cannot open connections has no link to relays that others passed its asks on to: the third try goes
-/// by way of a relay that it hears. A group stood for 2.3 s without it.
+/// by way of a relay that it hears. Without it a group stood held for 2.4 s (one play in which new
+/// connections of the leader were refused for 5 s).
 pub fn way(call: &pilot::Call, ranks: usize) -> Way {
     let by_relay = match &call.ask {
         Ask::Report | Ask::Look | Ask::Copied(_) => true,
--- a/crates/coordinator/tests/relays.rs
+++ b/crates/coordinator/tests/relays.rs
@@ -69,7 +69,7 @@
     );
 }
 
-/// Symptom: a group stands still for 2.3 s under a leader that is well. Sequence: new connections of the
+/// Symptom: a group stands still for 2.4 s under a leader that is well. Sequence: new connections of the
 /// leader are refused; some relays never had a link to it, since others passed its asks on to them; an
 /// order to arm reaches them neither straight nor by their relay. Cause: both ways begin at the leader.
 /// Evidence: all ranks but those whose relays it had no link to were armed within 60 ms.
