--- a/crates/coordinator/src/cases.rs
+++ b/crates/coordinator/src/cases.rs
@@ -49,12 +49,11 @@
     pub(crate) fn open(data: &Path) -> Cases {
         let side = Side::new(data, FILE, Disk::default());
         let mut table = Table::default();
-        match side.read() {
-            Ok(content) => {
-                let held = content.and_then(|c| wire::News::decode(&c[..]).ok());
-                let held = held.unwrap_or_default().cases.into_iter();
-                for told in held.filter_map(|c| Told::try_from(c).ok()) {
-                    table.merge(Duration::ZERO, &told);
+        let held = side.read().map_err(|e| e.to_string()).and_then(decode);
+        match held {
+            Ok(held) => {
+                for told in &held {
+                    table.merge(Duration::ZERO, told);
                 }
             }
             Err(e) => log::error!("which requests are refused cannot be read: {e}"),
@@ -86,6 +85,17 @@
     }
 }
 
+/// The cases in the file's content; none where there is no file.
+fn decode(content: Option<Vec<u8>>) -> std::result::Result<Vec<Told>, String> {
+    let Some(content) = content else {
+        return Ok(Vec::new());
+    };
+    let held = wire::News::decode(&content[..]).map_err(|e| e.to_string())?;
+    let told = held.cases.into_iter().map(Told::try_from);
+    told.collect::<std::result::Result<_, _>>()
+        .map_err(|e| e.to_string())
+}
+
 /// Whether a gateway does anything else than without the case. A single end is held against a dozen
 /// requests, and says nothing yet.
 fn is_acted_on(case: &Case) -> bool {
