Who keeps the log is decided by plain values in quorum; tests that show who never votes again

The upkeep of members stood among the coordinator's calls and could not be played without processes.

No change of policy.

Schedules of three replicas as before.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -6,13 +6,12 @@
 use crate::settled::{Settled, decode};
 use crate::supervise::{Opening, supervise};
 use crate::{
-    CallsSnafu, ListenSnafu, Result, cases, groups, http, members, news, reads, relays, settling,
-    tell,
+    CallsSnafu, ListenSnafu, Result, cases, groups, http, news, reads, relays, settling, tell,
 };
 use bn_conf::{Coordinator as Conf, Settings};
 use bn_engine::Calls;
 use bn_net::Net;
-use bn_quorum::{Entry, Message, Output, Payload, Quorum, Role, Setup, Timing};
+use bn_quorum::{Entry, Message, Output, Payload, Quorum, Role, Setup, Timing, Upkeep};
 use bn_registry::Registry;
 use bn_store::{Disk, Store};
 use bn_trace::Lines;
@@ -52,10 +51,8 @@
     start: Instant,
     pub(crate) inbox: SocketAddr,
     pub(crate) seeds: Vec<SocketAddr>,
-    pub(crate) losses: u32,
     pub(crate) quorum: Quorum,
     pub(crate) store: Store,
-    identity: u64,
     pub(crate) settled: Settled,
     pub(crate) applied: u64,
     pub(crate) logged_bytes: usize,
@@ -67,7 +64,7 @@
     pub(crate) untold: tell::Untold,
     pub(crate) waits: settling::Waits,
     pub(crate) reads: reads::Reads,
-    pub(crate) members: members::Upkeep,
+    pub(crate) members: Upkeep,
     pub(crate) groups: groups::Groups,
     pub(crate) cases: cases::Cases,
     pub(crate) calls: Calls,
@@ -152,10 +149,8 @@
             start,
             inbox: *inbox,
             seeds,
-            losses: conf.losses,
             quorum,
             store,
-            identity,
             settled,
             applied,
             logged_bytes: 0,
@@ -166,7 +161,7 @@
             untold: Default::default(),
             waits: Default::default(),
             reads: Default::default(),
-            members: Default::default(),
+            members: Upkeep::new(&inbox.to_string(), conf.losses as usize),
             groups: Default::default(),
             cases: cases::Cases::open(&conf.data),
             calls: opening.calls.clone(),
@@ -238,10 +233,6 @@
         self.start.elapsed()
     }
 
-    pub(crate) fn identity(&self) -> u64 {
-        self.identity
-    }
-
     fn take(&mut self, event: Event) {
         let now = self.now();
         match event {
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -8,6 +8,7 @@
 mod members;
 mod model;
 mod step;
+mod upkeep;
 mod votes;
 mod wire;
 
@@ -16,6 +17,7 @@
     Role, Setup, Snapshot, Standing, Term, Timing,
 };
 pub use step::Quorum;
+pub use upkeep::{Change, JoinAsk, Reason, Turn, Upkeep};
 
 use snafu::Snafu;
 
--- a/crates/quorum/src/step.rs
+++ b/crates/quorum/src/step.rs
@@ -217,6 +217,12 @@
         &self.members
     }
 
+    /// Its members, as far as it knows them, name it under its own identity.
+    pub fn is_member(&self) -> bool {
+        let me = self.members.get(&self.setup.id);
+        me.is_some_and(|m| m.identity == 0 || m.identity == self.setup.identity)
+    }
+
     /// The members in use are committed. Until then a repair is not complete: if the
     /// leader is lost too, the learner it promoted may still count for nothing.
     pub fn members_settled(&self) -> bool {
--- a/crates/quorum/src/votes.rs
+++ b/crates/quorum/src/votes.rs
@@ -9,7 +9,7 @@
     /// Only a voter that the members know by its own identity campaigns.
     pub(crate) fn may_campaign(&self) -> bool {
         let me = self.members.get(&self.setup.id);
-        me.is_some_and(|m| m.voter && (m.identity == 0 || m.identity == self.setup.identity))
+        self.is_member() && me.is_some_and(|m| m.voter)
     }
 
     pub(crate) fn campaign(&mut self, now: Duration, trial: bool) {
--- a/crates/quorum/tests/world/mod.rs
+++ b/crates/quorum/tests/world/mod.rs
@@ -3,7 +3,8 @@
 //! that keep what was synced. The checks run after every step.
 
 use bn_quorum::{
-    Entry, Index, Member, Members, Message, Payload, Quorum, Restored, Role, Setup, Term, Timing,
+    Change, Entry, Index, JoinAsk, Member, Members, Message, Payload, Quorum, Restored, Role,
+    Setup, Snapshot, Term, Timing, Upkeep,
 };
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
 use proptest::test_runner::TestCaseError;
@@ -12,9 +13,12 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-pub(crate) const REPLICAS: usize = 3;
+/// Replicas of random schedules.
+const REPLICAS: usize = 3;
 const STEP: Duration = Duration::from_millis(10);
 const SETTLE_STEPS: usize = 1500;
+/// Entries that stay in memory behind a snapshot, as with coordinators: others get the snapshot.
+const KEPT: u64 = 3;
 
 /// One event of a schedule.
 #[derive(Debug, Clone)]
@@ -72,14 +76,44 @@
     at: Duration,
     from: usize,
     to: usize,
-    message: Message,
+    parcel: Parcel,
+}
+
+#[derive(Clone)]
+enum Parcel {
+    Quorum(Message),
+    Join(JoinAsk),
+}
+
+/// How many replicas there are, and what they know of each other at first.
+#[derive(Clone, Copy)]
+pub(crate) struct Size {
+    pub(crate) replicas: usize,
+    /// The first so many form the log, and are all that any knows at its start.
+    pub(crate) seeds: usize,
+    /// Losses that the log has to bear at once.
+    pub(crate) losses: usize,
+    pub(crate) timing: Timing,
+}
+
+impl Default for Size {
+    fn default() -> Size {
+        Size {
+            replicas: REPLICAS,
+            seeds: REPLICAS,
+            losses: 1,
+            timing: Timing::default(),
+        }
+    }
 }
 
 pub(crate) struct World {
+    size: Size,
     rng: SmallRng,
     now: Duration,
-    rates: [f64; REPLICAS],
+    rates: Vec<f64>,
     running: Vec<Option<Quorum>>,
+    upkeep: Vec<Upkeep>,
     disks: Vec<Disk>,
     flights: Vec<Flight>,
     cut: HashSet<(usize, usize)>,
@@ -89,6 +123,8 @@
     committed: BTreeMap<Index, Entry>,
     /// Highest index that a leader acknowledged to a client.
     acked: Index,
+    /// Changes of members that leaders began.
+    pub(crate) changes: Vec<Change>,
 }
 
 pub(crate) fn play(seed: u64, actions: &[Action]) -> Result<(), TestCaseError> {
@@ -110,14 +146,24 @@
 
 impl World {
     pub(crate) fn new(seed: u64) -> World {
+        World::of(Size::default(), seed)
+    }
+
+    pub(crate) fn of(size: Size, seed: u64) -> World {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let rates = std::array::from_fn(|_| rng.random_range(0.92..1.08));
+        let all = 0..size.replicas;
+        let rates = all.clone().map(|_| rng.random_range(0.92..1.08)).collect();
         let mut world = World {
+            size,
             rng,
             now: Duration::ZERO,
             rates,
-            running: (0..REPLICAS).map(|_| None).collect(),
-            disks: (0..REPLICAS).map(|_| Disk::default()).collect(),
+            running: all.clone().map(|_| None).collect(),
+            upkeep: all
+                .clone()
+                .map(|i| Upkeep::new(&name(i), size.losses))
+                .collect(),
+            disks: all.clone().map(|_| Disk::default()).collect(),
             flights: Vec::new(),
             cut: HashSet::new(),
             loss: 0,
@@ -125,39 +171,53 @@
             leaders: HashMap::new(),
             committed: BTreeMap::new(),
             acked: 0,
+            changes: Vec::new(),
+        };
+        let first = Snapshot {
+            members: world.first_members(),
+            ..Snapshot::default()
         };
-        for i in 0..REPLICAS {
+        for i in all {
             world.disks[i].identity = world.rng.random::<u64>() | 1;
+            if i < size.seeds {
+                world.disks[i].restored.snapshot = Some(first.clone());
+            }
             world.start(i);
         }
         world
     }
 
+    fn first_members(&self) -> Members {
+        let member = |n: usize| {
+            let member = Member {
+                identity: 0,
+                address: name(n),
+                voter: true,
+            };
+            (name(n), member)
+        };
+        (0..self.size.seeds).map(member).collect()
+    }
+
+    fn all(&self) -> std::ops::Range<usize> {
+        0..self.size.replicas
+    }
+
     fn clock(&self, i: usize) -> Duration {
         self.now.mul_f64(self.rates[i])
     }
 
     fn start(&mut self, i: usize) {
-        let member = |n: usize| {
-            (
-                name(n),
-                Member {
-                    identity: 0,
-                    address: name(n),
-                    voter: true,
-                },
-            )
-        };
-        let first: Members = (0..REPLICAS).map(member).collect();
         let setup = Setup {
             id: name(i),
             identity: self.disks[i].identity,
-            first,
-            timing: Timing::default(),
+            first: Members::new(),
+            timing: self.size.timing,
             seed: self.rng.random(),
         };
         let restored = self.disks[i].restored.clone();
         self.running[i] = Some(Quorum::new(setup, restored, self.clock(i)));
+        self.upkeep[i] = Upkeep::new(&name(i), self.size.losses);
     }
 
     pub(crate) fn act(&mut self, action: &Action) -> Result<(), TestCaseError> {
@@ -201,7 +261,27 @@
                 .as_ref()
                 .is_some_and(|q| q.may_grant(self.clock(*i)))
         };
-        (0..REPLICAS).find(leads)
+        self.all().find(leads)
+    }
+
+    /// All that run vote, and all of them agree on it.
+    pub(crate) fn all_vote(&self) -> bool {
+        let running = || self.all().filter(|i| self.running[*i].is_some());
+        let votes = |q: &Quorum, i: usize| {
+            let me = q.members().get(&name(i));
+            me.is_some_and(|m| m.voter && m.identity == self.disks[i].identity)
+        };
+        let agrees = |i: usize| {
+            let q = self.running[i].as_ref();
+            q.is_some_and(|q| q.members_settled() && running().all(|j| votes(q, j)))
+        };
+        self.leader().is_some() && running().all(agrees)
+    }
+
+    /// Steps of 10 ms until all that run vote; `most` where that takes longer.
+    pub(crate) fn steps_until_all_vote(&mut self, most: usize) -> usize {
+        let steps = (0..most).take_while(|_| !self.all_vote() && self.run(1).is_ok());
+        steps.count()
     }
 
     /// The replica, where it runs.
@@ -215,7 +295,7 @@
     }
 
     fn cut_all(&mut self, i: usize, both: bool) {
-        for other in (0..REPLICAS).filter(|o| *o != i) {
+        for other in self.all().filter(|o| *o != i) {
             self.cut.insert((i, other));
             if both {
                 self.cut.insert((other, i));
@@ -236,13 +316,13 @@
         let members = leader.members();
         let held =
             |(id, m): (&String, &Member)| m.voter && m.identity == self.disks[number(id)].identity;
-        leader.members_settled() && members.len() == REPLICAS && members.iter().all(held)
+        leader.members_settled() && members.len() == self.size.replicas && members.iter().all(held)
     }
 
     pub(crate) fn propose(&mut self) -> Result<(), TestCaseError> {
         self.proposed += 1;
         let command = self.proposed.to_le_bytes().to_vec();
-        for i in 0..REPLICAS {
+        for i in self.all() {
             if let Some(q) = self.running[i].as_mut() {
                 let _ = q.propose(command.clone());
             }
@@ -256,7 +336,8 @@
             return;
         };
         let index = q.commit();
-        if let Some(snapshot) = q.compact(index, index.to_le_bytes().to_vec()) {
+        let state = index.to_le_bytes().to_vec();
+        if let Some(snapshot) = q.compact_keeping(index, state, KEPT) {
             let disk = &mut self.disks[i].restored;
             disk.entries.retain(|e| e.index > index);
             disk.snapshot = Some(snapshot);
@@ -267,7 +348,7 @@
         for _ in 0..steps {
             self.now += STEP;
             self.deliver()?;
-            for i in 0..REPLICAS {
+            for i in self.all() {
                 let now = self.clock(i);
                 if let Some(q) = self.running[i].as_mut() {
                     q.tick(now);
@@ -291,8 +372,14 @@
         let due: Vec<Flight> = due;
         for f in due {
             let at = self.clock(f.to);
-            if let Some(q) = self.running[f.to].as_mut() {
-                q.receive(at, &name(f.from), f.message);
+            match (self.running[f.to].as_mut(), f.parcel) {
+                (Some(q), Parcel::Quorum(message)) => q.receive(at, &name(f.from), message),
+                (Some(q), Parcel::Join(ask)) => {
+                    if let Some((to, ask)) = self.upkeep[f.to].on_ask(q, ask) {
+                        self.post(f.to, number(&to), Parcel::Join(ask));
+                    }
+                }
+                (None, _) => {}
             }
             self.flush(f.to)?;
         }
@@ -319,7 +406,7 @@
         }
         disk.entries.extend(out.append);
         for (to, message) in out.messages {
-            self.post(i, number(&to), message);
+            self.post(i, number(&to), Parcel::Quorum(message));
         }
         for entry in out.committed {
             self.check_commit(entry, role == Role::Leader)?;
@@ -333,7 +420,7 @@
         Ok(())
     }
 
-    fn post(&mut self, from: usize, to: usize, message: Message) {
+    fn post(&mut self, from: usize, to: usize, parcel: Parcel) {
         let copies = match self.rng.random_range(0..100u8) {
             n if n < self.loss => 0,
             n if n < self.loss.saturating_mul(2) => 2,
@@ -346,26 +433,29 @@
                 at,
                 from,
                 to,
-                message: message.clone(),
+                parcel: parcel.clone(),
             });
         }
     }
 
-    /// What the control role does with a member that came back empty.
+    /// What a coordinator does about the members.
     fn repair(&mut self, i: usize) {
+        let now = self.clock(i);
         let Some(q) = self.running[i].as_mut() else {
             return;
         };
-        let emptied = q.standings().into_iter().find(|s| !s.genuine);
-        if let Some(standing) = emptied {
-            let _ = q.remove(&standing.id);
+        let turn = self.upkeep[i].turn(now, q);
+        self.changes.extend(turn.change);
+        let Some(ask) = turn.ask else {
             return;
-        }
-        let missing = (0..REPLICAS)
-            .map(name)
-            .find(|id| !q.members().contains_key(id));
-        if let Some(id) = missing {
-            let _ = q.add(&id, &id);
+        };
+        // All that this one knows: the members, where it knows any, and the seeds.
+        let members = q.members().keys().map(|id| number(id));
+        let mut known: Vec<usize> = members.chain(0..self.size.seeds).collect();
+        known.sort_unstable();
+        known.dedup();
+        for to in known.into_iter().filter(|to| *to != i) {
+            self.post(i, to, Parcel::Join(ask.clone()));
         }
     }
 
@@ -393,7 +483,7 @@
                 .as_ref()
                 .is_some_and(|q| q.may_grant(self.clock(*i)))
         };
-        let holders: Vec<_> = (0..REPLICAS).filter(holds).collect();
+        let holders: Vec<_> = self.all().filter(holds).collect();
         if holders.len() > 1 {
             return fail(format!("leases overlap: {holders:?} at {:?}", self.now));
         }
@@ -404,7 +494,7 @@
     pub(crate) fn settle(&mut self) -> Result<(), TestCaseError> {
         self.cut.clear();
         self.loss = 0;
-        for i in 0..REPLICAS {
+        for i in self.all() {
             if self.running[i].is_none() {
                 self.start(i);
             }
@@ -412,7 +502,7 @@
         self.run(SETTLE_STEPS)?;
         self.propose()?;
         self.run(100)?;
-        for i in 0..REPLICAS {
+        for i in self.all() {
             let reached = self.running[i].as_ref().map_or(0, Quorum::commit);
             if reached <= self.acked.saturating_sub(1) {
                 return fail(format!(
