--- a/crates/coordinator/src/asks.rs
+++ b/crates/coordinator/src/asks.rs
@@ -57,7 +57,7 @@
     }
 
     /// A map as orders have it. It is written once for all ranks: it is some KB, and the
-    /// leader has a small share of a core. Not measured apart.
+    /// leader has a small share of a core.
     fn ranked(&mut self, map: &Arc<ExpertMap>) -> Option<RankedMap> {
         if let Some((known, ranked)) = &self.ranked
             && Arc::ptr_eq(known, map)
--- a/crates/coordinator/src/carry.rs
+++ b/crates/coordinator/src/carry.rs
@@ -13,8 +13,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Ranks up to which the leader arms each itself, in a third of a pass: 0.15 ms each on a whole
-/// core, 2 ms on the share that it has (estimates from the cost of a request at a gateway).
+/// Ranks up to which the leader arms each itself: all of them are armed within a third of a pass, on
+/// a twentieth of a core.
 const MANY: usize = 16;
 /// Ways that tries take in turn.
 const WAYS: u32 = 3;
@@ -86,10 +86,9 @@
 
     /// Asks some relays, all by way of one of them.
     fn ask_relays(&mut self, now: Duration, group: &GroupId, calls: &[Beside], map: &[u8]) {
-        // The same one each time: links that are new cost the leader and the relays processor
-        // time, and a switch of 192 ranks needs 14 to 48 a round. With random ones a new leader had its
-        // first map after 2.4 to 3.2 s, so after 0.9 s (single plays). One that is dead is found out and
-        // passed over, and the next takes its place.
+        // The same one each time: links that are new cost the leader and the relays processor time, and
+        // a switch of a large group would need dozens of them a round. One that is dead is found out
+        // and passed over, and the next takes its place.
         if let Some(head) = calls.first().map(|b| b.relay) {
             self.ask_by(now, group, head, calls, map);
         }
@@ -204,14 +203,14 @@
 
 /// What is asked through a relay, in a group of so many ranks. Orders around a hold go straight from
 /// the leader: a relay that stops with one in its hands leaves the group standing until the next
-/// try. Those that all of many ranks get go through relays, too: 192 calls take a leader with
-/// 0.075 of a core some 0.4 s (an estimate), for which the group stands if the switch is not set that far ahead.
+/// try. Those that all of many ranks get go through relays, too: a call to each of them takes a leader
+/// with a twentieth of a core longer than switches are set ahead, and the group would stand meanwhile.
 ///
 /// Each further try goes another way: new connections to an engine may be refused while the link to its
 /// relay still stands, and the other way round. Both begin at the leader, though, and one that
 /// cannot open connections has no link to relays that others passed its asks on to: the third try goes
-/// by way of a relay that it hears. Without it a group stood held for 2.4 s (one play in which new
-/// connections of the leader were refused for 5 s).
+/// by way of a relay that it hears. Else a group that is held stands until the leader can open
+/// connections again.
 pub fn way(call: &pilot::Call, ranks: usize) -> Way {
     let by_relay = match &call.ask {
         Ask::Report | Ask::Look | Ask::Copied(_) => true,
--- a/crates/coordinator/src/relays.rs
+++ b/crates/coordinator/src/relays.rs
@@ -2,9 +2,8 @@
 //! orders are free; straight over HTTP where a relay does not answer.
 //!
 //! Few messages for many ranks: what is asked of a group at once goes to some relays, which
-//! pass it on to the others and collect the answers. A leader with 0.075 of a core took a
-//! second for each switch of 72 ranks by itself, and the worth of a calm day was 0.36; it is 0.88
-//! so (single runs).
+//! pass it on to the others and collect the answers. A leader with a twentieth of a core that asked
+//! each rank itself would take a second for each switch of a large group.
 //!
 //! A relay has its engine's IP number and the port that all inboxes have. That one is
 //! dead, or cut off, shows by an ask without an answer: then its engine is called straight
@@ -17,8 +16,8 @@
 use std::time::Duration;
 
 /// A relay that passes asks on gives up on the others after 150 ms; the rest is for a leader
-/// that is busy. What is asked of relays keeps no group waiting. With 200 ms a busy leader took
-/// them for dead, called 72 engines itself, and was busier still (666 such asks in a day).
+/// that is busy: one that takes relays for dead too soon calls their engines itself, and is busier
+/// still. What is asked of relays keeps no group waiting.
 const TIMEOUT: Duration = Duration::from_millis(600);
 /// The same for orders around a hold: a group may stand still until the next try, and the relay
 /// that passes them on has given up on the others by then.
@@ -33,9 +32,8 @@
 const COUNTED: usize = 48;
 /// A relay that did not answer once is passed over for so long, and for twice as long each further
 /// time in a row. One that is dead or cut off is found out soon enough. Where many are silent at once
-/// it is rather the asker that was held up or whose links are new: passing all over for 4 s, a new
-/// leader called 192 engines itself, took 7 s to find the hold that the one before had left, and the
-/// group stood for 11.8 s.
+/// it is rather the asker that was held up or whose links are new: a new leader that passed all of them
+/// over would call every engine itself, and a group that was left held would stand meanwhile.
 const FIRST_PASS: Duration = Duration::from_millis(600);
 /// A relay is passed over for so long at most: a restart takes a second or two, a cut some more.
 const LONGEST_PASS: Duration = Duration::from_secs(4);
--- a/crates/coordinator/src/ring.rs
+++ b/crates/coordinator/src/ring.rs
@@ -2,9 +2,9 @@
 //! the rest.
 //!
 //! On one ring a flood of announcements and asks for news stands before heartbeats. After a common
-//! start of 345 processes some thousand events waited, at 1 ms and more each on 0.075 of a core:
-//! leaders were deposed for three seconds, one after the other. So there are two rings, and of the
-//! second no more is taken at once than a heartbeat may be late.
+//! start of some hundred processes a thousand events wait, at a millisecond and more each on a
+//! twentieth of a core, and leaders are deposed one after the other. So there are two rings, and of
+//! the second no more is taken at once than a heartbeat may be late.
 
 use bn_group::pilot::Reply;
 use bn_settle::Plan;
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -17,9 +17,9 @@
 /// tens on a busy instance; an order whose answer is lost must be followed up at once,
 /// since the group may stand still meanwhile.
 const TIMEOUT: Duration = Duration::from_millis(120);
-/// Calls under way at once. The time for an answer begins with the call: of 192 that began
-/// together on 0.075 of a core most ran out of it before their connections stood, were repeated, and
-/// ran out again, for 1.4 s.
+/// Calls under way at once. The time for an answer begins with the call: of some hundred that
+/// begin together on a small share of a core most run out of it before their connections stand, are
+/// repeated, and run out again.
 const AT_ONCE: usize = 24;
 /// A call that fails counts as unanswered only after this time. A refused connection shows
 /// at once, and repeating the call without a pause would take the processor.
--- a/crates/engine/src/places.rs
+++ b/crates/engine/src/places.rs
@@ -1,10 +1,9 @@
 //! A map on its way to relays, in few bytes.
 //!
 //! Every relay gets the whole map, passed on by others over links of 6 Mbit/s and more. As engines
-//! read it, a map of 384 experts in 10 sets on 192 ranks has some 28 KB: passing it on to 13
-//! others takes such a link 0.5 s by that size, so that 30 to 99 of 192 relays were taken to be
-//! silent at a switch, and the leader called their engines itself. So packed it has some 5 KB (both of a
-//! made-up map with 6,581 places).
+//! read it, a map of 384 experts in 10 sets on 192 ranks has some 28 KB; passing that on to a dozen
+//! others takes such a link so long that relays seem silent, and the leader calls their engines
+//! itself. Packed it has some 5 KB.
 
 use bn_wire::messages::ExpertPlaces;
 use prost::Message;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,9 +28,8 @@
     let flight = Flight::begin(&shared);
     let (parts, body) = request.into_parts();
     let now = shared.now();
-    // A process that has just started learns the configuration in a second or two. Who is
-    // refused meanwhile comes back once at most: when all processes started at once, 129 of the
-    // 142 callers of two seconds came back too early, and got no answer at all.
+    // A process that has just started learns the configuration in a second or two. Who is refused
+    // meanwhile comes back once at most, mostly too early, and gets no answer at all.
     let wait = ticket::deadline(&parts.headers);
     let hold = wait.mul_f64(PLAN_PART);
     let plan = shared.plan_by(now + hold.min(place::LONGEST_HOLD)).await;
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -1,8 +1,8 @@
 //! The coordinators that a gateway asks for news, one after the other.
 //!
-//! Asking each of them several times a second was 1,840 asks a second with 147 gateways and five
-//! coordinators, a third of what a coordinator does. In turn they are asked as often as one of
-//! them was before, and what any of them learns is known a fraction of a second later.
+//! If a large fleet's gateways asked each of them several times a second, answering would be a good
+//! part of what a coordinator does. Asked in turn, what any of them learns is known a fraction of a
+//! second later.
 
 use indexmap::IndexMap;
 use std::net::SocketAddr;
--- a/crates/group/src/pilot/mod.rs
+++ b/crates/group/src/pilot/mod.rs
@@ -12,8 +12,8 @@
 //!   is repeated with a higher one until an answer comes: from then on the lost one can
 //!   only be refused.
 //!
-//! Gain, measured with 16 ranks under the load of docs/MEASURES.md: the busiest rank had 2.2
-//! times the mean in place of 3.8, and nearly all streams were in time in place of half.
+//! Gain: a pass lasts as long as its busiest rank takes, which has several times the mean where the map
+//! does not follow demand.
 //!
 //! A new leader fences every rank before it looks at any: an old leader that does not
 //! know of it can do nothing from then on. What it left half done is undone under the
@@ -295,8 +295,8 @@
             return Vec::new();
         };
         let bound = self.bound();
-        // One try to look from beside a rank costs 0.1 s, waiting until an old report must have
-        // passed 0.7 s, for which a group that was left held stands still.
+        // A try to look from beside a rank is soon over; waiting until an old report must have passed
+        // takes several times as long, for which a group that was left held stands still.
         let old = matches!(&reply, Reply::View(v) if !v.fresh) && self.phase == Phase::Early;
         if old && tries < FRESH_TRIES {
             return self.again(&engine, tries + 1);
--- a/crates/group/src/pilot/planning.rs
+++ b/crates/group/src/pilot/planning.rs
@@ -22,9 +22,8 @@
 /// Time that a rank may take to copy for one switch. Until it is done nothing gets better,
 /// and passes take 15 in 100 longer.
 const COPY_TIME: Duration = Duration::from_millis(120);
-/// Part of the mean by which a change of one layer must relieve its busiest rank. Copies are
-/// paid for: 0.06 took a tenth to a fifth more of them and brought 0.03 of the mean (counts of
-/// 72 ranks, replayed).
+/// Part of the mean by which a change of one layer must relieve its busiest rank: copies take the
+/// link and slow the passes down, and small gains are gone with the next shift of demand.
 const GAIN: f64 = 0.1;
 /// Lag above what the search found last up to which it is not made again.
 const AS_GOOD: f64 = 0.04;
--- a/crates/group/src/pilot/rounds.rs
+++ b/crates/group/src/pilot/rounds.rs
@@ -7,9 +7,8 @@
 use std::time::Duration;
 
 /// Ranks whose counts are read. Requests are spread over ranks whatever they are about, so
-/// that a few ranks tell what all of them choose; reading from another machine is paid
-/// for and makes the group pause: reading 12 of 72 ranks halved what came in time against
-/// reading 3 (docs/MEASURES.md, grown sites).
+/// that a few ranks tell what all of them choose; each reading from another machine makes the
+/// group pause.
 const SAMPLE: usize = 3;
 
 impl Pilot {
--- a/crates/group/src/pilot/survey.rs
+++ b/crates/group/src/pilot/survey.rs
@@ -85,7 +85,7 @@
         }
         if self.current {
             // Made after the ranks were fenced, these show all that will ever show of an earlier
-            // leader: the map follows 0.7 s sooner after a change of leader.
+            // leader, and there is no need to wait until old reports have passed.
             return self.ask_all(Phase::Survey, Ask::Look);
         }
         self.phase = Phase::Lag(now + LAG);
--- a/crates/group/src/spread.rs
+++ b/crates/group/src/spread.rs
@@ -3,13 +3,11 @@
 //!
 //! A search by single steps: a copy more, a copy less, or an exchange between two ranks. A
 //! step is judged by the ranks that it concerns, not by the busiest of all: where two ranks
-//! have the most to do, relieving one of them is half of the way. On counts of a group of 72
-//! ranks that alone, with exchanges, brought the busiest rank from 1.52 to 1.14 of the mean.
+//! have the most to do, relieving one of them is half of the way.
 //!
 //! What each rank holds is kept beside who holds each expert. The search runs on a share of a core,
-//! and the leader sends no heartbeat meanwhile: looking through 384 experts for those of a rank it
-//! took 57 to 80 ms for 192 ranks (5 ms so), which is 0.8 to 1.1 s on 0.075 of a core, and leaders were
-//! deposed.
+//! and the leader sends no heartbeat meanwhile: one that looked through all experts for those of a rank
+//! would be deposed over a large group.
 
 use crate::RankId;
 use crate::map::ExpertMap;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -186,8 +186,8 @@
 ///
 /// A peer that lost power and is back says nothing of the connections it had, and the link to it
 /// goes on as if it stood until the next message on it is answered with a reset: that message is
-/// lost. Each of 192 relays lost its answer to a new leader in turn, which took ten seconds to see
-/// its group. So a link ends as soon as its peer shows a new start.
+/// lost. Each relay of a group would lose its answer to a new leader in turn, which would not see its
+/// group for seconds. So a link ends as soon as its peer shows a new start.
 struct Starts {
     known: HashMap<String, u64>,
     inner: Weak<Inner>,
--- a/crates/quorum/src/step.rs
+++ b/crates/quorum/src/step.rs
@@ -15,12 +15,11 @@
 const KEPT: u64 = 512;
 
 /// Part of an election's time between two trials of a replica that has not heard of a leader
-/// since its start. Trials change nothing, and an election takes 20 ms on a twentieth of a core.
-/// Three replicas that started at once had a leader after 0.83 s without this, and until then no
-/// process could be told the configuration.
+/// since its start: mostly all have just started, there is no leader to wait for, and until there is
+/// one no process can be told the configuration. Trials change nothing.
 ///
 /// The time grows by as much with each trial in a row, up to the usual one: on busy instances votes
-/// take longer than a trial lasts, and five replicas deposed each other for a second and more.
+/// take longer than a short trial lasts, and replicas would depose each other.
 const FRESH_PART: f64 = 0.2;
 /// What a replica waits of a lease that another clock measures: clocks that differ by 8 in 100
 /// either way must not let two leaders hold one.
--- a/crates/quorum/src/votes.rs
+++ b/crates/quorum/src/votes.rs
@@ -87,8 +87,7 @@
 
     /// Whoever would be voted for gets the time for it. Replicas that start together all begin
     /// a trial before the votes of the first are back, all become candidates, and each votes for
-    /// itself: with messages of 60 to 160 ms five replicas took 4 s for a leader, at the median of
-    /// 60 starts, and 1.2 s so. Of two in a trial the one of the lower id goes on; once only, since it
+    /// itself. Of two in a trial the one of the lower id goes on; once only, since it
     /// may be one that hears no answers.
     fn give_way(&mut self, now: Duration, to: &str) {
         match self.role {
--- a/crates/route/src/patience.rs
+++ b/crates/route/src/patience.rs
@@ -5,8 +5,8 @@
 //! which it is. But the callers of a route wait for about the same time, give or take a
 //! seventh, and who is refused is told to come back after a second or more: whoever has much
 //! less left than the most that was seen of late has asked before. The route's timeout does
-//! not tell, nor does a narrow margin: on a large fleet, where few were refused, four in five
-//! of the streams that were late bore the label. Telling them apart gained nothing in credit.
+//! not tell, nor does a narrow margin: where few are refused, most of those so labelled would be
+//! callers that wait a little less.
 
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -14,9 +14,8 @@
 /// Time for which the longest wait of a route is remembered at least, and twice that at
 /// most: routes get other callers with new documents.
 const REMEMBERED: Duration = Duration::from_secs(10);
-/// Part of the longest wait that a first try has at least. Nearly all streams of
-/// a heavy day announced 6.75 to 8 s where 8 is the longest (counted by quarters of a second).
-/// Those told to come back after 0.9 s or more have 0.89 of it left at most: some are missed.
+/// Part of the longest wait that a first try has at least: callers of a route differ by a seventh.
+/// Those told to come back soon may have more left than that, and are missed.
 const FRESH: f64 = 0.84;
 
 #[derive(Debug, Clone, Copy, Default)]
