Room may pass the slots: the part for late requests is one of what passes allow

Cause: room was cut at the slots before the part for late requests (0.6) was taken of it. Where the slots bind and passes take half of the allowed pause (the shifted site: 10 slots a rank, prompts of 800 tokens), who came back after an outage got 0.6 of the slots and was refused for good while the group could bear all of them.

Ways: as it stood; room up to 1 / 0.6, either part cut at the slots (kept); no part at all where slots bind (the same where passes take half of the pause, and a step where they begin to bind).

--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -20,8 +20,8 @@
 /// Part of the pauses that must stay below the limit: each stream has some 25 pauses and
 /// is late if one of them is too long.
 const QUANTILE: f64 = 0.9;
-/// Part of the allowed pause that a pass may take. Lower ones were tried on ten heavy days:
-/// mean worth 0.51 and 0.62 (two sites) with 0.8, 0.49 and 0.59 with 0.65, 0.47 and 0.55 with 0.55.
+/// Part of the allowed pause that a pass may take. The rest is for what is admitted before a pause is
+/// seen that it made longer.
 const AIM: f64 = 0.8;
 /// Least growth of a pass that is believed, as a part of the allowed pause: what is below
 /// is the time of reading and of the network.
@@ -34,21 +34,22 @@
 /// Least room: one request a rank or two must always pass, else nothing is learnt.
 const LEAST: f64 = 0.25;
 
-/// Part of the room that requests get which are late already. What is left is for those that
-/// can still be in time, and are worth several times as much to their callers: in a burst those
-/// who had been refused came back and kept the next ones from being in time, which were refused,
-/// and so on until long after the burst. Fifteen days with trouble earned 0.77 of their credit
-/// with 0.6 and 0.72 with 0.85. Letting it grow while nobody in time lacks room holds a group near
-/// its limit, where all streams are late by some pause, and keeps it there: on a heavy day of 192
-/// ranks 0.71 of the credit with 0.6, 0.65 and 0.45 with up to 0.75 and 0.95.
+/// Part of the room that requests get which are late already. What is left is for those that can
+/// still be in time, and are worth several times as much to their callers: else those who were refused
+/// in a burst come back and keep the next ones from being in time, which are refused, and so on until
+/// long after the burst. It does not grow while nobody in time lacks room: that holds a group near its
+/// limit, where all streams are late by some pause, and keeps it there.
 const LATE_PART: f64 = 0.6;
+/// Most room: the part of it for late requests is all slots.
+const MOST: f64 = 1.0 / LATE_PART;
 
-/// Load over slots up to which a request is placed where in-time ones are up to `room`.
+/// Load over slots up to which a request is placed where passes allow `room`. The part for late requests
+/// is one of what passes allow, which may be more than there are slots. A group whose slots are taken
+/// before its passes get long loses nothing by late requests: were they kept from the last slots, as
+/// many would be refused twice, and get no answer at all.
 pub fn room_for(late: bool, room: f64) -> f64 {
-    match late {
-        true => room * LATE_PART,
-        false => room,
-    }
+    let part = if late { room * LATE_PART } else { room };
+    part.min(1.0)
 }
 
 /// What pauses are judged by.
@@ -63,7 +64,7 @@
 /// What was judged, for lines.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Judged {
-    /// Load over slots up to which backend servers are taken from now on.
+    /// Load over slots that passes allow from now on; above 1 the slots bind.
     pub room: f64,
     /// Mean load over slots.
     pub load: f64,
@@ -71,7 +72,7 @@
     pub pause: f64,
 }
 
-/// Room of one unit, as load over slots of a backend server.
+/// Room of one unit: load over slots of a backend server that its passes allow.
 #[derive(Debug, Clone)]
 pub struct Pace {
     room: f64,
@@ -90,9 +91,8 @@
 }
 
 impl Pace {
-    /// Room at the start, before any pause was seen, and after the group stood still: it begins with
-    /// a map that fits no demand, and bore a load of 0.3 with pauses of 0.7 of the limit. With half of
-    /// the slots in its place, who had waited for the group filled it at once, and all were late.
+    /// Room at the start, before any pause was seen, and after the group stood still: it begins with a
+    /// map that fits no demand, and all would be late if who had waited for it filled it at once.
     pub const FIRST: f64 = LEAST;
 
     /// The group stands still: what was learnt of it does not hold when it runs again.
@@ -101,7 +101,7 @@
         self.pauses.clear();
     }
 
-    /// Load over slots up to which a backend server is taken.
+    /// Load over slots that passes allow; above 1 the slots bind.
     pub fn room(&self) -> f64 {
         self.room
     }
@@ -133,7 +133,7 @@
         let idle = bounds.idle.as_secs_f64() / limit;
         let growth = (long - idle).max(LEAST_GROWTH);
         let load = load();
-        let fits = (load * (AIM - idle) / growth).clamp(LEAST, 1.0);
+        let fits = (load * (AIM - idle) / growth).clamp(LEAST, MOST);
         let before = self.room;
         self.room = match fits < before {
             true => fits,
