Gateways answer callers that ask where to connect

Cause: callers ask the directory every two seconds, nearest first, and wait a second for each that does not answer.

Coordinators choose as before, tell the choice with their news where it changed, and gateways order it for the caller's domain. A gateway that stops is left out as soon as a coordinator hears of it.

The settings' check of an empty coordinator.directory goes, since none may be named now; a wrong one is a fault as before, of gateways too. Tests: a_stopping_gateway... holds for the other gateway's answer, gateways_tell_callers_where_to_connect_without_coordinators, another_choice_has_another_mark.

--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -287,14 +287,37 @@
         !named.contains(&at.to_string()) && named.contains(&f.callers(5).to_string())
     });
     let left_after = stopped_at.elapsed();
+    fleet.wait("the other gateway's answer", |f| {
+        !f.addresses(5).contains(&at.to_string())
+    });
+    let left_everywhere = stopped_at.elapsed();
     let answer = asked.join().unwrap();
     let ended = child.wait().unwrap();
 
     expect_that!(left_after, lt(Duration::from_secs(1)));
+    expect_that!(left_everywhere, lt(Duration::from_secs(1)));
     expect_that!((answer.status(), answer.whole), eq((200, true)));
     expect_true!(ended.success());
 }
 
+/// Symptom: callers wait a second for each address they ask for. Sequence: the coordinators of their
+/// failure domain are away. Cause: only coordinators knew which gateways there are.
+#[googletest::test]
+fn gateways_tell_callers_where_to_connect_without_coordinators() {
+    let mut fleet = Fleet::start(40);
+    let both = |f: &Fleet, n: u8| {
+        let text = f.addresses(n);
+        (4..=5).all(|g| text.contains(&f.callers(g).to_string()))
+    };
+    fleet.wait("addresses", |f| (4..=5).all(|n| both(f, n)));
+
+    for n in 1..=3 {
+        fleet.kill(&format!("c{n}"));
+    }
+
+    expect_true!((4..=5).all(|n| both(&fleet, n)));
+}
+
 /// Symptom: a request reaches a backend server that has said that it leaves. Sequence: it
 /// announces draining, or leaves, at any one coordinator. Cause: gateways did not hear.
 #[googletest::test]
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -195,6 +195,11 @@
         })
     }
 
+    /// The same where empty says that there is none.
+    pub(crate) fn optional_address(&mut self, field: &str, value: &str) -> Option<SocketAddr> {
+        (!value.is_empty()).then(|| self.address(field, value))
+    }
+
     /// A time in seconds, fractions of one allowed; `default` where none is given.
     pub(crate) fn seconds(&mut self, field: &str, value: f64, default: Duration) -> Duration {
         if value == 0.0 {
--- a/crates/conf/src/roles.rs
+++ b/crates/conf/src/roles.rs
@@ -28,6 +28,8 @@
     pub retry_slack: u32,
     /// Window of the retry budget.
     pub retry_window: Duration,
+    /// Where callers ask for addresses; none: they ask others.
+    pub directory: Option<SocketAddr>,
 }
 
 /// Settings of the coordinator role.
@@ -35,8 +37,8 @@
 pub struct Coordinator {
     /// Where operators and backend servers call.
     pub control: SocketAddr,
-    /// Where callers ask for addresses.
-    pub directory: SocketAddr,
+    /// Where callers ask for addresses; none: they ask gateways.
+    pub directory: Option<SocketAddr>,
     /// Addresses of some coordinators; their ports do not matter.
     pub seeds: Vec<SocketAddr>,
     /// The whole system starts for the first time: the seeds form the log.
@@ -82,6 +84,7 @@
         // A part of a try is none.
         retry_slack: raw.retry_slack.max(0.0) as u32,
         retry_window: faults.seconds("gateway.retry_window_s", raw.retry_window_s, DEFAULT_WINDOW),
+        directory: faults.optional_address("gateway.directory", &raw.directory),
     }
 }
 
@@ -91,7 +94,7 @@
     }
     Coordinator {
         control: faults.address("coordinator.control", &raw.control),
-        directory: faults.address("coordinator.directory", &raw.directory),
+        directory: faults.optional_address("coordinator.directory", &raw.directory),
         seeds: faults.addresses("coordinator.seeds", &raw.seeds),
         first: raw.first,
         data: PathBuf::from(&raw.data),
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -1,6 +1,5 @@
 //! The thread that owns the log, the settled document and the registrations.
 
-use crate::directory::Directory;
 use crate::durable::{first_members, restored};
 use crate::ring::{Event, Inlet, Ring, ring};
 use crate::settled::{Settled, decode};
@@ -9,6 +8,7 @@
     CallsSnafu, ListenSnafu, Result, cases, groups, http, news, reads, relays, settling, tell,
 };
 use bn_conf::{Coordinator as Conf, Settings};
+use bn_directory::Directory;
 use bn_engine::Calls;
 use bn_net::Net;
 use bn_quorum::{Entry, Message, Output, Payload, Quorum, Role, Setup, Timing, Upkeep};
@@ -94,7 +94,7 @@
         ring: ring.clone(),
     };
     let core = Core::open(&opening)?;
-    for address in [conf.control, conf.directory] {
+    for address in [Some(conf.control), conf.directory].into_iter().flatten() {
         let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
         http::serve(listener, ring.clone()).context(ListenSnafu { address })?;
     }
@@ -250,7 +250,7 @@
                 answered(done.send(self.pardon(now, digest)));
             }
             Event::Resolve(domain, done) => {
-                answered(done.send(self.directory.addresses(now, &domain)));
+                answered(done.send(self.directory.named(now).addresses(&domain)));
             }
             Event::Called(group, call, reply) => self.on_called(now, &group, call, reply),
             Event::Seeds(seeds) => {
--- a/crates/coordinator/src/http.rs
+++ b/crates/coordinator/src/http.rs
@@ -1,6 +1,7 @@
 //! The coordinator's HTTP side: translates calls, hands them to the core, waits.
 
 use crate::ring::{Event, Ring};
+use bn_directory::ANSWER_TTL;
 use bn_platform::call::{self, Call};
 use bn_serve::{Body, BodyFault, Bounds, text, whole_body};
 use hyper::body::Incoming;
@@ -8,14 +9,10 @@
 use serde_json::json;
 use std::io;
 use std::net::TcpListener;
-use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Largest body taken: an operator's document has some hundred KB.
 const LARGEST_BODY: usize = 8 << 20;
-/// How long callers may keep an answer. Gateways that stop leave the answers at once and
-/// serve on for longer than this; some callers keep answers three times as long.
-const ANSWER_TTL: Duration = Duration::from_secs(2);
 const JSON: &str = "application/json";
 
 /// Serves until the process ends.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -7,7 +7,6 @@
 mod carry;
 mod cases;
 mod core;
-mod directory;
 mod durable;
 mod groups;
 mod http;
@@ -24,7 +23,6 @@
 
 pub use self::carry::{Way, way};
 pub use self::core::start;
-pub use self::directory::{Directory, Gateway};
 pub use self::news::Lag;
 pub use self::pages::{QUARANTINE, pages};
 pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part};
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -6,8 +6,8 @@
 //! and the other side opens its own anew.
 
 use crate::core::{Core, answered};
-use crate::directory::Gateway;
 use crate::tell::Told;
+use bn_directory::{Gateway, Named};
 use bn_registry::{Change, Condition, Record};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Registration};
@@ -70,6 +70,8 @@
     due: Duration,
     /// Coordinators and number of gateways, as all news say them until then.
     standing: wire::News,
+    /// Gateways that callers are sent to, the same way.
+    named: Named,
     standing_due: Duration,
 }
 
@@ -207,6 +209,7 @@
         let now = self.now();
         if now >= self.peers.standing_due {
             self.peers.standing_due = now + STANDING;
+            self.peers.named = self.directory.named(now);
             let others = self.others();
             let all = others.iter().chain([&self.inbox]);
             self.peers.standing = wire::News {
@@ -233,7 +236,12 @@
                 ready: ask.ready,
                 rate: ask.rate,
             };
+            let stops = !gateway.ready;
             self.directory.hear(now, inbox, gateway);
+            if stops {
+                // Callers must not be sent there any more.
+                self.peers.standing_due = now;
+            }
         }
         let (mark, known) = match ask.source == self.net.incarnation() {
             true => (ask.mark, ask.cases),
@@ -252,13 +260,19 @@
             false => Vec::new(),
         };
         let changed = self.registry.since(mark);
+        let plain = self.plain_news();
+        let named = match is_gateway && ask.named != self.peers.named.mark() {
+            true => self.peers.named.gateways(),
+            false => &[],
+        };
         let news = wire::News {
             document,
+            named: named.iter().map(Into::into).collect(),
             mark: self.registry.mark(),
             changed: changed.iter().map(Registration::from).collect(),
             cases: self.cases.told_since(known, is_gateway),
             cases_mark: self.cases.table.turn(),
-            ..self.plain_news()
+            ..plain
         };
         self.net.send(inbox, Body::News(news));
     }
--- a/crates/coordinator/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -1,10 +1,11 @@
-//! Which gateways callers may be sent to: soft state, told by the gateways themselves.
+//! What a coordinator knows of gateways, and its choice: soft state, told by the gateways themselves.
 //!
 //! A caller is sent to some of the gateways only where there are more than its requests need. A
 //! gateway learns what engines bear from the streams that it has there: with 147 of them, each
 //! started three streams a second, heard of one engine in a minute and opened a new connection
 //! for nearly each request. Those that are not named stay ready and take over at once.
 
+use crate::named::{Named, turn};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -75,22 +76,10 @@
         self.resumed = Some(now);
     }
 
-    /// Where callers of a failure domain may connect now, their own domain first. None while the
-    /// gateways are still being met after a start: all callers would be sent to the first few.
-    pub fn addresses(&self, now: Duration, domain: &str) -> Vec<SocketAddr> {
-        let mut used = self.used(now);
-        if is_meeting(now, self.first) && used.len() < FEWEST {
-            return Vec::new();
-        }
-        // Those of a domain are rotated for each domain of callers: an answer that holds only the
-        // first some of many would leave the others without work.
-        used.sort_by_cached_key(|g| (g.domain != domain, turn(g.callers, domain)));
-        used.into_iter().map(|g| g.callers).collect()
-    }
-
-    /// Gateways that are named to callers: as many as the requests need, of each failure domain
-    /// in turn. All coordinators that hear of the same gateways choose the same ones.
-    fn used(&self, now: Duration) -> Vec<&Gateway> {
+    /// Gateways that callers may be sent to now: as many as the requests need, of each failure domain in
+    /// turn. None while the gateways are still being met after a start: all callers would be sent to
+    /// the first few. All coordinators that hear of the same gateways choose the same ones.
+    pub fn named(&self, now: Duration) -> Named {
         let mut ready = match is_meeting(now, self.resumed) {
             // What they said meanwhile is still to be read; the few of until now are not all.
             true => self.ready(now, STATIC),
@@ -102,14 +91,12 @@
         ready.sort_by_key(|r| r.turn);
         let ready: Vec<&Gateway> = ready.into_iter().map(|r| &r.gateway).collect();
         let needed = needed(&ready);
-        let mut by_domain: IndexMap<&str, Vec<&Gateway>> = IndexMap::new();
-        for gateway in ready {
-            by_domain.entry(&gateway.domain).or_default().push(gateway);
+        let addressed = ready.iter().map(|g| (g.callers, g.domain.as_str()));
+        let named = Named::in_turn(addressed, needed);
+        match is_meeting(now, self.first) && named.gateways().len() < FEWEST {
+            true => Named::default(),
+            false => named,
         }
-        by_domain.sort_unstable_keys();
-        let nth = |n: usize| by_domain.values().filter_map(move |d| d.get(n).copied());
-        let deepest = by_domain.values().map(Vec::len).max().unwrap_or(0);
-        (0..deepest).flat_map(nth).take(needed).collect()
     }
 
     fn ready(&self, now: Duration, within: Duration) -> Vec<&Row> {
@@ -152,8 +139,3 @@
     let rate: usize = gateways.iter().map(|g| g.rate as usize).sum();
     rate.div_ceil(RATE).max(FEWEST).min(gateways.len())
 }
-
-/// Place of a gateway in an order that is the same everywhere, and another one for each `salt`.
-fn turn(callers: SocketAddr, salt: &str) -> u32 {
-    crc32c::crc32c(format!("{callers}{salt}").as_bytes())
-}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,6 +5,7 @@
 use crate::shared::{Flight, Shared};
 use crate::ticket::{Denial, Ticket};
 use crate::{place, plain, stream, ticket};
+use bn_directory::ANSWER_TTL;
 use bn_platform::call::{self, Call};
 use bn_serve::{Body, BodyFault, text, whole_body};
 use hyper::body::Incoming;
@@ -84,6 +85,22 @@
     }
 }
 
+/// Answers callers that ask where to connect.
+pub(crate) fn directory(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+    let uri = request.uri();
+    let query = uri.query().unwrap_or_default();
+    let Some(Call::Resolve { domain }) = call::parse(request.method().as_str(), uri.path(), query)
+    else {
+        return text(404, "text/plain", "there is no such call\n");
+    };
+    let addresses = shared.state().named.addresses(&domain);
+    if addresses.is_empty() {
+        return text(503, "text/plain", "no gateway is known yet\n");
+    }
+    let body = bn_platform::addresses(&addresses, ANSWER_TTL);
+    text(200, "application/json", body)
+}
+
 fn body_refusal(fault: BodyFault) -> Refusal {
     match fault {
         BodyFault::Slow => Refusal::wrong(408, "the body came too slowly"),
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -6,6 +6,7 @@
 use crate::shared::Shared;
 use crate::sources::Sources;
 use crate::suspects::Report;
+use bn_directory::{Named, NamedGateway};
 use bn_net::Net;
 use bn_quarantine::{Digest, Told};
 use bn_registry::{Condition, Record};
@@ -147,6 +148,7 @@
             cases: position.cases,
             unheard: position.unheard,
             rate: self.rate.note(self.shared.now(), self.shared.taken()),
+            named: self.shared.state().named.mark(),
         };
         self.net.send(inbox, Body::NewsAsk(ask));
     }
@@ -167,6 +169,7 @@
         let named = news.coordinators.iter().filter_map(|a| a.parse().ok());
         self.sources.follow(&named.collect::<Vec<_>>());
         self.adopt(inbox, &news);
+        self.follow_choice(news.named);
         for raw in news.changed {
             match Record::try_from(raw) {
                 Ok(record) => self.register(record),
@@ -215,6 +218,23 @@
         }
     }
 
+    /// Takes the coordinators' choice of gateways that callers are sent to.
+    fn follow_choice(&self, named: Vec<wire::NamedGateway>) {
+        if named.is_empty() {
+            return;
+        }
+        let named: Result<Vec<_>, _> = named.into_iter().map(NamedGateway::try_from).collect();
+        match named {
+            Ok(named) => {
+                let named = Named::new(named);
+                let fields = json!({ "gateways": named.gateways().len(), "mark": named.mark() });
+                self.shared.lines.put("gateways_named", fields);
+                self.shared.state().named = named;
+            }
+            Err(e) => log::warn!("a choice of gateways: {e}"),
+        }
+    }
+
     fn register(&mut self, record: Record) {
         let known = self.registered.get(&record.id);
         let Some(record) = known.map_or(Some(record.clone()), |held| record.over(held)) else {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,6 +2,7 @@
 //! across a wait.
 
 use crate::suspects::Report;
+use bn_directory::Named;
 use bn_limit::Queue;
 use bn_quarantine::{Table, Watch};
 use bn_route::{Allowance, Bounds, Fleet, Pace, Patience, Retries, Server, Unit};
@@ -60,6 +61,8 @@
     pub(crate) patience: Patience,
     /// Gateways that share the retry budget.
     pub(crate) gateways: u32,
+    /// Gateways that callers are sent to.
+    pub(crate) named: Named,
     /// Requests under which backend servers ended, as coordinators tell them.
     pub(crate) cases: Table,
     /// Runs that were lost here.
@@ -100,6 +103,7 @@
             room_line_due: Duration::ZERO,
             patience: Patience::default(),
             gateways: 1,
+            named: Named::default(),
             cases: Table::default(),
             watch: Watch::default(),
         };
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,8 +6,10 @@
 use bn_conf::{Gateway as Conf, Settings};
 use bn_net::Net;
 use bn_route::Allowance;
-use bn_serve::Bounds;
+use bn_serve::{Body, Bounds};
 use bn_trace::Lines;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use serde_json::json;
 use snafu::ResultExt;
 use std::net::{SocketAddr, TcpListener};
@@ -79,6 +81,7 @@
     );
     let callers = bind(conf.callers)?;
     let ready = bind(conf.readiness)?;
+    let directory = conf.directory.map(bind).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -88,7 +91,10 @@
     let thread = std::thread::spawn(move || {
         runtime.block_on(async move {
             tokio::spawn(link.run(inbox, reported));
-            tokio::spawn(serve_readiness(running.clone(), ready));
+            tokio::spawn(serve_pages(running.clone(), ready, front::readiness));
+            if let Some(directory) = directory {
+                tokio::spawn(serve_pages(running.clone(), directory, front::directory));
+            }
             let accepting = tokio::spawn(serve_callers(running.clone(), callers));
             until_stopped(&running, grace, || accepting.abort()).await;
         });
@@ -113,14 +119,19 @@
     }
 }
 
-async fn serve_readiness(shared: Shared, listener: TcpListener) {
+/// Serves what is answered at once from what is known.
+async fn serve_pages(
+    shared: Shared,
+    listener: TcpListener,
+    answer: fn(&Shared, &Request<Incoming>) -> Response<Body>,
+) {
     let closing = shared.closing.subscribe();
     let handle = move |request| {
-        let response = front::readiness(&shared, &request);
+        let response = answer(&shared, &request);
         async move { response }
     };
     if let Err(e) = bn_serve::accept(listener, None, Bounds::default(), closing, handle).await {
-        log::error!("readiness: {e}");
+        log::error!("readiness or directory: {e}");
     }
 }
 
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -983,6 +983,9 @@
     /// change up to which cases of `source` are known
     #[prost(uint64, tag = "9")]
     pub cases: u64,
+    /// of a gateway: mark of the choice of gateways that it knows
+    #[prost(uint32, tag = "10")]
+    pub named: u32,
 }
 /// Answer to NewsAsk, or pushed at a change.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -1016,6 +1019,9 @@
     /// what was settled until a second ago is known here
     #[prost(bool, tag = "10")]
     pub current: bool,
+    /// callers may be sent there; only where another choice was known
+    #[prost(message, repeated, tag = "11")]
+    pub named: ::prost::alloc::vec::Vec<NamedGateway>,
 }
 /// One start of a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1122,6 +1128,15 @@
     #[prost(uint64, tag = "3")]
     pub version: u64,
 }
+/// A gateway that callers may be sent to.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NamedGateway {
+    /// where they connect
+    #[prost(string, tag = "1")]
+    pub callers: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub domain: ::prost::alloc::string::String,
+}
 /// A coordinator that hears no leader asks to be a member of the log.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct JoinAsk {
--- a/crates/wire/src/gen/bn.settings.rs
+++ b/crates/wire/src/gen/bn.settings.rs
@@ -141,6 +141,9 @@
     pub retry_slack: f64,
     #[prost(double, tag = "7")]
     pub retry_window_s: f64,
+    /// "ip:port" for callers that ask where to connect; empty: they ask others
+    #[prost(string, tag = "8")]
+    pub directory: ::prost::alloc::string::String,
 }
 /// A process that keeps the settled documents and the registrations.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -150,7 +153,7 @@
     /// "ip:port" for operators and backend servers
     #[prost(string, tag = "1")]
     pub control: ::prost::alloc::string::String,
-    /// "ip:port" for callers that ask where to connect
+    /// the same as of a gateway
     #[prost(string, tag = "2")]
     pub directory: ::prost::alloc::string::String,
     /// some coordinators; only their IP numbers matter
