Beside a rank so slow that nobody can be in time, as many as can get a late answer

Cause: a rank of five times the usual pace (4.98 told by its report) makes each pass take 1.4 times the allowed pause without any load.

Change: the time of a pass without load counts the slowest rank of the unit (known from reports), and where that alone is above the aim, a pass may take one and a half times it, up to the pauses that outlast callers. Where no stream could be whole in its time, room stays the least, as before.

Test first: where_nobody_can_be_in_time_late_answers_are_better_than_none (red without).

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -188,7 +188,9 @@
             .and_then(|p| p.services().get(service)?.engine);
         let bounds = Bounds {
             limit,
-            idle: engine.map_or(Duration::ZERO, |e| e.idle_pass()),
+            idle: engine.map_or(Duration::ZERO, |e| {
+                e.idle_pass().mul_f64(fleet.slowest(unit))
+            }),
         };
         let judged = pace.saw(now, pause, bounds, || fleet.mean_load(now, unit));
         let Some(judged) = judged else {
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -178,6 +178,14 @@
         loads.sum::<f64>() / open.len().max(1) as f64
     }
 
+    /// Pace of a unit's slowest backend server that takes work, 1 where all are sound: each pass of a
+    /// group takes as long as that one needs.
+    pub fn slowest(&self, unit: &str) -> f64 {
+        let taking = |s: &&Server| s.unit == unit && !s.leaving;
+        let paces = self.servers.values().filter(taking).map(|s| s.pace);
+        paces.fold(1.0, f64::max)
+    }
+
     /// Load over slots that all other gateways together cause at one of these backend servers,
     /// as far as that one does not tell: what those tell that were asked of late, as it fades,
     /// and what is assumed for the rest.
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -23,10 +23,15 @@
 /// Part of the allowed pause that a pass may take. The rest is for what is admitted before a pause is
 /// seen that it made longer.
 const AIM: f64 = 0.8;
+/// Where a pass takes longer than [`AIM`] without any load, as beside a rank of several times the usual
+/// pace, nobody can be in time. Then a pass may take this many times that: its streams are whole before
+/// their callers give up, and as many get a late answer as can.
+const LATE_AIM: f64 = 1.5;
 /// Least growth of a pass that is believed, as a part of the allowed pause: what is below
 /// is the time of reading and of the network.
 const LEAST_GROWTH: f64 = 0.05;
-/// Pauses of so many times the limit tell of a group that stood still, not of its load.
+/// Pauses of so many times the limit tell of a group that stood still, not of its load; streams with
+/// such pauses outlast their callers.
 const STILL: f64 = 2.5;
 /// Part of the way up to the new room that is gone a window: what was admitted shows one or
 /// two passes later. Down it goes at once.
@@ -57,7 +62,7 @@
 pub struct Bounds {
     /// Longest pause that is in time.
     pub limit: Duration,
-    /// Time of a pass without load.
+    /// Time of a pass without load, by the slowest of the ranks.
     pub idle: Duration,
 }
 
@@ -133,7 +138,7 @@
         let idle = bounds.idle.as_secs_f64() / limit;
         let growth = (long - idle).max(LEAST_GROWTH);
         let load = load();
-        let fits = (load * (AIM - idle) / growth).clamp(LEAST, MOST);
+        let fits = (load * (aim(idle) - idle) / growth).clamp(LEAST, MOST);
         let before = self.room;
         self.room = match fits < before {
             true => fits,
@@ -147,6 +152,14 @@
     }
 }
 
+/// Part of the allowed pause that a pass may take, where it takes `idle` of it without load.
+fn aim(idle: f64) -> f64 {
+    match idle < AIM {
+        true => AIM,
+        false => (idle * LATE_AIM).min(STILL),
+    }
+}
+
 fn quantile(mut pauses: Vec<f64>) -> Option<f64> {
     pauses.sort_unstable_by(f64::total_cmp);
     let at = ((pauses.len() - 1) as f64 * QUANTILE) as usize;
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -359,6 +359,40 @@
     expect_that!(pace.room(), gt(0.9));
 }
 
+/// Symptom: for as long as one rank is slow nine in ten callers are refused, and get no answer at all.
+/// Sequence: passes take longer than allowed however few requests there are; room shrinks to the least
+/// and stays there. Cause: room was for streams in time, of which there can be none.
+#[googletest::test]
+fn where_nobody_can_be_in_time_late_answers_are_better_than_none() {
+    let beside_a_slow_rank = |ms: u64| Bounds {
+        idle: Duration::from_millis(ms),
+        ..bounds()
+    };
+    let mut now = NOW;
+    let mut settled = |pace: &mut Pace, bounds: Bounds, pause: &dyn Fn(f64) -> u64| {
+        for _ in 0..4_000 {
+            now += Duration::from_millis(10);
+            let room = pace.room().min(1.0);
+            pace.saw(now, Duration::from_millis(pause(room)), bounds, || room);
+        }
+        pace.room()
+    };
+    let mut pace = Pace::default();
+
+    let slow = settled(&mut pace, beside_a_slow_rank(170), &|room| {
+        170 + (60.0 * room) as u64
+    });
+    let hopeless = settled(&mut Pace::default(), beside_a_slow_rank(400), &|room| {
+        400 + (60.0 * room) as u64
+    });
+    let sound_again = settled(&mut pace, bounds(), &|room| 30 + (200.0 * room) as u64);
+
+    expect_that!(slow, gt(0.9));
+    // No caller would wait for the end of such a stream.
+    expect_that!(hopeless, le(Pace::FIRST));
+    expect_that!(30.0 + 200.0 * sound_again, lt(118.0));
+}
+
 /// Symptom: all streams are late at once. Sequence: the group is filled up to its slots
 /// and every pass takes longer than the allowed pause. Cause: slots alone were the limit.
 #[googletest::test]
