A pass may take nine tenths of the allowed pause

Hypothesis: with 0.8 a group whose map lags demand refuses callers who would have been in time; they come back late and take the place of others.

--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -22,7 +22,7 @@
 const QUANTILE: f64 = 0.9;
 /// Part of the allowed pause that a pass may take. The rest is for what is admitted before a pause is
 /// seen that it made longer.
-const AIM: f64 = 0.8;
+const AIM: f64 = 0.9;
 /// Where a pass takes longer than [`AIM`] without any load, as beside a rank of several times the usual
 /// pace, nobody can be in time. Then a pass may take this many times that: its streams are whole before
 /// their callers give up, and as many get a late answer as can.
