A group that was never whole is refused at once; operators see who keeps the log

Cause: a group of more ranks than backend servers started never forms; its callers were told to come back, waited 1.5 s in line for it, and were refused as 'the line is too long'.

Change: a service of which all has stood still for 8 s (twice what a crash and forming anew take) is down: everybody is refused at once, with the latest time to come back. nobody_waits_for_a_group_that_ is_down is red without it (no such verdict). Command members and the page /v1/members show who votes and whether a coordinator knows the newest document; beside the gauge log_voter and the line 'voting'.

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod explain;
 pub(crate) mod fake;
 pub(crate) mod losses;
+pub(crate) mod members;
 pub(crate) mod quarantine;
 pub(crate) mod run;
 pub(crate) mod timeline;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -39,6 +39,8 @@
     Losses(cmd::losses::Args),
     /// Show which requests end backend servers and are refused, or vouch for one.
     Quarantine(cmd::quarantine::Args),
+    /// Show which coordinators keep the log
+    Members(cmd::members::Args),
     /// Send one request of each kind through a running system.
     Demo(cmd::demo::Args),
     /// Measure a running system, or the policies alone.
@@ -69,6 +71,7 @@
         Command::Explain(args) => cmd::explain::run(&args),
         Command::Losses(args) => cmd::losses::run(&args),
         Command::Quarantine(args) => cmd::quarantine::run(&args),
+        Command::Members(args) => cmd::members::run(&args),
         Command::Demo(args) => cmd::demo::run(&args),
         Command::Bench(args) => cmd::bench::run(&args),
         Command::Fake(args) => cmd::fake::run(args),
--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -15,6 +15,7 @@
 use googletest::prelude::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::process::Command;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
@@ -415,6 +416,26 @@
     expect_that!(alone, eq((false, true)));
 }
 
+/// Symptom: nobody knows that the log is kept by fewer than there are. Sequence: one coordinator is
+/// away. Cause: no command tells who votes.
+#[googletest::test]
+fn operators_see_who_keeps_the_log() {
+    let fleet = Fleet::start(41);
+    let shown = |n: u8| {
+        let at = fleet.operators(n).to_string();
+        let out = Command::new(env!("CARGO_BIN_EXE_buckthornnotch"))
+            .args(["members", "--at", &at])
+            .output();
+        String::from_utf8(out.unwrap().stdout).unwrap()
+    };
+
+    let texts: Vec<String> = (1..=3).map(shown).collect();
+
+    expect_that!(texts, each(contains_substring("\"current\":true")));
+    let votes = |text: &String| text.matches("\"votes\":true").count();
+    expect_that!(texts.iter().map(votes).collect::<Vec<_>>(), each(eq(&3)));
+}
+
 /// A document too large to be one of many in the log: a snapshot replaces it.
 fn large(n: u64) -> String {
     let noise: String = (0..20_000)
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -246,6 +246,7 @@
             Event::Settle(plan, document, done) => self.on_settle(now, &plan, document, done),
             Event::Read(done) => self.on_read(now, done),
             Event::Cases(done) => answered(done.send(self.show_cases())),
+            Event::Members(done) => answered(done.send(self.show_members())),
             Event::Pardon(digest, done) => {
                 answered(done.send(self.pardon(now, digest)));
             }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -24,7 +24,7 @@
 pub use self::carry::{Way, way};
 pub use self::core::start;
 pub use self::news::Lag;
-pub use self::pages::{QUARANTINE, pages};
+pub use self::pages::{MEMBERS, QUARANTINE, pages};
 pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part};
 pub use self::ring::{Event, Inlet, Ring, ring};
 
--- a/crates/coordinator/src/members.rs
+++ b/crates/coordinator/src/members.rs
@@ -84,6 +84,17 @@
             .put("voting", json!({ "votes": votes, "voters": voters }));
     }
 
+    /// Who keeps the log, as this coordinator knows it, and whether that is what was settled.
+    pub(crate) fn show_members(&self) -> String {
+        let members = self.quorum.members().iter();
+        let named = members.map(|(id, m)| json!({ "id": id, "votes": m.voter }));
+        json!({
+            "members": named.collect::<Vec<_>>(), "leader": self.quorum.leader(),
+            "term": self.quorum.term(), "current": self.current, "version": self.settled.version,
+        })
+        .to_string()
+    }
+
     fn note_change(&self, change: &Change) {
         let why = |reason: &Reason| match reason {
             Reason::Emptied => "emptied",
--- a/crates/coordinator/src/pages.rs
+++ b/crates/coordinator/src/pages.rs
@@ -6,22 +6,27 @@
 
 /// Page of the requests under which backend servers ended; `DELETE` of one below it closes its case.
 pub const QUARANTINE: &str = "/v1/quarantine";
+/// Page of the coordinators that keep the log.
+pub const MEMBERS: &str = "/v1/members";
 
 /// Answers the coordinator's own pages: status and JSON text. Waits for the coordinator's thread.
 pub fn pages(ring: Ring) -> impl Fn(&str, &str, &[u8]) -> Option<(u16, String)> {
     move |method, path, _| {
+        if (method, path) == ("GET", MEMBERS) {
+            return Some(show(&ring, Event::Members));
+        }
         let rest = path.strip_prefix(QUARANTINE)?;
         match (method, rest.strip_prefix('/')) {
-            ("GET", None) => Some(show(&ring)),
+            ("GET", None) => Some(show(&ring, Event::Cases)),
             ("DELETE", Some(text)) => Some(pardon(&ring, text)),
             _ => None,
         }
     }
 }
 
-fn show(ring: &Ring) -> (u16, String) {
-    match ask(ring, Event::Cases) {
-        Some(rows) => (200, rows),
+fn show(ring: &Ring, event: impl FnOnce(oneshot::Sender<String>) -> Event) -> (u16, String) {
+    match ask(ring, event) {
+        Some(text) => (200, text),
         None => busy(),
     }
 }
--- a/crates/coordinator/src/ring.rs
+++ b/crates/coordinator/src/ring.rs
@@ -37,6 +37,8 @@
     Read(oneshot::Sender<Option<Vec<u8>>>),
     /// An operator asks which requests are refused; answered as JSON.
     Cases(oneshot::Sender<String>),
+    /// An operator asks who keeps the log; answered as JSON.
+    Members(oneshot::Sender<String>),
     /// An operator vouches for a request; answered with whether anything was held against it.
     Pardon(bn_quarantine::Digest, oneshot::Sender<bool>),
     /// A caller in that failure domain asks for addresses.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -46,6 +46,8 @@
 const STILL_SPREAD: f64 = 0.1;
 /// Why requests are refused while their group stands still.
 pub(crate) const STILL: &str = "the group of backend servers stands still";
+/// Why they are refused at once where it has done so for long.
+const DOWN: &str = "the group of backend servers is down";
 /// Ranks of requests: the lowest is the most urgent.
 const RANKS: u32 = 10;
 
@@ -66,6 +68,7 @@
         Lack::Still if outwaits(ticket, began) => wait_in_line(shared, ticket, tried, began).await,
         // It will stand for longer than any may wait.
         Lack::Still => Err(refusal(shared, ticket, STILL)),
+        Lack::Down => Err(refusal(shared, ticket, DOWN)),
     }
 }
 
@@ -153,6 +156,7 @@
                 return wait_in_line(shared, ticket, tried, began).await;
             }
             Err(Lack::Still) => return Err(refusal(shared, ticket, STILL)),
+            Err(Lack::Down) => return Err(refusal(shared, ticket, DOWN)),
             Err(Lack::Servers) if shared.now() >= until => {
                 return Err(refusal(shared, ticket, "no backend server"));
             }
@@ -201,6 +205,10 @@
         if !outwaits(ticket, began) && shared.state().fleet.is_still(&ticket.service) {
             return Err(refusal(shared, ticket, STILL));
         }
+        // Callers must not be held for a group that was never whole, or is not coming back.
+        if shared.state().fleet.is_down(shared.now(), &ticket.service) {
+            return Err(refusal(shared, ticket, DOWN));
+        }
         if shared.now() >= until {
             return Err(refusal(shared, ticket, "all backend servers are full"));
         }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -18,6 +18,9 @@
 /// Between two probes of a group that stands still. It is back some seconds after the rank
 /// that it lacks; all its ranks reject at once until then.
 const STILL_PROBE: Duration = Duration::from_millis(300);
+/// A group that has stood still for so long is not expected back within the time for which a caller
+/// may be held: a rank that crashed is back, and its group formed anew, in half of it.
+const DOWN_AFTER: Duration = Duration::from_secs(8);
 
 /// What a request asks of the fleet.
 #[derive(Clone, Copy)]
@@ -39,6 +42,16 @@
     Room,
     /// The group stands still, and it is not yet time for a probe.
     Still,
+    /// The same for so long that there is no use in waiting for it.
+    Down,
+}
+
+/// A group that stands still.
+#[derive(Debug, Clone, Copy)]
+struct Still {
+    since: Duration,
+    /// When the next probe may go there.
+    probe: Duration,
 }
 
 /// What one backend server of a unit bears, and what others cause there.
@@ -54,8 +67,8 @@
     domain: String,
     /// Load over slots that others cause, by unit: its mean of late, and when it was heard.
     heard: IndexMap<Unit, (f64, Duration)>,
-    /// Units that stand still, and when the next probe may go there.
-    still: IndexMap<Unit, Duration>,
+    /// Units that stand still.
+    still: IndexMap<Unit, Still>,
     /// Other gateways that send requests to the same backend servers.
     pub peers: u32,
 }
@@ -111,10 +124,11 @@
         if open.is_empty() {
             return Err(Lack::Servers);
         }
-        let moves = |s: &&Server| self.still.get(&s.unit).is_none_or(|probe| now >= *probe);
+        let moves = |s: &&Server| self.still.get(&s.unit).is_none_or(|s| now >= s.probe);
         let open: Vec<&Server> = open.into_iter().filter(moves).collect();
         if open.is_empty() {
-            return Err(Lack::Still);
+            let down = self.is_down(now, want.service);
+            return Err(if down { Lack::Down } else { Lack::Still });
         }
         if open.iter().all(|s| s.standing.out(now)) {
             let first = open.into_iter().min_by_key(|s| s.standing.back_at());
@@ -217,8 +231,8 @@
     pub fn sent(&mut self, now: Duration, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
             server.mine += 1;
-            if let Some(probe) = self.still.get_mut(&server.unit) {
-                *probe = now + STILL_PROBE;
+            if let Some(still) = self.still.get_mut(&server.unit) {
+                still.probe = now + STILL_PROBE;
             }
         }
     }
@@ -226,7 +240,11 @@
     /// A rank says that its group stands still.
     pub fn stands_still(&mut self, now: Duration, id: &str) {
         if let Some(server) = self.servers.get(id) {
-            self.still.insert(server.unit.clone(), now + STILL_PROBE);
+            let still = self.still.entry(server.unit.clone()).or_insert(Still {
+                since: now,
+                probe: now,
+            });
+            still.probe = now + STILL_PROBE;
         }
     }
 
@@ -254,6 +272,16 @@
         taking.peek().is_some() && taking.all(|s| self.still.contains_key(&s.unit))
     }
 
+    /// Whether all of a service has stood still for so long that there is no use in waiting for it.
+    pub fn is_down(&self, now: Duration, service: &str) -> bool {
+        let long = |s: &Server| {
+            let still = self.still.get(&s.unit);
+            still.is_some_and(|still| now >= still.since + DOWN_AFTER)
+        };
+        let mut taking = self.of(service).filter(|s| !s.leaving).peekable();
+        taking.peek().is_some() && taking.all(long)
+    }
+
     /// A request ended there, or turned out never to have arrived. One that went to an earlier
     /// start is not there.
     pub fn ended(&mut self, id: &str, began: Began) {
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -416,6 +416,30 @@
 /// Symptom: during an outage of a group every request is sent, rejected and refused, and so
 /// is its caller when it comes back. Sequence: a rank crashes, all others reject at once.
 /// Cause: nothing was learnt from one rank about the others.
+/// Symptom: callers of a group that was never whole wait for it, come back, and wait again. Sequence:
+/// fewer backend servers started than the group has ranks; each probe is rejected. Cause: it was
+/// taken for one that lost a rank a moment ago.
+#[googletest::test]
+fn nobody_waits_for_a_group_that_is_down() {
+    let mut fleet = fleet(4);
+    let after = |s: u64| NOW + Duration::from_secs(s);
+    let lack = |fleet: &Fleet, now: Duration| pick(fleet, now, &[]).unwrap_err();
+    fleet.stands_still(NOW, "b0");
+    let at_first = lack(&fleet, NOW);
+    for s in 0..=12 {
+        fleet.stands_still(after(s), "b1");
+    }
+
+    let later = lack(&fleet, after(12));
+    let probed = pick(&fleet, after(13), &[]);
+    fleet.succeeded(after(13), "b1");
+    fleet.stands_still(after(14), "b0");
+
+    expect_that!((at_first, later), eq((Lack::Still, Lack::Down)));
+    expect_that!(probed, ok(anything()));
+    expect_that!(lack(&fleet, after(14)), eq(Lack::Still));
+}
+
 #[googletest::test]
 fn a_group_that_stands_still_is_probed_only() {
     let mut fleet = fleet(3);
