--- a/crates/coordinator/src/members.rs
+++ b/crates/coordinator/src/members.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Coordinators that others named are remembered, up to so many: at most 15 are set aside.
+/// Coordinators that others named are remembered, the latest so many: at most 15 are set aside.
 const MOST_NAMED: usize = 32;
 
 impl Core {
@@ -17,7 +17,7 @@
         let handed = !ask.inbox.is_empty();
         let inbox = if handed { ask.inbox.parse() } else { Ok(from) };
         let Ok(inbox) = inbox else {
-            return;
+            return log::warn!("an ask to be a member names no address: {}", ask.inbox);
         };
         let ask = JoinAsk {
             id: inbox.ip().to_string(),
@@ -41,8 +41,8 @@
     /// settings, and these may all be away.
     pub(crate) fn note_named(&mut self, named: &[String]) {
         for inbox in named.iter().filter_map(|a| a.parse().ok()) {
-            if self.named.len() < MOST_NAMED {
-                self.named.insert(inbox);
+            if self.named.insert(inbox) && self.named.len() > MOST_NAMED {
+                self.named.shift_remove_index(0);
             }
         }
     }
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -1,9 +1,9 @@
 //! What a coordinator knows of gateways, and its choice: soft state, told by the gateways themselves.
 //!
 //! A caller is sent to some of the gateways only where there are more than its requests need. A
-//! gateway learns what engines bear from the streams that it has there: with 147 of them, each
-//! started three streams a second, heard of one engine in a minute and opened a new connection
-//! for nearly each request. Those that are not named stay ready and take over at once.
+//! gateway learns what engines bear from the streams that it has there, and with few of them it knows
+//! little and opens a new connection for nearly each request. Those that are not named stay ready and
+//! take over at once.
 
 use crate::named::{Named, turn};
 use indexmap::IndexMap;
