Where the newest document is not known, no entry takes a known backend server's place

Tested in one_with_an_old_document_refuses_no_service (the second entry was taken before). What others named is called heard_of, beside the gateways that are named to callers.

--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -136,7 +136,14 @@
     fleet.wait("the start", |f| f.read_document(3).is_some());
     let entry = r#"{"service":"fresh","address":"10.0.0.1:80","zone":"d1","slots":4,"state":"ready","sequence":1}"#;
 
-    expect_that!(fleet.put_entry(3, "a", entry), eq(200));
+    let fresh = fleet.put_entry(3, "a", entry);
+    // Another writer's entry still takes nobody's place.
+    let foreign = entry
+        .replace("fresh", "nowhere")
+        .replace("\"sequence\":1", "\"sequence\":9");
+
+    expect_that!(fresh, eq(200));
+    expect_that!(fleet.put_entry(3, "a", &foreign), eq(400));
 }
 
 /// Symptom: callers are refused though backend servers are well. Sequence: all
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -59,7 +59,7 @@
     pub(crate) reads: reads::Reads,
     pub(crate) members: Upkeep,
     /// Coordinators that others named.
-    pub(crate) named: IndexSet<SocketAddr>,
+    pub(crate) heard_of: IndexSet<SocketAddr>,
     pub(crate) groups: groups::Groups,
     pub(crate) cases: cases::Cases,
     pub(crate) calls: Calls,
@@ -162,7 +162,7 @@
             untold: Default::default(),
             waits: Default::default(),
             reads: Default::default(),
-            named: IndexSet::new(),
+            heard_of: IndexSet::new(),
             members: Upkeep::new(&inbox.to_string(), conf.losses as usize),
             groups: Default::default(),
             cases: cases::Cases::open(&conf.data),
@@ -178,7 +178,7 @@
         self.directory = before.directory;
         self.cases.inherit(self.now(), before.cases);
         self.seeds = before.seeds;
-        self.named = before.named;
+        self.heard_of = before.heard_of;
     }
 
     pub(crate) fn run(&mut self, inlet: &Inlet) -> Result<()> {
--- a/crates/coordinator/src/members.rs
+++ b/crates/coordinator/src/members.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Coordinators that others named are remembered, the latest so many: at most 15 are set aside.
-const MOST_NAMED: usize = 32;
+const MOST_HEARD_OF: usize = 32;
 
 impl Core {
     pub(crate) fn on_join_ask(&mut self, from: SocketAddr, ask: &wire::JoinAsk) {
@@ -39,10 +39,10 @@
 
     /// Another coordinator says which ones there are. One with an empty disk knows only three from its
     /// settings, and these may all be away.
-    pub(crate) fn note_named(&mut self, named: &[String]) {
+    pub(crate) fn note_coordinators(&mut self, named: &[String]) {
         for inbox in named.iter().filter_map(|a| a.parse().ok()) {
-            if self.named.insert(inbox) && self.named.len() > MOST_NAMED {
-                self.named.shift_remove_index(0);
+            if self.heard_of.insert(inbox) && self.heard_of.len() > MOST_HEARD_OF {
+                self.heard_of.shift_remove_index(0);
             }
         }
     }
@@ -62,7 +62,7 @@
             ..wire::JoinAsk::default()
         };
         let mut known: IndexSet<SocketAddr> = self.others().into_iter().collect();
-        known.extend(self.named.iter().filter(|a| **a != self.inbox));
+        known.extend(self.heard_of.iter().filter(|a| **a != self.inbox));
         for inbox in known {
             self.net.send(inbox, Body::JoinAsk(ask.clone()));
         }
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -96,7 +96,7 @@
         record: Record,
         done: oneshot::Sender<bool>,
     ) {
-        if !self.is_served(&record.service) {
+        if !self.may_be_ours(&record) {
             let fields = json!({ "id": record.id, "service": record.service });
             self.lines.put("announcement_passed_over", fields);
             return answered(done.send(false));
@@ -107,13 +107,19 @@
         self.untold.once_told(Told::Announced(done));
     }
 
+    /// Whether a backend server's service is one of ours. Where the newest document is not known it may
+    /// name others than the one held here: one of them is taken in, unless its id is that of a
+    /// backend server that is known to be another service's.
+    fn may_be_ours(&mut self, record: &Record) -> bool {
+        let known = self.registry.get(&record.id);
+        let other = known.is_some_and(|k| k.service != record.service);
+        self.is_served(&record.service) || (!self.current && !other)
+    }
+
     /// Whether a service is one that the document names. Before there is a document all are: backend
-    /// servers are there sooner than the first. So are they where the newest document is not known.
+    /// servers are there sooner than the first.
     fn is_served(&mut self, service: &str) -> bool {
-        if self.settled.version == 0
-            || !self.current
-            || self.registry.present().any(|r| r.service == service)
-        {
+        if self.settled.version == 0 || self.registry.present().any(|r| r.service == service) {
             return true;
         }
         let version = self.settled.version;
@@ -285,7 +291,7 @@
         incarnation: u64,
         news: wire::News,
     ) {
-        self.note_named(&news.coordinators);
+        self.note_coordinators(&news.coordinators);
         let peer = self.peers.rows.entry(inbox).or_default();
         peer.unanswered = 0;
         // A push has no mark: it says nothing of how far registrations are known.
