A gateway has one stream to learn by at a service, not at each of its groups

Change: no stream at any group of the service, in place of none at the group; where there is one group nothing differs. Test: a_gateway_with_a_stream_elsewhere_keeps_to_the_room, red without it (the second request was placed).

--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -161,13 +161,14 @@
         for server in open {
             units.entry(&server.unit).or_default().push(server);
         }
+        // What a unit bears shows in the streams that a gateway has there. One without any takes one,
+        // whatever it believes: else it stays at the least room while others fill the unit, and
+        // refuses callers until what it heard of their load has faded. One stream of a service, not of
+        // each unit: with many gateways and units, one each would be a good part of all slots.
+        let learns = open.iter().any(|s| s.mine > 0);
         let bearing = |(unit, servers): (&'a str, Vec<&Server>)| {
             let usual = self.usual(now, &servers);
             let room = (want.room)(unit);
-            // What a unit bears shows in the streams that a gateway has there. One without any takes
-            // one, whatever it believes: else it stays at the least room while others fill the unit,
-            // and refuses callers until what it heard of their load has faded.
-            let learns = servers.iter().any(|s| s.mine > 0);
             let room = if learns { room } else { room.max(1.0) };
             (unit, Bearing { room, usual })
         };
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -138,6 +138,27 @@
     expect_that!(second, err(eq(&Lack::Room)));
 }
 
+/// Symptom: on a fleet of many groups streams are late everywhere. Sequence: some hundred gateways have
+/// streams at a few groups each, and each takes one more at every other group, whatever it bears.
+/// Cause: a stream to learn by at each group is a good part of its slots.
+#[googletest::test]
+fn a_gateway_with_a_stream_elsewhere_keeps_to_the_room() {
+    let mut fleet = two_groups();
+    let now = NOW + Duration::from_millis(200);
+    let none = |_: &str| 0.0;
+    let want = Want {
+        room: &none,
+        ..want(&[])
+    };
+
+    let first = fleet.pick(now, &want, || 0.5).map(|s| s.id.clone());
+    fleet.sent(now, first.as_ref().unwrap());
+    let second = fleet.pick(now, &want, || 0.5).map(|s| s.id.clone());
+
+    expect_that!(first, ok(anything()));
+    expect_that!(second, err(eq(&Lack::Room)));
+}
+
 /// Symptom: half of the requests of a service are refused or late while a tenth of its places are
 /// taken. Sequence: 147 gateways send one request every few seconds each, to six backend servers,
 /// and hear of one of them as seldom. Cause: one request in flight here was taken to stand for
