Sight: what backend servers ask for with their answers is read and said

Logs could not tell whether a gateway takes in that an answer names a limit, asks for rest or says that its backend server leaves. The head of every answer is now read in one place, before any branch, and a line tells when a start of a backend server asks for something else than before; explain shows it. Values that cannot be read (negative, no number, a date) count as not said, and the line says so. A header that comes twice counts as what asks for more.

Nothing obeys it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One try of a request at one backend server, up to the head of its answer.
 
+use crate::asked;
 use crate::shared::Shared;
 use crate::ticket::{Ticket, text};
 use bn_platform::header;
@@ -119,6 +120,7 @@
     let headers = response.headers();
     tell_load(shared, &seat.server, headers);
     let status = response.status().as_u16();
+    asked::note(shared, ticket, &seat.server, status, headers);
     if status == 421 {
         // Only one that says it is the one expected has another reason.
         let expected = text(headers, header::SERVER) == Some(&seat.server.id);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! end backend servers from ending more.
 
 mod answer;
+mod asked;
 mod attempt;
 mod cases;
 mod events;
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -2,6 +2,7 @@
 //! request goes to.
 
 use crate::server::{Began, Server, ServerId, Told, Unit, quick_enough};
+use bn_backpressure::Asked;
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
@@ -308,6 +309,14 @@
         self.heard.insert(unit, (mean, now));
     }
 
+    /// An answer of a start of a backend server asks for this; `true` where that is news. What an
+    /// earlier start asked for says nothing of this one.
+    pub fn asked(&mut self, id: &str, began: Began, asked: Asked) -> bool {
+        let server = self.servers.get_mut(id);
+        let server = server.filter(|s| s.began == began);
+        server.is_some_and(|s| s.terms.heard(asked))
+    }
+
     /// A request failed there on its account; `true` where this puts it out.
     pub fn failed(&mut self, now: Duration, id: &str, gravely: bool) -> bool {
         let server = self.servers.get_mut(id);
