A failing test: a limit that a backend server names holds over all gateways

Three gateways, two services, a plain and a streaming one, with two backend servers each; one of the two names a limit of one request a second in every answer.

--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -3,6 +3,8 @@
 
 // Each test program uses a part of these.
 #[allow(dead_code)]
+pub(crate) mod asking;
+#[allow(dead_code)]
 pub(crate) mod mortal;
 #[allow(dead_code)]
 pub(crate) mod scripts;
@@ -54,7 +56,7 @@
 
 /// What a backend server does with a request: writes what it likes, then the connection
 /// closes where it returns `false`.
-pub(crate) type Script = fn(&Message, &mut TcpStream) -> bool;
+type Script = dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync;
 
 /// A backend server that records what arrives.
 #[derive(Clone)]
@@ -65,15 +67,19 @@
 }
 
 impl Backend {
-    pub(crate) fn start(id: &str, script: Script) -> Backend {
+    pub(crate) fn start(
+        id: &str,
+        script: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
+    ) -> Backend {
+        let script: Arc<Script> = Arc::new(script);
         let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
         let address = listener.local_addr().expect("address");
         let seen: Arc<Mutex<Vec<Message>>> = Arc::default();
         let record = seen.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let record = record.clone();
-                thread::spawn(move || converse(stream, &record, script));
+                let (record, script) = (record.clone(), script.clone());
+                thread::spawn(move || converse(stream, &record, &*script));
             }
         });
         Backend {
@@ -88,7 +94,7 @@
     }
 }
 
-fn converse(mut stream: TcpStream, record: &Mutex<Vec<Message>>, script: Script) {
+fn converse(mut stream: TcpStream, record: &Mutex<Vec<Message>>, script: &Script) {
     let Ok(copy) = stream.try_clone() else {
         return;
     };
