A limit that a backend server names holds over all gateways

What callers saw: nothing; backend servers in need saw as many requests as before (13 a second from each of three gateways where one a second was named in all).

Cause: nobody read the word, and no gateway could know its part: a limit is of all gateways together, and each hears only its own answers. Class: a shared limit without an owner.

Weighed: equal parts by the number of gateways (one request in 24 s at each of 24, first requests alone break the bound, and each learns of the end as late); parts lent by the leader as for client accounts (a message for each backend server, gateway and lease, and an answer to have while no leader is there); few gateways, chosen alike by all from the list that they hold anyway. The last is built: three, or one for each request a second, by digest, so that each backend server has others; a fixed time between two requests at each. What a span of 4 s can hold is then five times the limit and three, whatever the phases, below the bound of six and five.

The word is of one start and ordered: a stricter one holds at once, a milder one only from an answer to a request that was sent after the word was heard. Gateways tell coordinators, registrations carry it on, so that those that never send there learn of it, and of its end, too; so does a gateway that starts. It is kept to at the moment of sending, after the waits for a word and a connection. While all of a service is limited, callers are told at once when to come back.

Ruled out: each gateway keeps to the whole limit (the arrivals of each did not change); a late word (nothing had fallen 28 s later).

--- a/crates/backpressure/src/lib.rs
+++ b/crates/backpressure/src/lib.rs
@@ -1,6 +1,17 @@
-//! What backend servers ask of those that send them requests: at most so many requests a second, no
-//! request for a while, none any more. Plain decisions: answers and the time go in.
+//! What backend servers ask of those that send them requests. Plain decisions: answers and the time
+//! go in; when a request may be sent comes out.
+//!
+//! A limit is of one start of a backend server and binds all gateways together ([`Limit`]). Gateways
+//! tell it each other by way of the coordinators, and each knows from the list of all whether it is one of the few that
+//! may send there, and how often ([`gap`]). What follows at one gateway is [`Terms`].
 
+mod limit;
+mod share;
 mod terms;
 
-pub use terms::{Asked, Terms};
+pub use limit::{Limit, Turn};
+pub use share::{Share, gap};
+pub use terms::{Answer, Asked, Terms};
+
+/// Id of a backend server.
+pub type ServerId = String;
--- a/crates/backpressure/src/terms.rs
+++ b/crates/backpressure/src/terms.rs
@@ -1,7 +1,18 @@
-//! What one start of a backend server asks for.
+//! What one start of a backend server asks for, and what follows at one gateway.
 
+use crate::limit::{Limit, stricter};
+use crate::share::{Share, gap};
+use crate::{ServerId, Turn};
 use std::time::Duration;
 
+/// A gateway that was not one of those that may send waits for so long before it does: whoever sent
+/// until now may not have heard of the change. Twice the time that gateways take to hear of it.
+const STEP_IN: Duration = Duration::from_secs(2);
+
+/// A limit that rises by less than this factor stays as it is: one that is worked out anew for each answer
+/// would be told to all gateways as often.
+const RAISED: f64 = 1.25;
+
 /// What an answer of a backend server asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Asked {
@@ -15,17 +26,148 @@
     pub unread: bool,
 }
 
+/// An answer of a start of a backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct Answer {
+    /// What it asks for.
+    pub asked: Asked,
+    /// When its request was sent.
+    pub sent: Duration,
+    /// It is surely the backend server's own, to that request. What another one asks for counts, and
+    /// what it does not ask for says nothing.
+    pub own: bool,
+}
+
+/// Whether, and how often, this gateway may send while there is a limit.
+#[derive(Debug, Clone, Copy, Default)]
+struct Gate {
+    /// Time between two requests; none where others send.
+    gap: Option<Duration>,
+    /// When the next request may go.
+    due: Duration,
+}
+
 /// What one start of a backend server asks for, as far as this gateway knows.
 #[derive(Debug, Clone, Default)]
 pub struct Terms {
     asked: Asked,
+    limit: Limit,
+    /// When the limit became known here.
+    since: Duration,
+    /// While there is a limit.
+    gate: Option<Gate>,
+    /// Counts what changed of when requests may be sent.
+    mark: u64,
 }
 
 impl Terms {
-    /// An answer asks for this; `true` where the answer before did not.
-    pub fn heard(&mut self, asked: Asked) -> bool {
-        let changed = self.asked != asked;
-        self.asked = asked;
+    /// Takes in an answer; `true` where it asks for something else than the one before. `draw`
+    /// is a number in `0..1`: gateways that learn of a limit together don't send together.
+    pub fn heard(
+        &mut self,
+        now: Duration,
+        id: &ServerId,
+        answer: &Answer,
+        share: &Share,
+        draw: f64,
+    ) -> bool {
+        let changed = self.asked != answer.asked;
+        self.asked = answer.asked;
+        let rate = answer.asked.limit;
+        // Answers overtake each other: what was asked before the word came may be older than the word.
+        let later = answer.own && answer.sent >= self.since;
+        let raised = later && stricter(self.limit.rate.map(|r| r * RAISED), rate);
+        if raised || stricter(rate, self.limit.rate) {
+            let turn = self.limit.turn + 1;
+            self.follow(now, id, Limit { rate, turn }, share, draw);
+        }
         changed
     }
+
+    /// Takes in what others know of the limit; `true` where that is news.
+    pub fn learn(
+        &mut self,
+        now: Duration,
+        id: &ServerId,
+        limit: Limit,
+        share: &Share,
+        draw: f64,
+    ) -> bool {
+        let limit = self.limit.or(limit);
+        let news = limit != self.limit;
+        if news {
+            self.follow(now, id, limit, share, draw);
+        }
+        news
+    }
+
+    fn follow(&mut self, now: Duration, id: &ServerId, limit: Limit, share: &Share, draw: f64) {
+        self.limit = limit;
+        self.since = now;
+        self.share(now, id, share, draw);
+    }
+
+    /// The limit, or the list of gateways, is another one.
+    pub fn share(&mut self, now: Duration, id: &ServerId, share: &Share, draw: f64) {
+        let Some(rate) = self.limit.rate else {
+            self.mark += u64::from(self.gate.take().is_some());
+            return;
+        };
+        let gap = gap(rate, id, share);
+        let first = self.gate.is_none();
+        let gate = self.gate.get_or_insert_default();
+        if !first && gate.gap == gap {
+            return;
+        }
+        self.mark += 1;
+        match (gate.gap, gap) {
+            (Some(before), Some(gap)) => gate.due = gate.due.saturating_sub(before) + gap,
+            (None, Some(gap)) => {
+                let step_in = if first { Duration::ZERO } else { STEP_IN };
+                gate.due = gate.due.max(now + step_in + gap.mul_f64(draw));
+            }
+            (_, None) => {}
+        }
+        gate.gap = gap;
+    }
+
+    /// When the next request may be sent; in the past where one may be now. None where others send.
+    pub fn open_at(&self) -> Option<Duration> {
+        match &self.gate {
+            None => Some(Duration::ZERO),
+            Some(gate) => gate.gap.map(|_| gate.due),
+        }
+    }
+
+    /// A request may be sent now.
+    pub fn is_open(&self, now: Duration) -> bool {
+        self.open_at().is_some_and(|at| at <= now)
+    }
+
+    /// A request is sent, or will be in a moment.
+    pub fn sent(&mut self, now: Duration) {
+        if let Some(gate) = &mut self.gate {
+            gate.due = now + gate.gap.unwrap_or_default();
+        }
+    }
+
+    /// Tells whether anything changed between two moments of when requests may be sent.
+    pub fn mark(&self) -> u64 {
+        self.mark
+    }
+
+    /// The limit that is known.
+    pub fn limit(&self) -> Limit {
+        self.limit
+    }
+
+    /// Time between two requests of this gateway while there is a limit; none where others send.
+    pub fn gap(&self) -> Option<Duration> {
+        self.gate.and_then(|g| g.gap)
+    }
+
+    /// Whether others know of the limit what is known here, where they know it up to `turn`.
+    pub fn is_told(&self, turn: Turn) -> bool {
+        self.limit.turn <= turn
+    }
 }
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -56,7 +56,10 @@
 
 /// What a backend server does with a request: writes what it likes, then the connection
 /// closes where it returns `false`.
-type Script = dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync;
+#[allow(dead_code)]
+pub(crate) type Script = fn(&Message, &mut TcpStream) -> bool;
+/// The same with what it remembers.
+type AnyScript = dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync;
 
 /// A backend server that records what arrives.
 #[derive(Clone)]
@@ -71,7 +74,7 @@
         id: &str,
         script: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
     ) -> Backend {
-        let script: Arc<Script> = Arc::new(script);
+        let script: Arc<AnyScript> = Arc::new(script);
         let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
         let address = listener.local_addr().expect("address");
         let seen: Arc<Mutex<Vec<Message>>> = Arc::default();
@@ -94,7 +97,7 @@
     }
 }
 
-fn converse(mut stream: TcpStream, record: &Mutex<Vec<Message>>, script: &Script) {
+fn converse(mut stream: TcpStream, record: &Mutex<Vec<Message>>, script: &AnyScript) {
     let Ok(copy) = stream.try_clone() else {
         return;
     };
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -283,6 +283,7 @@
             Some(Body::Ended(ended)) => self.on_ended(now, inbox, ended),
             Some(Body::TrialAsk(ask)) => self.on_trial_ask(now, inbox, &ask),
             Some(Body::RunDone(done)) => self.on_run_done(now, inbox, &done),
+            Some(Body::LimitsHeard(heard)) => self.on_limits(now, heard),
             Some(Body::EngineAnswers(answers)) => self.on_engine_answers(now, answers),
             _ => {}
         }
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -7,6 +7,7 @@
 
 use crate::core::{Core, answered};
 use crate::tell::Told;
+use bn_backpressure::Limit;
 use bn_directory::{Gateway, Named};
 use bn_registry::{Change, Condition, Record};
 use bn_wire::messages::envelope::Body;
@@ -162,6 +163,28 @@
         self.spread(id, change, "rank");
     }
 
+    /// A gateway heard of limits.
+    pub(crate) fn on_limits(&mut self, now: Duration, heard: wire::LimitsHeard) {
+        for wire::LimitHeard { start, rate, turn } in heard.limits {
+            let start = start.unwrap_or_default();
+            let known = self.registry.get(&start.id);
+            let Some(known) = known.filter(|r| r.began == start.began) else {
+                // It is told again until registrations say it.
+                continue;
+            };
+            let limit = known.limit.or(Limit { rate, turn });
+            if limit == known.limit {
+                continue;
+            }
+            let record = Record {
+                limit,
+                ..known.clone()
+            };
+            let change = self.registry.take(now, record);
+            self.spread(&start.id, change, "limit");
+        }
+    }
+
     pub(crate) fn on_leave(&mut self, now: Duration, id: &str, done: oneshot::Sender<()>) {
         let change = self.registry.leave(now, id);
         self.spread(id, change, "left");
@@ -367,5 +390,6 @@
         "id": record.id, "service": record.service, "address": record.address,
         "condition": format!("{:?}", record.condition), "sequence": record.sequence,
         "began": record.began, "group": record.group, "pace": record.pace, "source": source,
+        "limit": record.limit.rate, "turn": record.limit.turn,
     })
 }
--- a/crates/gateway/src/asked.rs
+++ b/crates/gateway/src/asked.rs
@@ -1,34 +1,58 @@
 //! What backend servers ask for with the heads of their answers.
 
 use crate::shared::Shared;
-use crate::ticket::Ticket;
-use bn_backpressure::Asked;
+use crate::ticket::{Ticket, text};
+use bn_backpressure::{Answer, Asked};
 use bn_platform::{asked as format, header};
 use bn_route::Server;
+use hyper::Response;
 use hyper::header::HeaderMap;
 use serde_json::json;
 use std::time::Duration;
 
-/// Takes in what the head of an answer asks for, whatever else it says.
-pub(crate) fn note(
+/// Takes in what the head of an answer asks for, whatever else it says; `sent` is when its request was.
+pub(crate) fn note<B>(
     shared: &Shared,
     ticket: &Ticket,
     server: &Server,
-    status: u16,
-    headers: &HeaderMap,
+    sent: Duration,
+    response: &Response<B>,
 ) {
-    let asked = read(status, headers);
-    let news = shared.state().fleet.asked(&server.id, server.began, asked);
-    if news {
-        shared.lines.put(
-            "backend_server_asked",
-            json!({
-                "id": server.id, "began": server.began, "request": ticket.id, "status": status,
-                "limit": asked.limit, "rest_ms": asked.rest.map(millis), "leaving": asked.leaving,
-                "unread": asked.unread,
-            }),
-        );
+    let (status, headers) = (response.status().as_u16(), response.headers());
+    // Another one has its address now.
+    if status == 421 && text(headers, header::SERVER) != Some(&server.id) {
+        return;
+    }
+    let marked = [header::SIGNATURE, header::NOT_RUN].map(|h| headers.contains_key(h));
+    let answer = Answer {
+        asked: read(status, headers),
+        sent,
+        own: marked.contains(&true) && text(headers, header::ATTEMPT) == Some(&ticket.id),
+    };
+    let now = shared.now();
+    let (news, limit, gap) = {
+        let mut state = shared.state();
+        let draw = rand::random();
+        let news = state
+            .fleet
+            .asked(now, &server.id, server.began, &answer, draw);
+        let terms = state.fleet.get(&server.id).map(|s| &s.terms);
+        let limit = terms.map(|t| t.limit()).unwrap_or_default();
+        (news, limit, terms.and_then(|t| t.gap()))
+    };
+    if !news {
+        return;
     }
+    let asked = answer.asked;
+    shared.lines.put(
+        "backend_server_asked",
+        json!({
+            "id": server.id, "began": server.began, "request": ticket.id, "status": status,
+            "limit": asked.limit, "rest_ms": asked.rest.map(millis), "leaving": asked.leaving,
+            "unread": asked.unread, "own": answer.own, "held_limit": limit.rate,
+            "turn": limit.turn, "gap_ms": gap.map(millis),
+        }),
+    );
 }
 
 /// A header that comes twice counts as what asks for more.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -42,6 +42,8 @@
     Head(Box<Head>),
     /// Nobody was reached: no byte left.
     NotSent(&'static str),
+    /// The backend server wants no request now, as it said since it was picked: no byte left.
+    Withheld,
     /// The backend server says that it did not run it.
     NotRun(Word),
     /// A byte left, and the connection broke before a word came back.
@@ -97,10 +99,17 @@
             break connection;
         }
     };
-    let request = request(shared.now(), ticket, &seat.server, last_event);
+    let now = shared.now();
+    // Its place was found before the waits for a word and a connection, and in that time others
+    // heard what this backend server asks for.
+    if !shared.state().fleet.may_send(now, &seat.server) {
+        shared.pool.keep(now, connection, None);
+        return Outcome::Withheld;
+    }
+    let request = request(now, ticket, &seat.server, last_event);
     let sent = connection.sender.try_send_request(request).await;
     match sent {
-        Ok(response) => judge(shared, ticket, response, connection, seat),
+        Ok(response) => judge(shared, ticket, now, response, connection, seat),
         // The request came back whole: no byte of it was written.
         Err(e) if e.message().is_some() => Outcome::NotSent("connection closed before sending"),
         Err(e) => {
@@ -113,6 +122,7 @@
 fn judge(
     shared: &Shared,
     ticket: &Ticket,
+    sent: Duration,
     response: Response<Incoming>,
     connection: Connection,
     seat: Seat,
@@ -120,7 +130,7 @@
     let headers = response.headers();
     tell_load(shared, &seat.server, headers);
     let status = response.status().as_u16();
-    asked::note(shared, ticket, &seat.server, status, headers);
+    asked::note(shared, ticket, &seat.server, sent, &response);
     if status == 421 {
         // Only one that says it is the one expected has another reason.
         let expected = text(headers, header::SERVER) == Some(&seat.server.id);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -6,6 +6,7 @@
 use crate::shared::Shared;
 use crate::sources::Sources;
 use crate::suspects::Report;
+use bn_backpressure::Share;
 use bn_directory::{Named, NamedGateway};
 use bn_net::Net;
 use bn_quarantine::{Digest, Told};
@@ -116,11 +117,34 @@
 
     fn ask_next(&mut self) {
         self.shared.pool.sweep(self.shared.now());
+        self.tell_limits();
         if let Some(inbox) = self.sources.turn() {
             self.ask(inbox);
         }
     }
 
+    /// Tells coordinators of limits that their registrations don't say.
+    fn tell_limits(&self) {
+        let now = self.shared.now();
+        let limits = self.shared.state().fleet.limits_to_tell(now);
+        if limits.is_empty() {
+            return;
+        }
+        let heard = limits.into_iter().map(|l| wire::LimitHeard {
+            start: Some(wire::ServerStart {
+                id: l.id,
+                began: l.began,
+            }),
+            rate: l.limit.rate,
+            turn: l.limit.turn,
+        });
+        let limits = heard.collect();
+        let body = Body::LimitsHeard(wire::LimitsHeard { limits });
+        for inbox in self.sources.all() {
+            self.net.send(inbox, body.clone());
+        }
+    }
+
     fn ask_all(&mut self) {
         self.told_ready = self.shared.is_ready();
         for inbox in self.sources.all() {
@@ -229,7 +253,14 @@
                 let named = Named::new(named);
                 let fields = json!({ "gateways": named.gateways().len(), "mark": named.mark() });
                 self.shared.lines.put("gateways_named", fields);
-                self.shared.state().named = named;
+                let share = Share {
+                    own: Some(self.callers),
+                    gateways: named.gateways().iter().map(|g| g.callers).collect(),
+                };
+                let now = self.shared.now();
+                let mut state = self.shared.state();
+                state.fleet.follow_choice(now, share, rand::random);
+                state.named = named;
             }
             Err(e) => log::warn!("a choice of gateways: {e}"),
         }
@@ -260,6 +291,10 @@
                 server.leaving = condition == Condition::Draining;
                 server.pace = f64::from(record.pace.max(SOUND)) / f64::from(SOUND);
                 state.fleet.put(server);
+                let now = self.shared.now();
+                state
+                    .fleet
+                    .learn_limit(now, id, record.limit, rand::random());
             }
         }
         drop(state);
@@ -271,6 +306,7 @@
             "id": record.id, "service": record.service, "address": record.address,
             "condition": format!("{:?}", record.condition), "sequence": record.sequence,
             "began": record.began, "group": record.group, "pace": record.pace,
+            "limit": record.limit.rate, "turn": record.limit.turn,
         });
         self.shared.lines.put("backend_server", fields);
         self.registered.insert(record.id.clone(), record);
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -85,6 +85,18 @@
                     return Err(tries.end(later));
                 }
             }
+            Outcome::Withheld => {
+                tries.unsure = unsure_before;
+                tries.tried.pop();
+                metrics::counter!("requests_withheld_total").increment(1);
+                note(
+                    shared,
+                    ticket,
+                    &id,
+                    "withheld",
+                    "as the backend server asks",
+                );
+            }
             Outcome::NotRun(word) => {
                 tries.unsure = unsure_before;
                 on_word(shared, ticket, tries, &id, word)?;
@@ -143,7 +155,7 @@
     word: Word,
 ) -> Result<(), Refusal> {
     let (outcome, reason) = match word {
-        Word::Full => ("full", "all backend servers are full"),
+        Word::Full => ("full", place::FULL),
         Word::Elsewhere => ("elsewhere", "the backend server is gone"),
         Word::Misfit => ("misfit", "the backend server serves no such request"),
         Word::Stalled => ("stalled", place::STILL),
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -48,6 +48,10 @@
 pub(crate) const STILL: &str = "the group of backend servers stands still";
 /// Why they are refused at once where it has done so for long.
 const DOWN: &str = "the group of backend servers is down";
+/// Why they are refused where nothing else is known to be wrong.
+pub(crate) const FULL: &str = "all backend servers are full";
+/// Why they are refused where no backend server takes a request in time, as all have asked.
+const HELD: &str = "the backend servers take no more requests now";
 /// Ranks of requests: the lowest is the most urgent.
 const RANKS: u32 = 10;
 
@@ -69,6 +73,10 @@
         // It will stand for longer than any may wait.
         Lack::Still => Err(refusal(shared, ticket, STILL)),
         Lack::Down => Err(refusal(shared, ticket, DOWN)),
+        Lack::Held(until) if until <= began + patience(ticket, began) => {
+            wait_in_line(shared, ticket, tried, began).await
+        }
+        Lack::Held(_) => Err(refusal(shared, ticket, HELD)),
     }
 }
 
@@ -151,7 +159,9 @@
         pause(shared).await;
         match try_first(shared, ticket, tried) {
             Ok(seat) => return Ok(seat),
-            Err(Lack::Room) => return wait_in_line(shared, ticket, tried, began).await,
+            Err(Lack::Room | Lack::Held(_)) => {
+                return wait_in_line(shared, ticket, tried, began).await;
+            }
             Err(Lack::Still) if outwaits(ticket, began) => {
                 return wait_in_line(shared, ticket, tried, began).await;
             }
@@ -210,7 +220,12 @@
             return Err(refusal(shared, ticket, DOWN));
         }
         if shared.now() >= until {
-            return Err(refusal(shared, ticket, "all backend servers are full"));
+            let held = shared
+                .state()
+                .fleet
+                .held_until(shared.now(), &ticket.service);
+            let reason = if held.is_some() { HELD } else { FULL };
+            return Err(refusal(shared, ticket, reason));
         }
     }
 }
@@ -277,12 +292,27 @@
 /// When a refused caller may come back. A group that stands still does so for some seconds:
 /// then as late as callers follow.
 pub(crate) fn back_after(shared: &Shared, ticket: &Ticket) -> Duration {
-    let left = ticket.left(shared.now());
-    if shared.state().fleet.is_still(&ticket.service) {
+    let now = shared.now();
+    let left = ticket.left(now);
+    let (still, held) = {
+        let fleet = &shared.state().fleet;
+        (
+            fleet.is_still(&ticket.service),
+            fleet.held_until(now, &ticket.service),
+        )
+    };
+    if still {
         return latest_back(left);
     }
-    let after = BACK_AFTER + BACK_SPREAD.mul_f64(rand::random());
-    after.min(left.mul_f64(BACK_PART))
+    let free = held.unwrap_or_default().saturating_sub(now);
+    let after = free.max(BACK_AFTER) + BACK_SPREAD.mul_f64(rand::random());
+    let latest = latest_back(left);
+    // Who is back at the latest time waits for the rest of it in line. Before a later end
+    // nobody should come back.
+    match free <= latest + LATE_WAIT {
+        true => after.min(latest),
+        false => after,
+    }
 }
 
 /// About the latest time at which a caller that waits for `left` more still comes back.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -170,6 +170,7 @@
         Body::TrialAsk(_) => "trial_ask",
         Body::TrialAnswer(_) => "trial_answer",
         Body::RunDone(_) => "run_done",
+        Body::LimitsHeard(_) => "limits_heard",
     }
 }
 
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -1,5 +1,6 @@
 //! The table and its rules of merging.
 
+use bn_backpressure::Limit;
 use indexmap::IndexMap;
 use std::cmp::Ordering;
 use std::net::SocketAddr;
@@ -63,6 +64,8 @@
     /// Number of what a leader told of group and pace. Without an order two processes that hear
     /// the older and the newer from each other would exchange them for ever.
     pub told: Telling,
+    /// Requests a second that it takes from all gateways together, as gateways heard it.
+    pub limit: Limit,
 }
 
 /// What taking a record in did.
@@ -98,7 +101,9 @@
         let newer = follows(held, self);
         let same_start = self.began == held.began;
         let retold = same_start && self.told > held.told;
-        if !newer && !retold {
+        let limit = held.limit.or(self.limit);
+        let limited = same_start && limit != held.limit;
+        if !newer && !retold && !limited {
             return None;
         }
         let mut record = if newer { self.clone() } else { held.clone() };
@@ -107,6 +112,7 @@
             record.group.clone_from(&teller.group);
             record.pace = teller.pace;
             record.told = teller.told;
+            record.limit = limit;
         }
         Some(record)
     }
@@ -164,6 +170,7 @@
             group: String::new(),
             pace: 0,
             told: 0,
+            limit: Limit::default(),
         });
         let gone = Record {
             condition: Condition::Gone,
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -1,6 +1,7 @@
 //! Conversions between records and the schema's type.
 
 use crate::table::{Condition, Record};
+use bn_backpressure::Limit;
 use bn_wire::messages as wire;
 use snafu::{OptionExt, Snafu};
 
@@ -27,6 +28,8 @@
             group: r.group.clone(),
             pace: r.pace,
             told: r.told,
+            limit: r.limit.rate,
+            limit_turn: r.limit.turn,
         }
     }
 }
@@ -50,6 +53,10 @@
             group: r.group,
             pace: r.pace,
             told: r.told,
+            limit: Limit {
+                rate: r.limit,
+                turn: r.limit_turn,
+            },
             service: r.service,
             address,
             domain: r.domain,
--- a/crates/registry/tests/table.rs
+++ b/crates/registry/tests/table.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+use bn_backpressure::Limit;
 use bn_registry::{Change, Condition, Record, Registry};
 use bn_wire::messages::Registration;
 use googletest::prelude::*;
@@ -26,6 +27,7 @@
         group: String::new(),
         pace: 0,
         told: 0,
+        limit: Limit::default(),
     }
 }
 
--- /dev/null
+++ b/crates/route/src/asked.rs
@@ -0,0 +1,130 @@
+//! What the backend servers of a gateway ask for: taking it in, keeping to it at the moment of
+//! sending, and what others are to be told of it.
+
+use crate::fleet::Fleet;
+use crate::server::{Began, Server, ServerId};
+use bn_backpressure::{Answer, Limit, Share};
+use std::time::Duration;
+
+/// Until coordinators tell of a limit themselves, they are told it again after this.
+const TELL_AGAIN: Duration = Duration::from_secs(1);
+/// Where no time is known at which one may be sent a request again, others of this gateway's may be
+/// there by then.
+const UNKNOWN: Duration = Duration::from_secs(5);
+
+/// The limit of a start of a backend server, as it is told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limited {
+    /// Its id.
+    pub id: ServerId,
+    /// The start.
+    pub began: Began,
+    /// What is known.
+    pub limit: Limit,
+}
+
+impl Fleet {
+    /// An answer of a start of a backend server came; `true` where it asks for something else than
+    /// the one before. What an earlier start asked for says nothing of this one.
+    pub fn asked(
+        &mut self,
+        now: Duration,
+        id: &str,
+        began: Began,
+        answer: &Answer,
+        draw: f64,
+    ) -> bool {
+        let server = self.servers.get_mut(id);
+        let Some(server) = server.filter(|s| s.began == began) else {
+            return false;
+        };
+        let before = server.terms.limit();
+        let changed = server
+            .terms
+            .heard(now, &server.id, answer, &self.share, draw);
+        if server.terms.limit() != before {
+            self.untold.insert(server.id.clone(), None);
+        }
+        changed
+    }
+
+    /// Coordinators tell of the limit of the start that is known; `true` where that is news.
+    pub fn learn_limit(&mut self, now: Duration, id: &str, limit: Limit, draw: f64) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        let news = server
+            .terms
+            .learn(now, &server.id, limit, &self.share, draw);
+        match server.terms.is_told(limit.turn) {
+            true => {
+                self.untold.swap_remove(id);
+            }
+            // They lost it: all of them have started anew, say.
+            false => {
+                self.untold.entry(server.id.clone()).or_insert(None);
+            }
+        }
+        news
+    }
+
+    /// Callers are sent to other gateways from now on.
+    pub fn follow_choice(&mut self, now: Duration, share: Share, mut draw: impl FnMut() -> f64) {
+        self.share = share;
+        for server in self.servers.values_mut() {
+            server.terms.share(now, &server.id, &self.share, draw());
+        }
+    }
+
+    /// Whether a request may still be sent to a backend server that was picked for it a while ago.
+    /// While it waited for a connection, an answer to another one may have said otherwise.
+    pub fn may_send(&mut self, now: Duration, picked: &Server) -> bool {
+        let server = self.servers.get_mut(&picked.id);
+        let Some(server) = server.filter(|s| s.began == picked.began && !s.leaving) else {
+            return false;
+        };
+        if server.terms.mark() == picked.terms.mark() {
+            return true;
+        }
+        let open = server.terms.is_open(now);
+        if open {
+            server.terms.sent(now);
+        }
+        open
+    }
+
+    /// Limits that coordinators are to be told now.
+    pub fn limits_to_tell(&mut self, now: Duration) -> Vec<Limited> {
+        let mut limits = Vec::new();
+        for (id, told) in &mut self.untold {
+            if told.is_some_and(|at| now < at + TELL_AGAIN) {
+                continue;
+            }
+            let Some(server) = self.servers.get(id) else {
+                continue;
+            };
+            *told = Some(now);
+            limits.push(Limited {
+                id: id.clone(),
+                began: server.began,
+                limit: server.terms.limit(),
+            });
+        }
+        limits
+    }
+
+    /// When the first backend server of a service may be sent a request, where none may be now.
+    pub fn held_until(&self, now: Duration, service: &str) -> Option<Duration> {
+        let taking = self.servers.values();
+        let taking = taking.filter(|s| s.service == service && !s.leaving);
+        let taking: Vec<&Server> = taking.collect();
+        let held = !taking.is_empty() && taking.iter().all(|s| !s.terms.is_open(now));
+        held.then(|| earliest(now, &taking))
+    }
+}
+
+/// When the first of these may be sent a request.
+pub(crate) fn earliest(now: Duration, servers: &[&Server]) -> Duration {
+    let known = servers.iter().filter_map(|s| s.terms.open_at());
+    known.min().unwrap_or(now + UNKNOWN)
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -1,8 +1,9 @@
 //! All backend servers of a gateway that sends requests to them itself, and which of them a
 //! request goes to.
 
+use crate::asked::earliest;
 use crate::server::{Began, Server, ServerId, Told, Unit, quick_enough};
-use bn_backpressure::Asked;
+use bn_backpressure::Share;
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
@@ -45,6 +46,8 @@
     Still,
     /// The same for so long that there is no use in waiting for it.
     Down,
+    /// All take no request of this gateway before then, as they asked.
+    Held(Duration),
 }
 
 /// A group that stands still.
@@ -64,7 +67,7 @@
 /// All backend servers that a gateway knows.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
-    servers: IndexMap<ServerId, Server>,
+    pub(crate) servers: IndexMap<ServerId, Server>,
     domain: String,
     /// Load over slots that others cause, by unit: its mean of late, and when it was heard.
     heard: IndexMap<Unit, (f64, Duration)>,
@@ -72,6 +75,10 @@
     still: IndexMap<Unit, Still>,
     /// Other gateways that send requests to the same backend servers.
     pub peers: u32,
+    /// What decides of this gateway's part of limits.
+    pub(crate) share: Share,
+    /// Backend servers whose limit coordinators may not know, and when they were told it last.
+    pub(crate) untold: IndexMap<ServerId, Option<Duration>>,
 }
 
 impl Fleet {
@@ -83,6 +90,8 @@
             heard: IndexMap::new(),
             still: IndexMap::new(),
             peers: 0,
+            share: Share::default(),
+            untold: IndexMap::new(),
         }
     }
 
@@ -104,6 +113,7 @@
     /// Removes a backend server.
     pub fn remove(&mut self, id: &str) {
         self.servers.shift_remove(id);
+        self.untold.swap_remove(id);
     }
 
     /// The backend server of an id.
@@ -131,6 +141,11 @@
             let down = self.is_down(now, want.service);
             return Err(if down { Lack::Down } else { Lack::Still });
         }
+        let held = earliest(now, &open);
+        let open: Vec<&Server> = open.into_iter().filter(|s| s.terms.is_open(now)).collect();
+        if open.is_empty() {
+            return Err(Lack::Held(held));
+        }
         if open.iter().all(|s| s.standing.out(now)) {
             let first = open.into_iter().min_by_key(|s| s.standing.back_at());
             return first.ok_or(Lack::Servers);
@@ -233,6 +248,7 @@
     pub fn sent(&mut self, now: Duration, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
             server.mine += 1;
+            server.terms.sent(now);
             if let Some(still) = self.still.get_mut(&server.unit) {
                 still.probe = now + STILL_PROBE;
             }
@@ -309,14 +325,6 @@
         self.heard.insert(unit, (mean, now));
     }
 
-    /// An answer of a start of a backend server asks for this; `true` where that is news. What an
-    /// earlier start asked for says nothing of this one.
-    pub fn asked(&mut self, id: &str, began: Began, asked: Asked) -> bool {
-        let server = self.servers.get_mut(id);
-        let server = server.filter(|s| s.began == began);
-        server.is_some_and(|s| s.terms.heard(asked))
-    }
-
     /// A request failed there on its account; `true` where this puts it out.
     pub fn failed(&mut self, now: Duration, id: &str, gravely: bool) -> bool {
         let server = self.servers.get_mut(id);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 //! health with ejection and slow return; a retry budget. Plain decisions: inputs,
 //! the time and a random number go in, a choice comes out.
 
+mod asked;
 mod backend;
 mod budget;
 mod fleet;
@@ -15,6 +16,7 @@
 mod server;
 mod standing;
 
+pub use asked::Limited;
 pub use backend::{Backend, Report};
 pub use budget::Budget;
 pub use fleet::{Fleet, Lack, Want};
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -58,7 +58,7 @@
     /// Time that it takes for the same work, against a sound one.
     pub pace: f64,
     /// What it asks of those that send it requests.
-    pub(crate) terms: Terms,
+    pub terms: Terms,
     /// How requests fared there.
     pub standing: Standing,
     /// Requests of this gateway that are there now.
--- /dev/null
+++ b/crates/route/tests/asked.rs
@@ -0,0 +1,143 @@
+//! What backend servers ask for, at one gateway and without a network.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use bn_backpressure::{Answer, Asked, Limit, Share};
+use bn_route::{Fleet, Lack, Server, Want};
+use googletest::prelude::*;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn fleet(servers: u8) -> Fleet {
+    let mut fleet = Fleet::new("d0");
+    for n in 0..servers {
+        let address = ([10, 0, 0, n], 80).into();
+        fleet.put(Server::new(&format!("b{n}"), "s", address, "d0", 4));
+    }
+    let own = ([10, 1, 0, 1], 80).into();
+    let share = Share {
+        own: Some(own),
+        gateways: vec![own],
+    };
+    fleet.follow_choice(NOW, share, || 0.0);
+    fleet
+}
+
+fn pick(fleet: &Fleet, now: Duration) -> std::result::Result<String, Lack> {
+    let want = Want {
+        service: "s",
+        tried: &[],
+        room: &|_| 1.0,
+    };
+    fleet.pick(now, &want, || 0.0).map(|s| s.id.clone())
+}
+
+fn ask(fleet: &mut Fleet, now: Duration, id: &str, asked: Asked) -> bool {
+    let answer = Answer {
+        asked,
+        sent: now,
+        own: true,
+    };
+    fleet.asked(now, id, 0, &answer, 0.0)
+}
+
+fn limit(rate: f64) -> Asked {
+    Asked {
+        limit: Some(rate),
+        ..Asked::default()
+    }
+}
+
+/// A limited backend server looks idle, and draws every request.
+#[googletest::test]
+fn a_limited_backend_server_is_passed_over_until_its_time() {
+    let mut fleet = fleet(2);
+    ask(&mut fleet, NOW, "b0", limit(2.0));
+
+    let mut to_limited = 0;
+    for n in 0..100 {
+        let now = NOW + Duration::from_millis(n * 40);
+        let id = pick(&fleet, now).unwrap();
+        fleet.sent(now, &id);
+        fleet.ended(&id, 0);
+        to_limited += u32::from(id == "b0");
+    }
+
+    // Four seconds at two a second; the first at once.
+    expect_that!(to_limited, all![ge(7), le(9)]);
+}
+
+/// Callers are held until their deadline, since all that could serve them have named a limit.
+#[googletest::test]
+fn where_all_are_limited_it_is_known_when_the_next_may_go() {
+    let mut fleet = fleet(2);
+    for (id, rate) in [("b0", 0.5), ("b1", 0.2)] {
+        ask(&mut fleet, NOW, id, limit(rate));
+        fleet.sent(NOW, id);
+    }
+
+    let next = NOW + Duration::from_secs(2);
+
+    expect_that!(pick(&fleet, NOW), err(eq(&Lack::Held(next))));
+    expect_that!(fleet.held_until(NOW, "s"), some(eq(next)));
+    expect_that!(pick(&fleet, next), ok(eq("b0")));
+    expect_that!(fleet.held_until(next, "s"), none());
+}
+
+/// A request that waited for a connection goes to a backend server that has named a limit since.
+#[googletest::test]
+fn what_is_said_while_a_request_waits_counts_for_it() {
+    let mut fleet = fleet(1);
+    let picked = fleet.get("b0").unwrap().clone();
+    let free = fleet.may_send(NOW, &picked);
+
+    ask(&mut fleet, NOW, "b0", limit(1.0));
+    // The first of those that waited may go, the others may not.
+    let waiting = [0, 0, 0].map(|_| fleet.may_send(NOW, &picked));
+
+    expect_true!(free);
+    expect_that!(waiting, eq([true, false, false]));
+}
+
+/// A later start is held back by what the one before it asked for.
+#[googletest::test]
+fn a_later_start_is_free_of_what_the_one_before_asked() {
+    let mut fleet = fleet(1);
+    ask(&mut fleet, NOW, "b0", limit(0.0));
+    let earlier = fleet.get("b0").unwrap().clone();
+    fleet.remove("b0");
+    let mut next = Server::new("b0", "s", earlier.address, "d0", 4);
+    next.began = 7;
+    fleet.put(next);
+
+    // An answer of the earlier start comes late.
+    let late = ask(&mut fleet, NOW, "b0", limit(0.0));
+
+    expect_false!(late);
+    expect_that!(pick(&fleet, NOW), ok(eq("b0")));
+    expect_false!(fleet.may_send(NOW, &earlier));
+}
+
+/// Coordinators that started anew never learn of a limit; or they are told it for ever.
+#[googletest::test]
+fn limits_are_told_until_coordinators_say_them() {
+    let mut fleet = fleet(1);
+    ask(&mut fleet, NOW, "b0", limit(1.0));
+    let later = NOW + Duration::from_secs(2);
+
+    let first = fleet.limits_to_tell(NOW).len();
+    let at_once = fleet.limits_to_tell(NOW).len();
+    let again = fleet.limits_to_tell(later);
+    let known = again[0].limit;
+    fleet.learn_limit(later, "b0", known, 0.0);
+    let told = fleet.limits_to_tell(later + Duration::from_secs(2)).len();
+    fleet.learn_limit(later, "b0", Limit::default(), 0.0);
+    let lost = fleet.limits_to_tell(later + Duration::from_secs(4)).len();
+
+    expect_that!(
+        (first, at_once, again.len(), told, lost),
+        eq((1, 0, 1, 0, 1))
+    );
+    expect_that!(known.rate, some(eq(1.0)));
+}
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -13,7 +13,7 @@
     pub inbox: ::prost::alloc::string::String,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 70, 71, 80, 81, 82, 83"
+        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 70, 71, 80, 81, 82, 83, 90"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -79,6 +79,8 @@
         TrialAnswer(super::TrialAnswer),
         #[prost(message, tag = "83")]
         RunDone(super::RunDone),
+        #[prost(message, tag = "90")]
+        LimitsHeard(super::LimitsHeard),
     }
 }
 /// What is asked of one engine: an order, or else a look.
@@ -920,7 +922,7 @@
     pub prepared: u64,
 }
 /// A backend server as a process knows it.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Registration {
     /// of one start
     #[prost(string, tag = "1")]
@@ -952,6 +954,12 @@
     /// number of what a leader told of group and pace; later ones are higher
     #[prost(uint64, tag = "11")]
     pub told: u64,
+    /// requests a second that it takes from all gateways together
+    #[prost(double, optional, tag = "12")]
+    pub limit: ::core::option::Option<f64>,
+    /// number of what gateways heard of the limit; later ones are higher
+    #[prost(uint64, tag = "13")]
+    pub limit_turn: u64,
 }
 /// Gateway or coordinator to a coordinator, a few times a second: what it has, and
 /// what it is, so that the answer and the list of gateways stay current.
@@ -1091,6 +1099,24 @@
     #[prost(bool, tag = "2")]
     pub whole: bool,
 }
+/// What a gateway heard of the limit of one start of a backend server.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitHeard {
+    #[prost(message, optional, tag = "1")]
+    pub start: ::core::option::Option<ServerStart>,
+    /// requests a second; none: it takes what comes
+    #[prost(double, optional, tag = "2")]
+    pub rate: ::core::option::Option<f64>,
+    /// later ones are higher
+    #[prost(uint64, tag = "3")]
+    pub turn: u64,
+}
+/// Gateway to all coordinators, until their registrations say it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitsHeard {
+    #[prost(message, repeated, tag = "1")]
+    pub limits: ::prost::alloc::vec::Vec<LimitHeard>,
+}
 /// A document for the leader to settle.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DocumentAsk {
