A backend server that asks for rest gets nothing until its end

What callers saw: two thirds refused for nine seconds beside idle backend servers. Those that turn requests away answer at once, so they have the least load and drew the next ones; each request was refused after two of them.

Cause: the time to come back that a backend server tells with a 503 was never read. Class: a word of the other side that nobody takes in.

Change: the rest is kept with the terms of that start, checked where a backend server is chosen and again at the moment of sending. Later answers lengthen it, none shortens it; it ends with an answer to a request that was sent after it. At its end gateways come back spread, and one request of each finds out whether more may come; who was turned away before is not that one. While all of a service want rest, callers learn at once when it ends.

Whether it is worth anything to other gateways: no. A rest is asked of one gateway, for what that one sent; told to all it would take a backend server from gateways that it serves well, and each learns its own with its first request.

Ruled out: kept late, or by some gateways only (all sent alike, first second to last).

--- a/crates/backpressure/src/lib.rs
+++ b/crates/backpressure/src/lib.rs
@@ -3,13 +3,16 @@
 //!
 //! A limit is of one start of a backend server and binds all gateways together ([`Limit`]). Gateways
 //! tell it each other by way of the coordinators, and each knows from the list of all whether it is one of the few that
-//! may send there, and how often ([`gap`]). What follows at one gateway is [`Terms`].
+//! may send there, and how often ([`gap`]). Rest is asked of one gateway, and is its own ([`Rest`]). What follows
+//! of all that at one gateway is [`Terms`].
 
 mod limit;
+mod rest;
 mod share;
 mod terms;
 
 pub use limit::{Limit, Turn};
+pub use rest::Rest;
 pub use share::{Share, gap};
 pub use terms::{Answer, Asked, Terms};
 
--- a/crates/backpressure/src/terms.rs
+++ b/crates/backpressure/src/terms.rs
@@ -1,6 +1,7 @@
 //! What one start of a backend server asks for, and what follows at one gateway.
 
 use crate::limit::{Limit, stricter};
+use crate::rest::Rest;
 use crate::share::{Share, gap};
 use crate::{ServerId, Turn};
 use std::time::Duration;
@@ -56,6 +57,8 @@
     since: Duration,
     /// While there is a limit.
     gate: Option<Gate>,
+    /// Until an answer shows that it is over.
+    rest: Option<Rest>,
     /// Counts what changed of when requests may be sent.
     mark: u64,
 }
@@ -81,9 +84,23 @@
             let turn = self.limit.turn + 1;
             self.follow(now, id, Limit { rate, turn }, share, draw);
         }
+        self.rest(now, answer, draw);
         changed
     }
 
+    fn rest(&mut self, now: Duration, answer: &Answer, draw: f64) {
+        let asked = answer.asked.rest;
+        let asked = asked.and_then(|time| Rest::asked(now, time, draw));
+        match (self.rest, asked) {
+            (held, Some(rest)) => {
+                self.rest = Some(held.map_or(rest, |held| held.and(rest)));
+                self.mark += 1;
+            }
+            (Some(held), None) if answer.own && held.is_over(answer.sent) => self.rest = None,
+            (_, None) => {}
+        }
+    }
+
     /// Takes in what others know of the limit; `true` where that is news.
     pub fn learn(
         &mut self,
@@ -133,12 +150,18 @@
 
     /// When the next request may be sent; in the past where one may be now. None where others send.
     pub fn open_at(&self) -> Option<Duration> {
+        let rested = self.rest.map_or(Duration::ZERO, |r| r.until());
         match &self.gate {
-            None => Some(Duration::ZERO),
-            Some(gate) => gate.gap.map(|_| gate.due),
+            None => Some(rested),
+            Some(gate) => gate.gap.map(|_| gate.due.max(rested)),
         }
     }
 
+    /// It had asked for rest, and nobody knows yet whether it takes requests again.
+    pub fn is_resting(&self) -> bool {
+        self.rest.is_some()
+    }
+
     /// A request may be sent now.
     pub fn is_open(&self, now: Duration) -> bool {
         self.open_at().is_some_and(|at| at <= now)
@@ -149,6 +172,9 @@
         if let Some(gate) = &mut self.gate {
             gate.due = now + gate.gap.unwrap_or_default();
         }
+        if let Some(rest) = &mut self.rest {
+            rest.tried(now);
+        }
     }
 
     /// Tells whether anything changed between two moments of when requests may be sent.
--- a/crates/cli/tests/asking.rs
+++ b/crates/cli/tests/asking.rs
@@ -171,7 +171,9 @@
 /// Symptom: most callers are refused while half of the backend servers are idle.
 /// Sequence: some backend servers turn requests away and ask for rest; answering at once they have the
 /// least load, so the next requests go to them as well, and are refused after two of them.
-/// Cause: not known yet.
+/// Cause: the time to come back that a backend server tells was never read.
+/// Evidence: each gateway alike sent 24 to 39 requests into a rest of 3 s, from its first second to its
+/// last; a gateway that kept to it in part, or late, would have sent fewer.
 #[googletest::test]
 fn a_backend_server_that_asks_for_rest_gets_nothing_until_its_end() {
     let fleet = fleet_of_three(45);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -309,7 +309,8 @@
     let latest = latest_back(left);
     // Who is back at the latest time waits for the rest of it in line. Before a later end
     // nobody should come back.
-    match free <= latest + LATE_WAIT {
+    let waits = LATE_WAIT.min(left.saturating_sub(latest) / 3);
+    match free <= latest + waits {
         true => after.min(latest),
         false => after,
     }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -141,11 +141,14 @@
             let down = self.is_down(now, want.service);
             return Err(if down { Lack::Down } else { Lack::Still });
         }
+        // One that takes few requests, or turns them away at once, has the least load of all, and would be
+        // chosen for each: only its word keeps them away.
         let held = earliest(now, &open);
         let open: Vec<&Server> = open.into_iter().filter(|s| s.terms.is_open(now)).collect();
         if open.is_empty() {
             return Err(Lack::Held(held));
         }
+        let open = surer(open, want.tried);
         if open.iter().all(|s| s.standing.out(now)) {
             let first = open.into_iter().min_by_key(|s| s.standing.back_at());
             return first.ok_or(Lack::Servers);
@@ -339,3 +342,13 @@
         }
     }
 }
+
+/// For a request that was turned away before, without those that may do the same: each one that had
+/// asked for rest is tried by a request that may still go elsewhere.
+fn surer<'a>(open: Vec<&'a Server>, tried: &[ServerId]) -> Vec<&'a Server> {
+    let sure = |s: &&Server| !s.terms.is_resting();
+    if tried.is_empty() || !open.iter().any(sure) {
+        return open;
+    }
+    open.into_iter().filter(sure).collect()
+}
--- a/crates/route/tests/asked.rs
+++ b/crates/route/tests/asked.rs
@@ -141,3 +141,48 @@
     );
     expect_that!(known.rate, some(eq(1.0)));
 }
+
+fn rest(time: Duration) -> Asked {
+    Asked {
+        rest: Some(time),
+        ..Asked::default()
+    }
+}
+
+/// One that turns all away answers at once, has the least load, and draws every request.
+#[googletest::test]
+fn one_that_wants_rest_is_passed_over_whatever_else_is_known() {
+    let mut fleet = fleet(2);
+    ask(&mut fleet, NOW, "b0", rest(Duration::from_secs(3)));
+    for _ in 0..3 {
+        fleet.failed(NOW, "b1", false);
+    }
+
+    let during = pick(&fleet, NOW + Duration::from_secs(2));
+    let after = pick(&fleet, NOW + Duration::from_secs(4));
+
+    // The other one is out for its failures, and is tried all the same.
+    expect_that!(during, ok(eq("b1")));
+    expect_that!(after, ok(eq("b0")));
+}
+
+/// A request is turned away twice and refused, beside backend servers that would take it.
+#[googletest::test]
+fn who_was_turned_away_is_not_the_next_ones_trial() {
+    let mut fleet = fleet(3);
+    for id in ["b0", "b1"] {
+        ask(&mut fleet, NOW, id, rest(Duration::from_secs(1)));
+    }
+    fleet.sent(NOW, "b2");
+    let now = NOW + Duration::from_secs(2);
+    let tried = ["b0".to_string()];
+    let want = Want {
+        service: "s",
+        tried: &tried,
+        room: &|_| 1.0,
+    };
+
+    let second = fleet.pick(now, &want, || 0.0).map(|s| s.id.clone());
+
+    expect_that!(second, ok(eq("b2")));
+}
