A backend server that says in an answer that it leaves gets nothing more

What was seen: requests went on to backend servers that said in each answer that they leave, until their announcement came, which may be late, or never come.

Cause: only announcements were believed.

Change: the word holds for that start, whatever later answers or announcements say; a later start is free of it. Looked at before sending, as the others. The older path through agents is not touched by this.

--- a/crates/backpressure/src/terms.rs
+++ b/crates/backpressure/src/terms.rs
@@ -59,6 +59,8 @@
     gate: Option<Gate>,
     /// Until an answer shows that it is over.
     rest: Option<Rest>,
+    /// It said that it takes no new work. No start of it takes that back.
+    leaving: bool,
     /// Counts what changed of when requests may be sent.
     mark: u64,
 }
@@ -85,9 +87,15 @@
             self.follow(now, id, Limit { rate, turn }, share, draw);
         }
         self.rest(now, answer, draw);
+        self.leaving |= answer.asked.leaving;
         changed
     }
 
+    /// It said with an answer that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     fn rest(&mut self, now: Duration, answer: &Answer, draw: f64) {
         let asked = answer.asked.rest;
         let asked = asked.and_then(|time| Rest::asked(now, time, draw));
--- a/crates/cli/tests/asking.rs
+++ b/crates/cli/tests/asking.rs
@@ -212,7 +212,9 @@
 
 /// Symptom: backend servers that leave get requests for seconds after they have said so.
 /// Sequence: it says that it leaves in each answer; what announces it comes late, or never.
-/// Cause: not known yet.
+/// Cause: only announcements were believed, not what it answers.
+/// Evidence: 15 to 20 requests of each gateway came later than half a second after such an answer, as many
+/// as before it.
 #[googletest::test]
 fn a_backend_server_that_says_in_an_answer_that_it_leaves_gets_nothing_more() {
     let fleet = fleet_of_three(46);
--- a/crates/route/src/asked.rs
+++ b/crates/route/src/asked.rs
@@ -42,6 +42,7 @@
         let changed = server
             .terms
             .heard(now, &server.id, answer, &self.share, draw);
+        server.leaving |= server.terms.is_leaving();
         if server.terms.limit() != before {
             self.untold.insert(server.id.clone(), None);
         }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -99,7 +99,8 @@
     pub fn put(&mut self, server: Server) {
         match self.servers.get_mut(&server.id) {
             Some(known) => {
-                known.leaving = server.leaving;
+                // Its own answers are sooner than what announces it, which may never come.
+                known.leaving = server.leaving || known.terms.is_leaving();
                 known.pace = server.pace;
                 known.unit = server.unit;
                 known.slots = server.slots;
--- a/crates/route/tests/asked.rs
+++ b/crates/route/tests/asked.rs
@@ -186,3 +186,42 @@
 
     expect_that!(second, ok(eq("b2")));
 }
+
+/// One that leaves gets requests until its departure is announced, or again after a late announcement.
+#[googletest::test]
+fn who_says_that_it_leaves_gets_nothing_more() {
+    let mut fleet = fleet(2);
+    let picked = fleet.get("b0").unwrap().clone();
+    let leaving = Asked {
+        leaving: true,
+        ..Asked::default()
+    };
+
+    ask(&mut fleet, NOW, "b0", leaving);
+    // Its next answer does not say it, and neither does an announcement from before.
+    ask(&mut fleet, NOW, "b0", Asked::default());
+    fleet.put(Server::new("b0", "s", picked.address, "d0", 4));
+    ask(&mut fleet, NOW, "b1", leaving);
+
+    expect_that!(pick(&fleet, NOW), err(eq(&Lack::Servers)));
+    expect_false!(fleet.may_send(NOW, &picked));
+}
+
+/// The start that follows under the same id gets nothing.
+#[googletest::test]
+fn a_later_start_is_not_leaving() {
+    let mut fleet = fleet(1);
+    let leaving = Asked {
+        leaving: true,
+        ..Asked::default()
+    };
+    ask(&mut fleet, NOW, "b0", leaving);
+    let mut next = fleet.get("b0").unwrap().clone();
+    fleet.remove("b0");
+    next = Server::new("b0", "s", next.address, "d0", 4);
+    next.began = 7;
+
+    fleet.put(next);
+
+    expect_that!(pick(&fleet, NOW), ok(eq("b0")));
+}
