Operators see what backend servers ask for; announcements have a file of their own

limits --at shows which backend servers name a limit, as coordinators know it; lines tell when a word changes, how long the one before held, and when a limit is learnt from others; a counter and a gauge. Wire forms of limits are checked where they are read.

--- a/crates/backpressure/src/lib.rs
+++ b/crates/backpressure/src/lib.rs
@@ -10,11 +10,15 @@
 mod rest;
 mod share;
 mod terms;
+mod wire;
 
-pub use limit::{Limit, Turn};
+pub use limit::{Limit, Limited, Turn};
 pub use rest::Rest;
 pub use share::{Share, gap};
 pub use terms::{Answer, Asked, Terms};
+pub use wire::BadLimit;
 
 /// Id of a backend server.
 pub type ServerId = String;
+/// Which start of a backend server, in Unix milliseconds; 0 where it does not tell.
+pub type Began = u64;
--- a/crates/backpressure/src/limit.rs
+++ b/crates/backpressure/src/limit.rs
@@ -1,5 +1,7 @@
 //! Requests a second that a start of a backend server takes from all gateways together.
 
+use crate::{Began, ServerId};
+
 /// Counts the changes of a limit: what is learnt after another word has a higher one, at whichever gateway.
 pub type Turn = u64;
 
@@ -22,6 +24,17 @@
     }
 }
 
+/// The limit of a start of a backend server, as it is told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limited {
+    /// Its id.
+    pub id: ServerId,
+    /// The start.
+    pub began: Began,
+    /// What is known.
+    pub limit: Limit,
+}
+
 /// Whether fewer requests are allowed by `rate` than by `other`.
 pub(crate) fn stricter(rate: Option<f64>, other: Option<f64>) -> bool {
     let most = |rate: Option<f64>| rate.unwrap_or(f64::INFINITY);
--- a/crates/backpressure/src/terms.rs
+++ b/crates/backpressure/src/terms.rs
@@ -52,6 +52,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Terms {
     asked: Asked,
+    /// When answers began to ask for that.
+    asked_at: Duration,
     limit: Limit,
     /// When the limit became known here.
     since: Duration,
@@ -66,8 +68,8 @@
 }
 
 impl Terms {
-    /// Takes in an answer; `true` where it asks for something else than the one before. `draw`
-    /// is a number in `0..1`: gateways that learn of a limit together don't send together.
+    /// Takes in an answer; where it asks for something else than the one before, how long that was asked.
+    /// `draw` is a number in `0..1`: gateways that learn of a limit together don't send together.
     pub fn heard(
         &mut self,
         now: Duration,
@@ -75,9 +77,8 @@
         answer: &Answer,
         share: &Share,
         draw: f64,
-    ) -> bool {
-        let changed = self.asked != answer.asked;
-        self.asked = answer.asked;
+    ) -> Option<Duration> {
+        let news = self.note(now, answer.asked);
         let rate = answer.asked.limit;
         // Answers overtake each other: what was asked before the word came may be older than the word.
         let later = answer.own && answer.sent >= self.since;
@@ -88,7 +89,16 @@
         }
         self.rest(now, answer, draw);
         self.leaving |= answer.asked.leaving;
-        changed
+        news
+    }
+
+    fn note(&mut self, now: Duration, asked: Asked) -> Option<Duration> {
+        if self.asked == asked {
+            return None;
+        }
+        self.asked = asked;
+        let before = std::mem::replace(&mut self.asked_at, now);
+        Some(now.saturating_sub(before))
     }
 
     /// It said with an answer that it leaves.
--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -9,10 +9,11 @@
 /// Beliefs shown that changed within this time before the request's first line, in ms.
 const BEFORE_MS: u64 = 5_000;
 /// Events that change a belief on which requests depend.
-const BELIEFS: [&str; 11] = [
+const BELIEFS: [&str; 12] = [
     "document_in_force",
     "backend_server",
     "backend_server_asked",
+    "backend_server_limit",
     "backend_server_out",
     "coordinator_lost",
     "coordinator_regained",
--- /dev/null
+++ b/crates/cli/src/cmd/limits.rs
@@ -0,0 +1,16 @@
+//! `buckthornnotch limits`: which backend servers name a limit, as a coordinator knows it.
+
+use crate::error::CliResult;
+use crate::http;
+
+#[derive(clap::Args)]
+#[command(after_help = "Example:\n  buckthornnotch limits --at 10.1.0.42:9464")]
+pub(crate) struct Args {
+    /// Operators' address of any coordinator.
+    #[arg(long)]
+    at: String,
+}
+
+pub(crate) fn run(args: &Args) -> CliResult {
+    http::show(&args.at, bn_coordinator::LIMITS)
+}
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod demo;
 pub(crate) mod explain;
 pub(crate) mod fake;
+pub(crate) mod limits;
 pub(crate) mod losses;
 pub(crate) mod members;
 pub(crate) mod quarantine;
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -1,6 +1,6 @@
 //! The commands' HTTP client.
 
-use crate::error::{CliResult, Error, IoSnafu};
+use crate::error::{CliResult, Error, HttpSnafu, IoSnafu};
 use snafu::ResultExt;
 use std::io::Read;
 use std::path::Path;
@@ -8,6 +8,9 @@
 use std::time::Duration;
 use ureq::tls::{Certificate, RootCerts, TlsConfig};
 
+/// Longest wait for what a process answers from memory.
+const FROM_MEMORY: Duration = Duration::from_secs(5);
+
 /// Status and body of a short exchange.
 pub(crate) struct Reply {
     pub(crate) status: u16,
@@ -55,6 +58,18 @@
         .into()
 }
 
+/// Prints a page that a process answers from memory.
+pub(crate) fn show(address: &str, page: &str) -> CliResult {
+    let url = url(address, page);
+    let got = get(&url, FROM_MEMORY)?;
+    if got.status != 200 {
+        let reason = format!("status {}: {}", got.status, got.text);
+        return HttpSnafu { url, reason }.fail();
+    }
+    println!("{}", got.text);
+    Ok(())
+}
+
 /// GETs a page.
 pub(crate) fn get(url: &str, timeout: Duration) -> CliResult<Reply> {
     reply(url, agent(timeout).get(url).call())
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -39,7 +39,9 @@
     Losses(cmd::losses::Args),
     /// Show which requests end backend servers and are refused, or vouch for one.
     Quarantine(cmd::quarantine::Args),
-    /// Show which coordinators keep the log
+    /// Show which backend servers name a limit.
+    Limits(cmd::limits::Args),
+    /// Show which coordinators keep the log.
     Members(cmd::members::Args),
     /// Send one request of each kind through a running system.
     Demo(cmd::demo::Args),
@@ -71,6 +73,7 @@
         Command::Explain(args) => cmd::explain::run(&args),
         Command::Losses(args) => cmd::losses::run(&args),
         Command::Quarantine(args) => cmd::quarantine::run(&args),
+        Command::Limits(args) => cmd::limits::run(&args),
         Command::Members(args) => cmd::members::run(&args),
         Command::Demo(args) => cmd::demo::run(&args),
         Command::Bench(args) => cmd::bench::run(&args),
--- a/crates/cli/tests/asking.rs
+++ b/crates/cli/tests/asking.rs
@@ -10,6 +10,7 @@
 use fleet::Fleet;
 use fleet::asking::{Answer, Arrival, Asked, Asker, ask_all, most_within};
 use googletest::prelude::*;
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -76,6 +77,14 @@
     expect_that!(refused.count(), eq(0));
 }
 
+/// What an operator sees of limits.
+fn shown_limits(fleet: &Fleet) -> serde_json::Value {
+    let page = fleet.operators(1).to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornnotch"));
+    let shown = command.args(["limits", "--at", &page]).output().unwrap();
+    serde_json::from_slice(&shown.stdout).unwrap()
+}
+
 /// A limit goes on after its end, or binds who starts then: only few gateways hear of it themselves.
 #[googletest::test]
 fn a_limit_is_known_to_a_gateway_that_starts_and_ends_for_all() {
@@ -100,6 +109,7 @@
     fleet.wait("list", |f| {
         f.addresses(4).contains(&f.callers(6).to_string())
     });
+    let shown = shown_limits(&fleet);
     let started = server.arrivals().len();
     ask_all(&fleet, &[6], look, gap, Duration::from_secs(3));
     let of_started = server.arrivals().len() - started;
@@ -110,6 +120,18 @@
     ask_all(&fleet, &GATEWAYS, look, gap, Duration::from_secs(2));
     let of_all = server.arrivals().len() - ended;
 
+    expect_that!(
+        shown["backend_servers"][0]["id"].as_str(),
+        some(eq("limited"))
+    );
+    expect_that!(
+        shown["backend_servers"][0]["limit"].as_f64(),
+        some(eq(RATE))
+    );
+    expect_that!(
+        fleet.last_line("g6", "backend_server_limit"),
+        contains_substring("limited")
+    );
     // Its own part, and no first requests that nobody has told it not to send.
     expect_that!(of_started, le(2));
     expect_that!(of_all, ge(40));
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -246,6 +246,7 @@
             Event::Settle(plan, document, done) => self.on_settle(now, &plan, document, done),
             Event::Read(done) => self.on_read(now, done),
             Event::Cases(done) => answered(done.send(self.show_cases())),
+            Event::Limits(done) => answered(done.send(self.show_limits())),
             Event::Members(done) => answered(done.send(self.show_members())),
             Event::Pardon(digest, done) => {
                 answered(done.send(self.pardon(now, digest)));
@@ -283,7 +284,7 @@
             Some(Body::Ended(ended)) => self.on_ended(now, inbox, ended),
             Some(Body::TrialAsk(ask)) => self.on_trial_ask(now, inbox, &ask),
             Some(Body::RunDone(done)) => self.on_run_done(now, inbox, &done),
-            Some(Body::LimitsHeard(heard)) => self.on_limits(now, heard),
+            Some(Body::LimitsHeard(heard)) => self.on_limits(now, inbox, heard),
             Some(Body::EngineAnswers(answers)) => self.on_engine_answers(now, answers),
             _ => {}
         }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! One thread owns all state (`core`); HTTP and the inbox reach it over two bounded rings.
 
+mod announcements;
 mod asks;
 mod carry;
 mod cases;
@@ -24,7 +25,7 @@
 pub use self::carry::{Way, way};
 pub use self::core::start;
 pub use self::news::Lag;
-pub use self::pages::{MEMBERS, QUARANTINE, pages};
+pub use self::pages::{LIMITS, MEMBERS, QUARANTINE, pages};
 pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part};
 pub use self::ring::{Event, Inlet, Ring, ring};
 
--- a/crates/coordinator/src/pages.rs
+++ b/crates/coordinator/src/pages.rs
@@ -9,12 +9,18 @@
 /// Page of the coordinators that keep the log.
 pub const MEMBERS: &str = "/v1/members";
 
+/// Page of the backend servers that name a limit.
+pub const LIMITS: &str = "/v1/limits";
+
 /// Answers the coordinator's own pages: status and JSON text. Waits for the coordinator's thread.
 pub fn pages(ring: Ring) -> impl Fn(&str, &str, &[u8]) -> Option<(u16, String)> {
     move |method, path, _| {
         if (method, path) == ("GET", MEMBERS) {
             return Some(show(&ring, Event::Members));
         }
+        if (method, path) == ("GET", LIMITS) {
+            return Some(show(&ring, Event::Limits));
+        }
         let rest = path.strip_prefix(QUARANTINE)?;
         match (method, rest.strip_prefix('/')) {
             ("GET", None) => Some(show(&ring, Event::Cases)),
--- a/crates/coordinator/src/ring.rs
+++ b/crates/coordinator/src/ring.rs
@@ -39,6 +39,8 @@
     Cases(oneshot::Sender<String>),
     /// An operator asks who keeps the log; answered as JSON.
     Members(oneshot::Sender<String>),
+    /// An operator asks which backend servers name a limit; answered as JSON.
+    Limits(oneshot::Sender<String>),
     /// An operator vouches for a request; answered with whether anything was held against it.
     Pardon(bn_quarantine::Digest, oneshot::Sender<bool>),
     /// A caller in that failure domain asks for addresses.
@@ -56,7 +58,10 @@
     fn may_wait(&self) -> bool {
         match self {
             Event::Announce(..) | Event::Leave(..) | Event::Resolve(..) => true,
-            Event::Message(m) => matches!(m.body, Some(Body::NewsAsk(_) | Body::News(_))),
+            Event::Message(m) => matches!(
+                m.body,
+                Some(Body::NewsAsk(_) | Body::News(_) | Body::LimitsHeard(_))
+            ),
             _ => false,
         }
     }
--- a/crates/gateway/src/asked.rs
+++ b/crates/gateway/src/asked.rs
@@ -4,10 +4,12 @@
 use crate::ticket::{Ticket, text};
 use bn_backpressure::{Answer, Asked};
 use bn_platform::{asked as format, header};
+use bn_registry::Record;
 use bn_route::Server;
 use hyper::Response;
 use hyper::header::HeaderMap;
 use serde_json::json;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Takes in what the head of an answer asks for, whatever else it says; `sent` is when its request was.
@@ -40,17 +42,18 @@
         let limit = terms.map(|t| t.limit()).unwrap_or_default();
         (news, limit, terms.and_then(|t| t.gap()))
     };
-    if !news {
+    let Some(before) = news else {
         return;
-    }
+    };
     let asked = answer.asked;
+    metrics::counter!("backend_servers_asked_total").increment(1);
     shared.lines.put(
         "backend_server_asked",
         json!({
             "id": server.id, "began": server.began, "request": ticket.id, "status": status,
             "limit": asked.limit, "rest_ms": asked.rest.map(millis), "leaving": asked.leaving,
             "unread": asked.unread, "own": answer.own, "held_limit": limit.rate,
-            "turn": limit.turn, "gap_ms": gap.map(millis),
+            "turn": limit.turn, "gap_ms": gap.map(millis), "before_ms": millis(before),
         }),
     );
 }
@@ -71,6 +74,25 @@
     }
 }
 
+/// Takes in what coordinators know of a limit, from gateways that heard of it.
+pub(crate) fn learn(shared: &Shared, record: &Record, source: SocketAddr) {
+    let now = shared.now();
+    let (news, gap) = {
+        let fleet = &mut shared.state().fleet;
+        let news = fleet.learn_limit(now, &record.id, record.limit, rand::random());
+        (news, fleet.get(&record.id).and_then(|s| s.terms.gap()))
+    };
+    if news {
+        shared.lines.put(
+            "backend_server_limit",
+            json!({
+                "id": record.id, "began": record.began, "limit": record.limit.rate,
+                "turn": record.limit.turn, "gap_ms": gap.map(millis), "source": source,
+            }),
+        );
+    }
+}
+
 fn values<T>(
     headers: &HeaderMap,
     name: &'static str,
@@ -80,6 +102,6 @@
     all.map(|v| v.to_str().ok().and_then(format)).collect()
 }
 
-fn millis(time: Duration) -> u64 {
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,6 +3,7 @@
 //! Every coordinator is asked in turn, again and again; what any of them tells is taken if it is
 //! newer. A gateway that reaches none goes on with what it holds.
 
+use crate::asked;
 use crate::shared::Shared;
 use crate::sources::Sources;
 use crate::suspects::Report;
@@ -126,19 +127,15 @@
     /// Tells coordinators of limits that their registrations don't say.
     fn tell_limits(&self) {
         let now = self.shared.now();
-        let limits = self.shared.state().fleet.limits_to_tell(now);
+        let (limits, held) = {
+            let fleet = &mut self.shared.state().fleet;
+            (fleet.limits_to_tell(now), fleet.held(now))
+        };
+        metrics::gauge!("backend_servers_held").set(held as f64);
         if limits.is_empty() {
             return;
         }
-        let heard = limits.into_iter().map(|l| wire::LimitHeard {
-            start: Some(wire::ServerStart {
-                id: l.id,
-                began: l.began,
-            }),
-            rate: l.limit.rate,
-            turn: l.limit.turn,
-        });
-        let limits = heard.collect();
+        let limits = limits.into_iter().map(Into::into).collect();
         let body = Body::LimitsHeard(wire::LimitsHeard { limits });
         for inbox in self.sources.all() {
             self.net.send(inbox, body.clone());
@@ -196,7 +193,7 @@
         self.follow_choice(news.named);
         for raw in news.changed {
             match Record::try_from(raw) {
-                Ok(record) => self.register(record),
+                Ok(record) => self.register(record, inbox),
                 Err(e) => log::warn!("a registration from {inbox}: {e}"),
             }
         }
@@ -266,7 +263,8 @@
         }
     }
 
-    fn register(&mut self, record: Record) {
+    /// `source` is the coordinator that tells it.
+    fn register(&mut self, record: Record, source: SocketAddr) {
         let known = self.registered.get(&record.id);
         let Some(record) = known.map_or(Some(record.clone()), |held| record.over(held)) else {
             return;
@@ -291,13 +289,10 @@
                 server.leaving = condition == Condition::Draining;
                 server.pace = f64::from(record.pace.max(SOUND)) / f64::from(SOUND);
                 state.fleet.put(server);
-                let now = self.shared.now();
-                state
-                    .fleet
-                    .learn_limit(now, id, record.limit, rand::random());
             }
         }
         drop(state);
+        asked::learn(&self.shared, &record, source);
         if let Some(address) = record.address.filter(|_| again) {
             self.shared.pool.forget(address);
         }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -177,7 +177,7 @@
             &Share::default(),
             draw,
         );
-        if changed {
+        if changed.is_some() {
             let rest = answer.asked.rest.unwrap_or_default();
             let detail = format!("the backend server wants {} ms of rest", rest.as_millis());
             self.common.events.note("rest", detail);
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -5,9 +5,9 @@
 use bn_wire::messages as wire;
 use snafu::{OptionExt, Snafu};
 
-/// A record of the schema whose address does not parse.
+/// A record of the schema whose address or limit does not parse.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
-#[snafu(display("the registration has no usable address"))]
+#[snafu(display("the registration has no usable address or limit"))]
 pub struct Incomplete;
 
 impl From<&Record> for wire::Registration {
@@ -53,10 +53,9 @@
             group: r.group,
             pace: r.pace,
             told: r.told,
-            limit: Limit {
-                rate: r.limit,
-                turn: r.limit_turn,
-            },
+            limit: Limit::read(r.limit, r.limit_turn)
+                .ok()
+                .context(IncompleteSnafu)?,
             service: r.service,
             address,
             domain: r.domain,
--- a/crates/route/src/asked.rs
+++ b/crates/route/src/asked.rs
@@ -2,8 +2,8 @@
 //! sending, and what others are to be told of it.
 
 use crate::fleet::Fleet;
-use crate::server::{Began, Server, ServerId};
-use bn_backpressure::{Answer, Limit, Share};
+use crate::server::{Began, Server};
+use bn_backpressure::{Answer, Limit, Limited, Share};
 use std::time::Duration;
 
 /// Until coordinators tell of a limit themselves, they are told it again after this.
@@ -12,20 +12,9 @@
 /// there by then.
 const UNKNOWN: Duration = Duration::from_secs(5);
 
-/// The limit of a start of a backend server, as it is told.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Limited {
-    /// Its id.
-    pub id: ServerId,
-    /// The start.
-    pub began: Began,
-    /// What is known.
-    pub limit: Limit,
-}
-
 impl Fleet {
-    /// An answer of a start of a backend server came; `true` where it asks for something else than
-    /// the one before. What an earlier start asked for says nothing of this one.
+    /// An answer of a start of a backend server came; where it asks for something else than the one
+    /// before, how long that was asked. What an earlier start asked for says nothing of this one.
     pub fn asked(
         &mut self,
         now: Duration,
@@ -33,20 +22,18 @@
         began: Began,
         answer: &Answer,
         draw: f64,
-    ) -> bool {
+    ) -> Option<Duration> {
         let server = self.servers.get_mut(id);
-        let Some(server) = server.filter(|s| s.began == began) else {
-            return false;
-        };
+        let server = server.filter(|s| s.began == began)?;
         let before = server.terms.limit();
-        let changed = server
+        let news = server
             .terms
             .heard(now, &server.id, answer, &self.share, draw);
         server.leaving |= server.terms.is_leaving();
         if server.terms.limit() != before {
             self.untold.insert(server.id.clone(), None);
         }
-        changed
+        news
     }
 
     /// Coordinators tell of the limit of the start that is known; `true` where that is news.
@@ -114,6 +101,13 @@
         limits
     }
 
+    /// How many backend servers take no request of this gateway now, as they asked.
+    pub fn held(&self, now: Duration) -> usize {
+        let servers = self.servers.values();
+        let held = |s: &&Server| s.terms.is_leaving() || !s.terms.is_open(now);
+        servers.filter(held).count()
+    }
+
     /// When the first backend server of a service may be sent a request, where none may be now.
     pub fn held_until(&self, now: Duration, service: &str) -> Option<Duration> {
         let taking = self.servers.values();
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,7 +16,6 @@
 mod server;
 mod standing;
 
-pub use asked::Limited;
 pub use backend::{Backend, Report};
 pub use budget::Budget;
 pub use fleet::{Fleet, Lack, Want};
--- a/crates/route/tests/asked.rs
+++ b/crates/route/tests/asked.rs
@@ -33,7 +33,7 @@
     fleet.pick(now, &want, || 0.0).map(|s| s.id.clone())
 }
 
-fn ask(fleet: &mut Fleet, now: Duration, id: &str, asked: Asked) -> bool {
+fn ask(fleet: &mut Fleet, now: Duration, id: &str, asked: Asked) -> Option<Duration> {
     let answer = Answer {
         asked,
         sent: now,
@@ -114,7 +114,7 @@
     // An answer of the earlier start comes late.
     let late = ask(&mut fleet, NOW, "b0", limit(0.0));
 
-    expect_false!(late);
+    expect_that!(late, none());
     expect_that!(pick(&fleet, NOW), ok(eq("b0")));
     expect_false!(fleet.may_send(NOW, &earlier));
 }
