--- a/crates/backpressure/src/share.rs
+++ b/crates/backpressure/src/share.rs
@@ -5,8 +5,9 @@
 //! gateways that callers are sent to: nothing has to be asked for or given back. Each backend server has others.
 
 use crate::ServerId;
-use sha2::{Digest, Sha256};
-use std::net::SocketAddr;
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Fewest gateways that may send to a limited backend server, where there are so many: the loss of one
@@ -38,9 +39,14 @@
     sends.then(|| Duration::from_secs_f64(senders as f64 / rate))
 }
 
-/// Place of a gateway in an order that is the same everywhere, and another one for each backend
-/// server. Equal digests do not come up.
-fn turn(id: &ServerId, gateway: SocketAddr) -> [u8; 32] {
-    let text = format!("{id} {gateway}");
-    Sha256::digest(text.as_bytes()).into()
+/// Place of a gateway in an order that is the same everywhere, and another one for each backend server.
+fn turn(id: &ServerId, gateway: SocketAddr) -> (u64, SocketAddr) {
+    let mut hasher = SipHasher13::new();
+    hasher.write(id.as_bytes());
+    match gateway.ip() {
+        IpAddr::V4(ip) => hasher.write(&ip.octets()),
+        IpAddr::V6(ip) => hasher.write(&ip.octets()),
+    }
+    hasher.write(&gateway.port().to_be_bytes());
+    (hasher.finish(), gateway)
 }
--- a/crates/cli/tests/resting.rs
+++ b/crates/cli/tests/resting.rs
@@ -52,5 +52,6 @@
 
     let record = system.record("n1");
     let turned = record.iter().filter(|l| l.event == "turned_away").count();
-    expect_that!(turned, all![ge(1), le(1 + LATE)]);
+    expect_that!(turned, ge(1));
+    expect_that!(turned, le(1 + LATE));
 }
