The stand-in plays limits and rest for gateways, too; its answers have a file of their own

A test plays it through gateways.

The test of rest behind an agent took for granted that the first engine would be asked: requests with the same beginning stick to one of the two, and in four of five runs it was the other (0 came, at least one expected). It now asks for rest of the one that ran the first; the bound is as it was, and it fails without the mechanism (132 within the rest).

--- a/crates/cli/src/cmd/fake.rs
+++ b/crates/cli/src/cmd/fake.rs
@@ -18,7 +18,8 @@
 #[derive(clap::Args)]
 #[command(after_help = "Example:\n  \
     buckthornnotch fake --kind engine --name n1 --service notice-gen \
---listen 127.0.0.1:7501 --agent 127.0.0.1:7401")]
+--listen 127.0.0.1:7501 --agent 127.0.0.1:7401\n  \
+    curl -d 1.5 127.0.0.1:7501/fake/limit   # rest SECONDS, say-leaving, stall MS, leave, die")]
 pub(crate) struct Args {
     /// What it stands for.
     #[arg(long, value_enum, default_value = "engine")]
@@ -41,6 +42,9 @@
     /// Operators' address of its agent.
     #[arg(long)]
     agent: Option<SocketAddr>,
+    /// Where coordinators take announcements, for gateways that send it requests themselves.
+    #[arg(long)]
+    control: Option<SocketAddr>,
     /// Requests it runs at once.
     #[arg(long, default_value_t = 16)]
     capacity: u32,
@@ -79,6 +83,7 @@
         rank: args.rank,
         listen: args.listen,
         agent: args.agent,
+        control: args.control,
         capacity: args.capacity,
         step: Duration::from_millis(args.step_ms.max(1)),
         lag: Duration::from_millis(args.lag_ms),
--- a/crates/cli/tests/asking.rs
+++ b/crates/cli/tests/asking.rs
@@ -10,7 +10,8 @@
 use fleet::Fleet;
 use fleet::asking::{Answer, Arrival, Asked, Asker, ask_all, most_within};
 use googletest::prelude::*;
-use std::process::Command;
+use std::net::TcpListener;
+use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -306,3 +307,59 @@
     // Callers that were told at once asked as often as they meant to.
     expect_that!(asked.len(), ge(90));
 }
+
+/// A stand-in process, ended with the test.
+struct StandIn(Child);
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Whoever tries what is described here finds that the stand-in does not play it.
+#[googletest::test]
+fn a_stand_in_names_a_limit_and_rests_as_it_is_told() {
+    let fleet = Fleet::start(48);
+    let free = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = free.local_addr().unwrap().to_string();
+    drop(free);
+    let control = fleet.control(1).to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornnotch"));
+    let words = "fake --kind plain --name stand-in --service plain";
+    command.args(words.split(' '));
+    command.args(["--listen", &at, "--control", &control]);
+    let _stand_in = StandIn(command.stdout(Stdio::null()).spawn().unwrap());
+    let order = |order: &str, body: &str| {
+        let done = ureq::post(format!("http://{at}/fake/{order}")).send(body);
+        expect_true!(done.is_ok(), "{order}");
+    };
+    let served = |f: &Fleet| f.ask(4, "GET", "/look/1", "4-served").status() == 200;
+    fleet.wait("stand-in", served);
+
+    order("limit", "0.05");
+    fleet.wait("limit", |f| {
+        f.ask(4, "GET", "/look/1", "4-limit");
+        shown_limits(f)["backend_servers"][0]["limit"].as_f64() == Some(0.05)
+    });
+    let limited = fleet.ask(4, "GET", "/look/1", "4-limited");
+    order("limit", "");
+    order("rest", "2");
+    // Only a few requests are sent while it has named a limit; the other gateway has its own.
+    fleet.wait("rest", |f| {
+        f.ask(5, "GET", "/look/1", "5-rest");
+        f.ask(4, "GET", "/look/1", "4-rest");
+        !f.last_line("g4", "backend_server_asked")
+            .contains("\"rest_ms\":null")
+            || !f
+                .last_line("g5", "backend_server_asked")
+                .contains("\"rest_ms\":null")
+    });
+
+    expect_that!(limited.status(), eq(503));
+    expect_that!(
+        limited.text(),
+        contains_substring("take no more requests now")
+    );
+}
--- a/crates/cli/tests/resting.rs
+++ b/crates/cli/tests/resting.rs
@@ -41,7 +41,11 @@
         tokens: 4,
         deadline_ms: Some(2_000),
     };
-    let order = format!("http://{}/fake/rest", system.fake("n1"));
+    // Requests with the same beginning go to the same one while it has room.
+    send(&ask);
+    let ran = |n: &&str| system.record(n).iter().any(|l| l.event == "start");
+    let chosen = ["n1", "n2"].into_iter().find(ran).unwrap();
+    let order = format!("http://{}/fake/rest", system.fake(chosen));
     ureq::post(order).send(REST.as_secs().to_string()).unwrap();
 
     let began = Instant::now();
@@ -50,7 +54,7 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 
-    let record = system.record("n1");
+    let record = system.record(chosen);
     let turned = record.iter().filter(|l| l.event == "turned_away").count();
     expect_that!(turned, ge(1));
     expect_that!(turned, le(1 + LATE));
--- /dev/null
+++ b/crates/fake/src/handle.rs
@@ -0,0 +1,203 @@
+//! Answers of a fake, and orders to it.
+
+use crate::engine::{Job, TOKEN_BYTES};
+use crate::record::Line;
+use crate::serve::{Body, Kind, Shared};
+use bn_platform::header::NOT_RUN;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Bytes, Frame, Incoming};
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response};
+use serde::Deserialize;
+use std::convert::Infallible;
+use std::sync::atomic::Ordering;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Prompt {
+    prompt: String,
+    tokens: usize,
+}
+
+impl Default for Prompt {
+    fn default() -> Prompt {
+        Prompt {
+            prompt: String::new(),
+            tokens: 8,
+        }
+    }
+}
+
+/// Answers a request, or does as it is told.
+pub(crate) async fn handle(request: Request<Incoming>, shared: &Shared) -> Response<Body> {
+    let headers = request.headers().clone();
+    let mut response = answer(request, shared).await;
+    shared
+        .requests
+        .say(&headers, &shared.name, response.headers_mut());
+    response
+}
+
+async fn answer(request: Request<Incoming>, shared: &Shared) -> Response<Body> {
+    let path = request.uri().path().to_string();
+    let header = |name: &str| {
+        let value = request.headers().get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default().to_string()
+    };
+    let (key, attempt) = (header("idempotency-key"), header("x-attempt"));
+    let (priority, resume) = (header("x-priority"), header("x-resume-at"));
+    let body = request.into_body().collect().await;
+    let body = body.map(|b| b.to_bytes()).unwrap_or_default();
+    let body = String::from_utf8_lossy(&body).into_owned();
+    if let Some(order) = path.strip_prefix("/orders/") {
+        return shared.order(order, &body);
+    }
+    if let Some(order) = path.strip_prefix("/fake/") {
+        return whole(&command(order, &body, shared));
+    }
+    if let Some(seconds) = shared.requests.rests() {
+        return turn_away(shared, key, attempt, body, seconds);
+    }
+    if shared
+        .fatal
+        .as_deref()
+        .is_some_and(|mark| body.contains(mark))
+    {
+        return end_under(shared, key, attempt, body).await;
+    }
+    match shared.kind {
+        Kind::Plain => {
+            let line = Line {
+                event: "start".into(),
+                key,
+                attempt,
+                prompt: body.clone(),
+                step: 0,
+                map: 0,
+            };
+            shared.record.add(line);
+            whole(&serde_json::json!({ "done": true, "echo": body }).to_string())
+        }
+        Kind::Engine => {
+            let asked: Prompt = serde_json::from_str(&body).unwrap_or_default();
+            let (out, tokens) = unbounded_channel();
+            let job = Job {
+                key,
+                attempt,
+                prompt: asked.prompt,
+                tokens: asked.tokens.max(1),
+                priority: priority.parse().unwrap_or(1),
+                next: resume.parse::<usize>().unwrap_or(0) / TOKEN_BYTES,
+                prefill: 0,
+                out,
+            };
+            shared.engine().add(job);
+            let mut response = Response::new(BodyExt::boxed(StreamBody::new(Tokens(tokens))));
+            if let Ok(name) = shared.name.parse() {
+                response.headers_mut().insert("x-fake", name);
+            }
+            response
+        }
+    }
+}
+
+/// Says that it did not run it, and for how long it wants no more.
+fn turn_away(
+    shared: &Shared,
+    key: String,
+    attempt: String,
+    prompt: String,
+    seconds: u64,
+) -> Response<Body> {
+    shared.record.add(Line {
+        event: "turned_away".into(),
+        key,
+        attempt,
+        prompt,
+        step: 0,
+        map: 0,
+    });
+    let mut response = status(503, "no more for now");
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    headers.insert(HeaderName::from_static(NOT_RUN), HeaderValue::from(1));
+    response
+}
+
+/// Exit code of a fake that ended under a request.
+const FATAL: i32 = 134;
+
+async fn end_under(
+    shared: &Shared,
+    key: String,
+    attempt: String,
+    prompt: String,
+) -> Response<Body> {
+    shared.record.add(Line {
+        event: "fatal".into(),
+        key,
+        attempt,
+        prompt,
+        step: 0,
+        map: 0,
+    });
+    tokio::time::sleep(shared.step).await;
+    std::process::exit(FATAL);
+}
+
+/// Orders to the fake itself: read the record, or fail in some way.
+fn command(order: &str, body: &str, shared: &Shared) -> String {
+    match order {
+        "record" => return shared.record.json(),
+        "stall" => shared
+            .stalled_ms
+            .store(body.parse().unwrap_or(1000), Ordering::Relaxed),
+        "rest" => {
+            let seconds = body.parse().unwrap_or(3);
+            shared.requests.rest(Duration::from_secs(seconds));
+        }
+        // An empty body ends it.
+        "limit" => shared.requests.limit(body.parse().ok()),
+        "say-leaving" => shared.requests.leave(),
+        "leave" => shared.leaving.store(true, Ordering::Relaxed),
+        "return" => shared.leaving.store(false, Ordering::Relaxed),
+        "stats" => {
+            let engine = shared.engine();
+            return serde_json::json!({
+                "steps": engine.step, "hits": engine.hits, "tokens": engine.tokens(),
+            })
+            .to_string();
+        }
+        "die" => std::process::exit(9),
+        _ => return "unknown order".into(),
+    }
+    "ok".into()
+}
+
+pub(crate) fn status(code: u16, text: &str) -> Response<Body> {
+    let mut response = whole(text);
+    *response.status_mut() = hyper::StatusCode::from_u16(code).unwrap_or_default();
+    response
+}
+
+pub(crate) fn whole(text: &str) -> Response<Body> {
+    Response::new(BodyExt::boxed(Full::new(Bytes::from(text.to_string()))))
+}
+
+struct Tokens(UnboundedReceiver<String>);
+
+impl futures_core::Stream for Tokens {
+    type Item = Result<Frame<Bytes>, Infallible>;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Self::Item>> {
+        self.0
+            .poll_recv(cx)
+            .map(|t| t.map(|t| Ok(Frame::data(Bytes::from(t)))))
+    }
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -4,7 +4,10 @@
 
 mod announce;
 mod engine;
+mod handle;
 mod record;
+mod register;
+mod requests;
 mod serve;
 mod steps;
 
--- /dev/null
+++ b/crates/fake/src/register.rs
@@ -0,0 +1,39 @@
+//! Announcing the fake to a coordinator, for gateways that send it requests themselves.
+
+use crate::serve::Fake;
+use bn_backpressure::Limit;
+use bn_platform::call;
+use bn_registry::{Condition, Record};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const EVERY: Duration = Duration::from_secs(1);
+
+/// Announces until the process ends. A coordinator that is not there yet is asked again.
+pub(crate) fn run(fake: &Fake, control: SocketAddr) {
+    let began = SystemTime::now().duration_since(UNIX_EPOCH);
+    let mut record = Record {
+        id: fake.name.clone(),
+        began: began.unwrap_or_default().as_millis() as u64,
+        service: fake.service.clone(),
+        address: Some(fake.listen),
+        domain: String::new(),
+        slots: fake.capacity,
+        condition: Condition::Ready,
+        sequence: 0,
+        group: String::new(),
+        pace: 0,
+        told: 0,
+        limit: Limit::default(),
+    };
+    let url = format!("http://{control}{}", call::announcing(&fake.name));
+    loop {
+        record.sequence += 1;
+        let sent = bn_platform::announce(&record).map_err(|e| e.to_string());
+        let sent = sent.and_then(|body| ureq::put(&url).send(body).map_err(|e| e.to_string()));
+        if let Err(e) = sent {
+            log::debug!("announce: {e}");
+        }
+        std::thread::sleep(EVERY);
+    }
+}
