A limit that is named in some answers only holds

By reading: a backend server that names its limit in some of its answers, say not where it turns requests away, would be sent all that comes after each that does not, and every change would be told to all gateways. A limit now rises or ends only with an answer to a request that was sent a second after it was named last. Lines for values that change with each answer come once a second.

Test: a_limit_that_is_named_in_some_answers_holds (200 answers by turns: one word).

--- a/crates/backpressure/src/terms.rs
+++ b/crates/backpressure/src/terms.rs
@@ -10,6 +10,13 @@
 /// until now may not have heard of the change. Twice the time that gateways take to hear of it.
 const STEP_IN: Duration = Duration::from_secs(2);
 
+/// A limit rises or ends with an answer to a request that was sent so long after the last one that named it. A
+/// backend server may name it in some answers only, and by turns it would be sent what it takes and all.
+const HOLDS: Duration = Duration::from_secs(1);
+
+/// Between two tellings of values that change with each answer.
+const TELL_GAP: Duration = Duration::from_secs(1);
+
 /// A limit that rises by less than this factor stays as it is: one that is worked out anew for each answer
 /// would be told to all gateways as often.
 const RAISED: f64 = 1.25;
@@ -55,8 +62,8 @@
     /// When answers began to ask for that.
     asked_at: Duration,
     limit: Limit,
-    /// When the limit became known here.
-    since: Duration,
+    /// When the limit became known here, or was named last.
+    named: Duration,
     /// While there is a limit.
     gate: Option<Gate>,
     /// Until an answer shows that it is over.
@@ -80,10 +87,13 @@
     ) -> Option<Duration> {
         let news = self.note(now, answer.asked);
         let rate = answer.asked.limit;
+        let raised = stricter(self.limit.rate.map(|r| r * RAISED), rate);
+        if !raised {
+            self.named = now;
+        }
         // Answers overtake each other: what was asked before the word came may be older than the word.
-        let later = answer.own && answer.sent >= self.since;
-        let raised = later && stricter(self.limit.rate.map(|r| r * RAISED), rate);
-        if raised || stricter(rate, self.limit.rate) {
+        let later = answer.own && answer.sent >= self.named + HOLDS;
+        if (raised && later) || stricter(rate, self.limit.rate) {
             let turn = self.limit.turn + 1;
             self.follow(now, id, Limit { rate, turn }, share, draw);
         }
@@ -93,7 +103,9 @@
     }
 
     fn note(&mut self, now: Duration, asked: Asked) -> Option<Duration> {
-        if self.asked == asked {
+        let kinds = |a: &Asked| (a.limit.is_some(), a.rest.is_some(), a.leaving, a.unread);
+        let same = kinds(&self.asked) == kinds(&asked);
+        if self.asked == asked || (same && now < self.asked_at + TELL_GAP) {
             return None;
         }
         self.asked = asked;
@@ -138,12 +150,12 @@
 
     fn follow(&mut self, now: Duration, id: &ServerId, limit: Limit, share: &Share, draw: f64) {
         self.limit = limit;
-        self.since = now;
-        self.share(now, id, share, draw);
+        self.named = now;
+        self.reshare(now, id, share, draw);
     }
 
     /// The limit, or the list of gateways, is another one.
-    pub fn share(&mut self, now: Duration, id: &ServerId, share: &Share, draw: f64) {
+    pub fn reshare(&mut self, now: Duration, id: &ServerId, share: &Share, draw: f64) {
         let Some(rate) = self.limit.rate else {
             self.mark += u64::from(self.gate.take().is_some());
             return;
--- a/crates/backpressure/tests/limits.rs
+++ b/crates/backpressure/tests/limits.rs
@@ -163,6 +163,27 @@
     );
 }
 
+/// A backend server that names its limit in some answers only is sent all that comes between them.
+#[googletest::test]
+fn a_limit_that_is_named_in_some_answers_holds() {
+    let mut terms = Terms::default();
+    let id = "b".to_string();
+
+    for n in 0..200u64 {
+        let now = Duration::from_millis(n * 100);
+        let limit = [Some(2.0), None, Some(9.0), None][n as usize % 4];
+        terms.heard(now, &id, &world::answer(now, limit), &share(0, 3), 0.5);
+    }
+
+    expect_that!(
+        terms.limit(),
+        eq(Limit {
+            rate: Some(2.0),
+            turn: 1
+        })
+    );
+}
+
 /// Each answer makes a new word, which all gateways are told.
 #[googletest::test]
 fn a_limit_that_wavers_stays_at_its_least() {
--- a/crates/backpressure/tests/world/mod.rs
+++ b/crates/backpressure/tests/world/mod.rs
@@ -151,7 +151,7 @@
             gateway.terms.learn(now, &id, known, &gateway.share, draw);
             if gateway.share.gateways != list {
                 gateway.share.gateways.clone_from(&list);
-                gateway.terms.share(now, &id, &gateway.share, draw);
+                gateway.terms.reshare(now, &id, &gateway.share, draw);
             }
         }
     }
--- a/crates/route/src/asked.rs
+++ b/crates/route/src/asked.rs
@@ -60,7 +60,7 @@
     pub fn follow_choice(&mut self, now: Duration, share: Share, mut draw: impl FnMut() -> f64) {
         self.share = share;
         for server in self.servers.values_mut() {
-            server.terms.share(now, &server.id, &self.share, draw());
+            server.terms.reshare(now, &server.id, &self.share, draw());
         }
     }
 
