Where only other gateways send, callers are refused at once and told to come back soon

By reading the diff: a gateway that is none of the few for all limited backend servers of a service told its callers to come back in five seconds, which they can't, though another gateway may serve them at once; now it names no time of its own. One place decides whether a request waits or is refused for what lacks. A connection that was opened for a withheld request is closed: its idle time is not known any more.

Test: where_only_other_gateways_send_no_time_is_known.

--- a/crates/gateway/src/asked.rs
+++ b/crates/gateway/src/asked.rs
@@ -58,22 +58,6 @@
     );
 }
 
-/// A header that comes twice counts as what asks for more.
-fn read(status: u16, headers: &HeaderMap) -> Asked {
-    let limits = values(headers, header::LIMIT, format::limit);
-    let rests = match status {
-        503 => values(headers, header::RETRY_AFTER, format::rest),
-        _ => Vec::new(),
-    };
-    let leaving = values(headers, header::LEAVING, format::leaving);
-    Asked {
-        unread: limits.contains(&None) || rests.contains(&None) || leaving.contains(&None),
-        limit: limits.into_iter().flatten().reduce(f64::min),
-        rest: rests.into_iter().flatten().max(),
-        leaving: leaving.contains(&Some(true)),
-    }
-}
-
 /// Takes in what coordinators know of a limit, from gateways that heard of it.
 pub(crate) fn learn(shared: &Shared, record: &Record, source: SocketAddr) {
     let now = shared.now();
@@ -93,6 +77,22 @@
     }
 }
 
+/// A header that comes twice counts as what asks for more.
+fn read(status: u16, headers: &HeaderMap) -> Asked {
+    let limits = values(headers, header::LIMIT, format::limit);
+    let rests = match status {
+        503 => values(headers, header::RETRY_AFTER, format::rest),
+        _ => Vec::new(),
+    };
+    let leaving = values(headers, header::LEAVING, format::leaving);
+    Asked {
+        unread: limits.contains(&None) || rests.contains(&None) || leaving.contains(&None),
+        limit: limits.into_iter().flatten().reduce(f64::min),
+        rest: rests.into_iter().flatten().max(),
+        leaving: leaving.contains(&Some(true)),
+    }
+}
+
 fn values<T>(
     headers: &HeaderMap,
     name: &'static str,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -103,7 +103,6 @@
     // Its place was found before the waits for a word and a connection, and in that time others
     // heard what this backend server asks for.
     if !shared.state().fleet.may_send(now, &seat.server) {
-        shared.pool.keep(now, connection, None);
         return Outcome::Withheld;
     }
     let request = request(now, ticket, &seat.server, last_event);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -117,7 +117,10 @@
     }
 
     fn ask_next(&mut self) {
-        self.shared.pool.sweep(self.shared.now());
+        let now = self.shared.now();
+        self.shared.pool.sweep(now);
+        let held = self.shared.state().fleet.held(now);
+        metrics::gauge!("backend_servers_held").set(held as f64);
         self.tell_limits();
         if let Some(inbox) = self.sources.turn() {
             self.ask(inbox);
@@ -127,11 +130,7 @@
     /// Tells coordinators of limits that their registrations don't say.
     fn tell_limits(&self) {
         let now = self.shared.now();
-        let (limits, held) = {
-            let fleet = &mut self.shared.state().fleet;
-            (fleet.limits_to_tell(now), fleet.held(now))
-        };
-        metrics::gauge!("backend_servers_held").set(held as f64);
+        let limits = self.shared.state().fleet.limits_to_tell(now);
         if limits.is_empty() {
             return;
         }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -48,6 +48,8 @@
 pub(crate) const STILL: &str = "the group of backend servers stands still";
 /// Why they are refused at once where it has done so for long.
 const DOWN: &str = "the group of backend servers is down";
+/// Why they are refused where the service has no backend server.
+const NOBODY: &str = "no backend server";
 /// Why they are refused where nothing else is known to be wrong.
 pub(crate) const FULL: &str = "all backend servers are full";
 /// Why they are refused where no backend server takes a request in time, as all have asked.
@@ -62,24 +64,39 @@
     tried: &[ServerId],
 ) -> Result<Seat, Refusal> {
     let began = shared.now();
-    let lack = match try_first(shared, ticket, tried) {
-        Ok(seat) => return Ok(seat),
-        Err(lack) => lack,
-    };
-    match lack {
-        Lack::Servers => wait_for_servers(shared, ticket, tried, began).await,
-        Lack::Room => wait_in_line(shared, ticket, tried, began).await,
-        Lack::Still if outwaits(ticket, began) => wait_in_line(shared, ticket, tried, began).await,
-        // It will stand for longer than any may wait.
-        Lack::Still => Err(refusal(shared, ticket, STILL)),
-        Lack::Down => Err(refusal(shared, ticket, DOWN)),
-        Lack::Held(until) if until <= began + patience(ticket, began) => {
-            wait_in_line(shared, ticket, tried, began).await
-        }
-        Lack::Held(_) => Err(refusal(shared, ticket, HELD)),
+    match try_first(shared, ticket, tried) {
+        Ok(seat) => Ok(seat),
+        Err(Lack::Servers) => wait_for_servers(shared, ticket, tried, began).await,
+        Err(lack) => wait_or_refuse(shared, ticket, tried, began, lack).await,
     }
 }
 
+/// Waits for a backend server that is there, unless it is known that there is no use in it.
+async fn wait_or_refuse(
+    shared: &Shared,
+    ticket: &Ticket,
+    tried: &[ServerId],
+    began: Duration,
+    lack: Lack,
+) -> Result<Seat, Refusal> {
+    let until = began + patience(ticket, began);
+    let reason = match lack {
+        Lack::Room => return wait_in_line(shared, ticket, tried, began).await,
+        Lack::Held(Some(open_at)) if open_at <= until => {
+            return wait_in_line(shared, ticket, tried, began).await;
+        }
+        Lack::Still if outwaits(ticket, began) => {
+            return wait_in_line(shared, ticket, tried, began).await;
+        }
+        // It will stand for longer than any may wait.
+        Lack::Still => STILL,
+        Lack::Down => DOWN,
+        Lack::Held(_) => HELD,
+        Lack::Servers => NOBODY,
+    };
+    Err(refusal(shared, ticket, reason))
+}
+
 /// A place at once, unless others wait for one that do not go behind this request.
 fn try_first(shared: &Shared, ticket: &Ticket, tried: &[ServerId]) -> Result<Seat, Lack> {
     let now = shared.now();
@@ -159,18 +176,8 @@
         pause(shared).await;
         match try_first(shared, ticket, tried) {
             Ok(seat) => return Ok(seat),
-            Err(Lack::Room | Lack::Held(_)) => {
-                return wait_in_line(shared, ticket, tried, began).await;
-            }
-            Err(Lack::Still) if outwaits(ticket, began) => {
-                return wait_in_line(shared, ticket, tried, began).await;
-            }
-            Err(Lack::Still) => return Err(refusal(shared, ticket, STILL)),
-            Err(Lack::Down) => return Err(refusal(shared, ticket, DOWN)),
-            Err(Lack::Servers) if shared.now() >= until => {
-                return Err(refusal(shared, ticket, "no backend server"));
-            }
-            Err(Lack::Servers) => {}
+            Err(Lack::Servers) if shared.now() < until => {}
+            Err(lack) => return wait_or_refuse(shared, ticket, tried, began, lack).await,
         }
     }
 }
@@ -220,11 +227,8 @@
             return Err(refusal(shared, ticket, DOWN));
         }
         if shared.now() >= until {
-            let held = shared
-                .state()
-                .fleet
-                .held_until(shared.now(), &ticket.service);
-            let reason = if held.is_some() { HELD } else { FULL };
+            let held = shared.state().fleet.is_held(shared.now(), &ticket.service);
+            let reason = if held { HELD } else { FULL };
             return Err(refusal(shared, ticket, reason));
         }
     }
@@ -294,17 +298,17 @@
 pub(crate) fn back_after(shared: &Shared, ticket: &Ticket) -> Duration {
     let now = shared.now();
     let left = ticket.left(now);
-    let (still, held) = {
+    let (still, open_at) = {
         let fleet = &shared.state().fleet;
-        (
-            fleet.is_still(&ticket.service),
-            fleet.held_until(now, &ticket.service),
-        )
+        let held = fleet.is_held(now, &ticket.service);
+        let open_at = fleet.open_at(&ticket.service).filter(|_| held);
+        (fleet.is_still(&ticket.service), open_at)
     };
     if still {
         return latest_back(left);
     }
-    let free = held.unwrap_or_default().saturating_sub(now);
+    // Other gateways may serve it at once where only they send.
+    let free = open_at.unwrap_or_default().saturating_sub(now);
     let after = free.max(BACK_AFTER) + BACK_SPREAD.mul_f64(rand::random());
     let latest = latest_back(left);
     // Who is back at the latest time waits for the rest of it in line. Before a later end
--- a/crates/route/src/asked.rs
+++ b/crates/route/src/asked.rs
@@ -8,9 +8,6 @@
 
 /// Until coordinators tell of a limit themselves, they are told it again after this.
 const TELL_AGAIN: Duration = Duration::from_secs(1);
-/// Where no time is known at which one may be sent a request again, others of this gateway's may be
-/// there by then.
-const UNKNOWN: Duration = Duration::from_secs(5);
 
 impl Fleet {
     /// An answer of a start of a backend server came; where it asks for something else than the one
@@ -108,18 +105,20 @@
         servers.filter(held).count()
     }
 
-    /// When the first backend server of a service may be sent a request, where none may be now.
-    pub fn held_until(&self, now: Duration, service: &str) -> Option<Duration> {
-        let taking = self.servers.values();
-        let taking = taking.filter(|s| s.service == service && !s.leaving);
-        let taking: Vec<&Server> = taking.collect();
-        let held = !taking.is_empty() && taking.iter().all(|s| !s.terms.is_open(now));
-        held.then(|| earliest(now, &taking))
+    /// Whether all of a service take no request of this gateway now, as they asked.
+    pub fn is_held(&self, now: Duration, service: &str) -> bool {
+        let mut taking = self.taking(service).peekable();
+        taking.peek().is_some() && taking.all(|s| !s.terms.is_open(now))
+    }
+
+    /// When the first backend server of a service may be sent a request; none where others send to all
+    /// of them.
+    pub fn open_at(&self, service: &str) -> Option<Duration> {
+        self.taking(service).filter_map(|s| s.terms.open_at()).min()
     }
-}
 
-/// When the first of these may be sent a request.
-pub(crate) fn earliest(now: Duration, servers: &[&Server]) -> Duration {
-    let known = servers.iter().filter_map(|s| s.terms.open_at());
-    known.min().unwrap_or(now + UNKNOWN)
+    fn taking(&self, service: &str) -> impl Iterator<Item = &Server> {
+        let servers = self.servers.values();
+        servers.filter(move |s| s.service == service && !s.leaving)
+    }
 }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -1,7 +1,6 @@
 //! All backend servers of a gateway that sends requests to them itself, and which of them a
 //! request goes to.
 
-use crate::asked::earliest;
 use crate::server::{Began, Server, ServerId, Told, Unit, quick_enough};
 use bn_backpressure::Share;
 use indexmap::{IndexMap, IndexSet};
@@ -46,8 +45,9 @@
     Still,
     /// The same for so long that there is no use in waiting for it.
     Down,
-    /// All take no request of this gateway before then, as they asked.
-    Held(Duration),
+    /// All take no request of this gateway before then, as they asked; none where other gateways send
+    /// to them.
+    Held(Option<Duration>),
 }
 
 /// A group that stands still.
@@ -144,10 +144,10 @@
         }
         // One that takes few requests, or turns them away at once, has the least load of all, and would be
         // chosen for each: only its word keeps them away.
-        let held = earliest(now, &open);
+        let open_at = open.iter().filter_map(|s| s.terms.open_at()).min();
         let open: Vec<&Server> = open.into_iter().filter(|s| s.terms.is_open(now)).collect();
         if open.is_empty() {
-            return Err(Lack::Held(held));
+            return Err(Lack::Held(open_at));
         }
         let open = surer(open, want.tried);
         if open.iter().all(|s| s.standing.out(now)) {
--- a/crates/route/tests/asked.rs
+++ b/crates/route/tests/asked.rs
@@ -79,10 +79,28 @@
 
     let next = NOW + Duration::from_secs(2);
 
-    expect_that!(pick(&fleet, NOW), err(eq(&Lack::Held(next))));
-    expect_that!(fleet.held_until(NOW, "s"), some(eq(next)));
+    expect_that!(pick(&fleet, NOW), err(eq(&Lack::Held(Some(next)))));
+    expect_that!(fleet.open_at("s"), some(eq(next)));
+    expect_true!(fleet.is_held(NOW, "s"));
     expect_that!(pick(&fleet, next), ok(eq("b0")));
-    expect_that!(fleet.held_until(next, "s"), none());
+    expect_false!(fleet.is_held(next, "s"));
+}
+
+/// Callers wait, or are kept away for seconds, though another gateway would serve them at once.
+#[googletest::test]
+fn where_only_other_gateways_send_no_time_is_known() {
+    let mut fleet = fleet(1);
+    ask(&mut fleet, NOW, "b0", limit(1.0));
+    let others = Share {
+        own: Some(([10, 1, 0, 1], 80).into()),
+        gateways: vec![([10, 1, 0, 2], 80).into()],
+    };
+
+    fleet.follow_choice(NOW, others, || 0.0);
+
+    expect_that!(pick(&fleet, NOW), err(eq(&Lack::Held(None))));
+    expect_true!(fleet.is_held(NOW, "s"));
+    expect_that!(fleet.open_at("s"), none());
 }
 
 /// A request that waited for a connection goes to a backend server that has named a limit since.
