Who may go nowhere else does not find out whether a rest is over

By reading: the first request after a rest may be turned away; one whose route allows a single try was then refused, beside backend servers that would take it. Requests that were turned away before were spared, these were not. Now whoever may go to no other one after this is.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -129,6 +129,7 @@
     let want = Want {
         service: &ticket.service,
         tried,
+        last: tried.len() + 1 >= ticket.route.attempts as usize,
         room: &room,
     };
     let picked = state.fleet.pick(now, &want, rand::random::<f64>);
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -30,6 +30,8 @@
     pub service: &'a str,
     /// Backend servers it was sent to already.
     pub tried: &'a [ServerId],
+    /// It may go to no other one where this one turns it away.
+    pub last: bool,
     /// Load over slots up to which a backend server of a unit is taken.
     pub room: &'a dyn Fn(&str) -> f64,
 }
@@ -149,7 +151,10 @@
         if open.is_empty() {
             return Err(Lack::Held(open_at));
         }
-        let open = surer(open, want.tried);
+        let open = match want.last {
+            true => surer(open),
+            false => open,
+        };
         if open.iter().all(|s| s.standing.out(now)) {
             let first = open.into_iter().min_by_key(|s| s.standing.back_at());
             return first.ok_or(Lack::Servers);
@@ -344,12 +349,12 @@
     }
 }
 
-/// For a request that was turned away before, without those that may do the same: each one that had
-/// asked for rest is tried by a request that may still go elsewhere.
-fn surer<'a>(open: Vec<&'a Server>, tried: &[ServerId]) -> Vec<&'a Server> {
+/// Without those that may turn a request away, where there are others: whether one that had asked for
+/// rest takes more is found out by requests that may still go elsewhere.
+fn surer(open: Vec<&Server>) -> Vec<&Server> {
     let sure = |s: &&Server| !s.terms.is_resting();
-    if tried.is_empty() || !open.iter().any(sure) {
-        return open;
+    match open.iter().any(sure) {
+        true => open.into_iter().filter(sure).collect(),
+        false => open,
     }
-    open.into_iter().filter(sure).collect()
 }
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -22,6 +22,7 @@
     Want {
         service: "s",
         tried,
+        last: false,
         room: &|_| 1.0,
     }
 }
