--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -311,7 +311,7 @@
     // Other gateways may serve it at once where only they send.
     let free = open_at.unwrap_or_default().saturating_sub(now);
     let after = free.max(BACK_AFTER) + BACK_SPREAD.mul_f64(rand::random());
-    let latest = latest_back(left);
+    let latest = left.mul_f64(BACK_PART);
     // Who is back at the latest time waits for the rest of it in line. Before a later end
     // nobody should come back.
     let waits = LATE_WAIT.min(left.saturating_sub(latest) / 3);
