--- a/crates/cli/tests/asking.rs
+++ b/crates/cli/tests/asking.rs
@@ -363,3 +363,33 @@
         contains_substring("take no more requests now")
     );
 }
+
+/// A slip of a backend server takes it out of service, or the milder of two words holds.
+#[googletest::test]
+fn what_cannot_be_read_counts_as_not_said_and_of_two_words_the_stricter_holds() {
+    let fleet = Fleet::start(49);
+    let says = |id: &str, more: &'static str| Asker::start(id, |_| ("200 OK", more.into()));
+    let garbage = "server-limit: -1\r\nserver-leaving: perhaps\r\nretry-after: 100\r\n";
+    let garbled = says("garbled", garbage);
+    let double = says("double", "server-limit: 50\r\nserver-limit: 0.05\r\n");
+    fleet.announce(&garbled.backend, "engines", "ready", 1);
+    fleet.announce(&double.backend, "plain", "ready", 1);
+    let ask = |path, method| {
+        let gap = Duration::from_millis(20);
+        ask_all(&fleet, &[4], (method, path), gap, Duration::from_secs(1))
+    };
+
+    let drafts = ask("/draft/1", "POST");
+    let line = fleet.last_line("g4", "backend_server_asked");
+    ask("/look/1", "GET");
+
+    let served = drafts.iter().filter(|a| a.answer.status() == 200).count();
+    expect_that!(served, eq(drafts.len()));
+    expect_that!(line, contains_substring("\"unread\":true"));
+    expect_that!(line, contains_substring("\"rest_ms\":null"));
+    expect_that!(
+        shown_limits(&fleet)["backend_servers"][0]["limit"].as_f64(),
+        some(eq(0.05))
+    );
+    expect_that!(double.arrivals().len(), le(3));
+}
