Counts of messages and bytes by kind and role of the peer, in a line each ten seconds and on the metrics page

What a process exchanges with which role could not be seen: the counters had the kind alone, of what was sent alone, and nobody wrote lines of usage. Each message now says the role of its sender (2 bytes), each process counts what it sent, could not send, received and had no room for, by kind and role of the peer, and writes all of it every 10 s with its processor time, memory, links and the length of its queues. One lock and one look-up a message in place of a counter with a label.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -10,13 +10,13 @@
 use bn_conf::{Coordinator as Conf, Settings};
 use bn_directory::Directory;
 use bn_engine::Calls;
-use bn_net::Net;
+use bn_net::{Net, Usage};
 use bn_quorum::{Entry, Message, Output, Payload, Quorum, Role, Setup, Timing, Upkeep};
 use bn_registry::Registry;
 use bn_store::{Disk, Store};
 use bn_trace::Lines;
-use bn_wire::messages::Envelope;
 use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{Envelope, Role as ProcessRole};
 use indexmap::IndexSet;
 use serde_json::json;
 use snafu::ResultExt;
@@ -65,6 +65,7 @@
     pub(crate) calls: Calls,
     pub(crate) relays: relays::Relays,
     pub(crate) ring: Ring,
+    usage: Usage,
     role: Role,
     /// It knew all that was settled when that was last looked at.
     pub(crate) current: bool,
@@ -83,7 +84,13 @@
     let sink = ring.clone();
     let id = settings.inbox.ip().to_string();
     let put = move |e| sink.put(Event::Message(Box::new(e)));
-    let net = Net::begin(&id, settings.inbox, settings.listen, put)?;
+    let net = Net::begin(
+        ProcessRole::Coordinator,
+        &id,
+        settings.inbox,
+        settings.listen,
+        put,
+    )?;
     let opening = Opening {
         inbox: settings.inbox,
         start: Instant::now(),
@@ -169,6 +176,7 @@
             calls: opening.calls.clone(),
             relays: Default::default(),
             ring: opening.ring.clone(),
+            usage: Usage::default(),
         })
     }
 
@@ -209,6 +217,8 @@
             self.tell_changes(now);
             self.steer_groups(now);
             self.flush()?;
+            self.usage
+                .note(now, &self.net, &self.lines, || inlet.waiting());
         }
     }
 
--- a/crates/coordinator/src/ring.rs
+++ b/crates/coordinator/src/ring.rs
@@ -11,6 +11,8 @@
 use bn_wire::messages::Envelope;
 use bn_wire::messages::envelope::Body;
 use crossbeam::channel::{Receiver, Select, Sender, bounded};
+use serde_json::{Value, json};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -78,6 +80,8 @@
 pub struct Inlet {
     first: Receiver<Event>,
     rest: Receiver<Event>,
+    /// Most events that waited on each.
+    longest: Cell<(usize, usize)>,
 }
 
 /// Both ends.
@@ -87,6 +91,7 @@
     let inlet = Inlet {
         first: first_out,
         rest: rest_out,
+        longest: Cell::default(),
     };
     (Ring { first, rest }, inlet)
 }
@@ -114,6 +119,9 @@
         either.recv(&self.rest);
         // Either way the caller looks at both.
         let _ = either.ready_timeout(most);
+        let (first, rest) = self.longest.get();
+        let longest = (first.max(self.first.len()), rest.max(self.rest.len()));
+        self.longest.set(longest);
     }
 
     /// The next event that must not wait.
@@ -126,6 +134,15 @@
         self.rest.try_recv().ok()
     }
 
+    /// How much waits, and how much did at the most since this was asked last.
+    pub(crate) fn waiting(&self) -> Value {
+        let longest = self.longest.take();
+        json!({
+            "first": self.first.len(), "rest": self.rest.len(),
+            "first_longest": longest.0, "rest_longest": longest.1,
+        })
+    }
+
     /// Drops all that waits; whether a stop was among it.
     pub(crate) fn drain(&self) -> bool {
         let waiting = self.first.try_iter().chain(self.rest.try_iter());
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -10,12 +10,14 @@
 use crate::places::unpack_places;
 use crate::{Result, RuntimeSnafu};
 use bn_conf::{Relay as Conf, Settings};
-use bn_net::Net;
+use bn_net::{Net, Usage};
 use bn_platform::engine::{self, Operation, RankedMap};
 use bn_serve::client::Pool;
 use bn_trace::Lines;
 use bn_wire::messages::envelope::Body;
-use bn_wire::messages::{EngineAnswer, EngineAnswers, EngineAsk, EngineAsks, EngineView, Envelope};
+use bn_wire::messages::{
+    EngineAnswer, EngineAnswers, EngineAsk, EngineAsks, EngineView, Envelope, Role,
+};
 use serde_json::json;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -61,7 +63,13 @@
 pub fn start(settings: &Settings, conf: &Conf, lines: Lines) -> Result<Handle> {
     let (sink, inbox) = mpsc::channel(RING);
     let put = move |envelope| sink.try_send(envelope).is_ok();
-    let net = Net::begin(&settings.id, settings.inbox, settings.listen, put)?;
+    let net = Net::begin(
+        Role::Relay,
+        &settings.id,
+        settings.inbox,
+        settings.listen,
+        put,
+    )?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -107,11 +115,14 @@
         mut inbox: mpsc::Receiver<Envelope>,
         mut stopped: watch::Receiver<bool>,
     ) {
+        let mut usage = Usage::default();
         loop {
             let envelope = tokio::select! {
                 Some(envelope) = inbox.recv() => envelope,
                 _ = stopped.wait_for(|s| *s) => return,
             };
+            let queues = || json!({ "inbox": inbox.len() });
+            usage.note(self.start.elapsed(), &self.net, &self.lines, queues);
             let Ok(asker) = envelope.inbox.parse::<SocketAddr>() else {
                 continue;
             };
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -9,7 +9,7 @@
 use crate::suspects::Report;
 use bn_backpressure::Share;
 use bn_directory::{Named, NamedGateway};
-use bn_net::Net;
+use bn_net::{Net, Usage};
 use bn_quarantine::{Digest, Told};
 use bn_registry::{Condition, Record};
 use bn_route::Server;
@@ -62,6 +62,9 @@
     told_ready: bool,
     registered: IndexMap<String, Record>,
     rate: Rate,
+    usage: Usage,
+    /// Most messages that waited since the last line of usage.
+    longest: usize,
     /// Suspects that wait for the leader's word, by call.
     pub(crate) asked: IndexMap<u64, (Digest, oneshot::Sender<bool>)>,
     pub(crate) calls: u64,
@@ -84,6 +87,8 @@
             told_ready: false,
             registered: IndexMap::new(),
             rate: Rate::default(),
+            usage: Usage::default(),
+            longest: 0,
             asked: IndexMap::new(),
             calls: 0,
         }
@@ -100,10 +105,14 @@
         let mut due = std::pin::pin!(due);
         loop {
             tokio::select! {
-                Some(message) = inbox.recv() => self.take(message),
+                Some(message) = inbox.recv() => {
+                    self.longest = self.longest.max(inbox.len() + 1);
+                    self.take(message);
+                }
                 Some(report) = reports.recv() => self.report(report),
                 () = due.as_mut() => {
                     self.ask_next();
+                    self.note_usage(inbox.len());
                     due.as_mut().reset(tokio::time::Instant::now() + self.sources.gap());
                 }
                 // A gateway that stops is told at once, so that no caller is sent here.
@@ -116,6 +125,13 @@
         }
     }
 
+    fn note_usage(&mut self, waiting: usize) {
+        let longest = &mut self.longest;
+        let queues = || json!({ "inbox": waiting, "inbox_longest": std::mem::take(longest) });
+        let now = self.shared.now();
+        self.usage.note(now, &self.net, &self.shared.lines, queues);
+    }
+
     fn ask_next(&mut self) {
         let now = self.shared.now();
         self.shared.pool.sweep(now);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -8,6 +8,7 @@
 use bn_route::Allowance;
 use bn_serve::{Body, Bounds};
 use bn_trace::Lines;
+use bn_wire::messages::Role;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use serde_json::json;
@@ -69,7 +70,13 @@
     let shared = Shared::new(&settings.domain, allowance, lines, reports);
     let (sink, inbox) = mpsc::channel(RING);
     let put = move |envelope| sink.try_send(envelope).is_ok();
-    let net = Net::begin(&settings.id, settings.inbox, settings.listen, put)?;
+    let net = Net::begin(
+        Role::Gateway,
+        &settings.id,
+        settings.inbox,
+        settings.listen,
+        put,
+    )?;
     let port = settings.inbox.port();
     let seeds = conf.seeds.iter().map(|s| SocketAddr::new(s.ip(), port));
     let link = Link::new(
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,8 +3,10 @@
 //! messages make it harmless. Nothing here resends.
 
 mod link;
+mod traffic;
+mod usage;
 
-use bn_wire::messages::{Envelope, envelope::Body};
+use bn_wire::messages::{Envelope, Role, envelope::Body};
 use link::Link;
 use nng::options::protocol::pubsub::Subscribe;
 use nng::options::{Options, RecvBufferSize, RecvMaxSize};
@@ -13,8 +15,12 @@
 use snafu::{ResultExt, Snafu};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread;
+use traffic::Traffic;
+
+pub use traffic::{Flow, Tally, Way};
+pub use usage::Usage;
 
 /// Messages that wait for the inbox's thread; beyond them the oldest are lost.
 const INBOX_MESSAGES: i32 = 1024;
@@ -45,7 +51,9 @@
     id: String,
     incarnation: u64,
     inbox: String,
+    role: Role,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    traffic: Mutex<Traffic>,
 }
 
 impl Net {
@@ -57,39 +65,52 @@
         inbox: SocketAddr,
         listen: SocketAddr,
         sink: impl Fn(Envelope) + Send + 'static,
+    ) -> Result<Net> {
+        let put = move |envelope| {
+            sink(envelope);
+            true
+        };
+        Net::start(Role::Node, (id, incarnation), inbox, listen, put)
+    }
+
+    /// Opens the inbox of a process that begins now: `put` takes each message into a bounded
+    /// ring, or says that it is full. What is lost there is counted, as loss on a link is.
+    pub fn begin(
+        role: Role,
+        id: &str,
+        inbox: SocketAddr,
+        listen: SocketAddr,
+        put: impl Fn(Envelope) -> bool + Send + 'static,
+    ) -> Result<Net> {
+        let incarnation = rand::random::<u64>() | 1;
+        Net::start(role, (id, incarnation), inbox, listen, put)
+    }
+
+    fn start(
+        role: Role,
+        (id, incarnation): (&str, u64),
+        inbox: SocketAddr,
+        listen: SocketAddr,
+        put: impl Fn(Envelope) -> bool + Send + 'static,
     ) -> Result<Net> {
         let socket = open(listen).context(OpenSnafu { address: listen })?;
         let inner = Arc::new(Inner {
             id: id.into(),
             incarnation,
             inbox: inbox.to_string(),
+            role,
             links: Mutex::default(),
+            traffic: Mutex::default(),
         });
         // Weak: the inbox's thread must not keep links open that nobody uses any more.
         let starts = Starts {
             known: HashMap::new(),
             inner: Arc::downgrade(&inner),
         };
-        thread::spawn(move || receive(&socket, starts, sink));
+        thread::spawn(move || receive(&socket, starts, put));
         Ok(Net(inner))
     }
 
-    /// Opens the inbox of a process that begins now: `put` takes each message into a bounded
-    /// ring, or says that it is full. What is lost there is counted, as loss on a link is.
-    pub fn begin(
-        id: &str,
-        inbox: SocketAddr,
-        listen: SocketAddr,
-        put: impl Fn(Envelope) -> bool + Send + 'static,
-    ) -> Result<Net> {
-        let incarnation = rand::random::<u64>() | 1;
-        Net::open(id, incarnation, inbox, listen, move |envelope| {
-            if !put(envelope) {
-                metrics::counter!("ring_lost_total").increment(1);
-            }
-        })
-    }
-
     /// Random number of this start of the process.
     pub fn incarnation(&self) -> u64 {
         self.0.incarnation
@@ -103,31 +124,42 @@
             from: self.0.id.clone(),
             incarnation: self.0.incarnation,
             inbox: self.0.inbox.clone(),
+            role: self.0.role.into(),
             body: Some(body),
         };
         let bytes = envelope.encode_to_vec();
+        let length = bytes.len();
         metrics::counter!("link_messages").increment(1);
-        let length = bytes.len() as u64;
-        metrics::counter!("link_bytes").increment(length);
-        metrics::counter!("link_kind_bytes", "kind" => kind).increment(length);
+        metrics::counter!("link_bytes").increment(length as u64);
         let sent = self.link(to).is_some_and(|l| l.send(bytes));
         if !sent {
             metrics::counter!("link_refused").increment(1);
         }
+        let way = if sent { Way::Sent } else { Way::Refused };
+        self.0.counts().sent(way, kind, to, length);
         sent
     }
 
+    /// Messages and bytes exchanged since the start of the process.
+    pub fn traffic(&self) -> Vec<(Flow, Tally)> {
+        self.0.counts().tallies()
+    }
+
+    /// Peers that there is a link to.
+    pub fn links(&self) -> usize {
+        self.0.links().len()
+    }
+
     /// Closes the link to a peer that is gone. What waited on it is dropped, so
     /// that a peer that comes back is not handed minutes-old messages.
     pub fn forget(&self, peer: SocketAddr) {
-        let mut links = self.0.links.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(link) = links.remove(&peer) {
+        if let Some(link) = self.0.links().remove(&peer) {
             link.close();
         }
     }
 
     fn link(&self, to: SocketAddr) -> Option<Arc<Link>> {
-        let mut links = self.0.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut links = self.0.links();
         if let Some(link) = links.get(&to) {
             return Some(link.clone());
         }
@@ -138,6 +170,16 @@
     }
 }
 
+impl Inner {
+    fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Link>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn counts(&self) -> MutexGuard<'_, Traffic> {
+        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Name of a message's kind, for counters.
 fn kind(body: &Body) -> &'static str {
     match body {
@@ -196,23 +238,36 @@
 
 impl Starts {
     fn note(&mut self, envelope: &Envelope) {
-        match self.known.get_mut(&envelope.inbox) {
-            Some(known) if *known == envelope.incarnation => return,
+        let known = self.known.get_mut(&envelope.inbox);
+        let earlier = known.as_ref().map(|k| **k);
+        if earlier == Some(envelope.incarnation) {
+            return;
+        }
+        match known {
             Some(known) => *known = envelope.incarnation,
             None => {
-                let first = envelope.incarnation;
-                self.known.insert(envelope.inbox.clone(), first);
-                return;
+                let inbox = envelope.inbox.clone();
+                self.known.insert(inbox, envelope.incarnation);
             }
         }
-        if let (Some(inner), Ok(peer)) = (self.inner.upgrade(), envelope.inbox.parse()) {
+        let (Some(inner), Ok(peer)) = (self.inner.upgrade(), envelope.inbox.parse()) else {
+            return;
+        };
+        inner.counts().know(peer, envelope.role());
+        if earlier.is_some() {
             metrics::counter!("links_of_earlier_starts").increment(1);
             Net(inner).forget(peer);
         }
     }
+
+    fn count(&self, way: Way, kind: &'static str, from: Role, bytes: usize) {
+        if let Some(inner) = self.inner.upgrade() {
+            inner.counts().received(way, kind, from, bytes);
+        }
+    }
 }
 
-fn receive(socket: &Socket, mut starts: Starts, sink: impl Fn(Envelope)) {
+fn receive(socket: &Socket, mut starts: Starts, put: impl Fn(Envelope) -> bool) {
     loop {
         let bytes = match socket.recv() {
             Ok(bytes) => bytes,
@@ -223,7 +278,13 @@
             Ok(envelope) => {
                 metrics::counter!("link_received_bytes").increment(bytes.len() as u64);
                 starts.note(&envelope);
-                sink(envelope);
+                let (kind, from) = (envelope.body.as_ref().map_or("none", kind), envelope.role());
+                let taken = put(envelope);
+                if !taken {
+                    metrics::counter!("ring_lost_total").increment(1);
+                }
+                let way = if taken { Way::Received } else { Way::Lost };
+                starts.count(way, kind, from, bytes.len());
             }
             Err(_) => metrics::counter!("link_undecodable").increment(1),
         }
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -11,6 +11,9 @@
     /// address of the sender's inbox, "ip:port"
     #[prost(string, tag = "3")]
     pub inbox: ::prost::alloc::string::String,
+    /// of the sender
+    #[prost(enumeration = "Role", tag = "4")]
+    pub role: i32,
     #[prost(
         oneof = "envelope::Body",
         tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 70, 71, 80, 81, 82, 83, 90"
@@ -1172,3 +1175,37 @@
     #[prost(string, tag = "2")]
     pub inbox: ::prost::alloc::string::String,
 }
+/// What a process does; others count what they exchange with it by this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Role {
+    /// entry, agent or control
+    Node = 0,
+    Gateway = 1,
+    Coordinator = 2,
+    Relay = 3,
+}
+impl Role {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Node => "ROLE_NODE",
+            Self::Gateway => "ROLE_GATEWAY",
+            Self::Coordinator => "ROLE_COORDINATOR",
+            Self::Relay => "ROLE_RELAY",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ROLE_NODE" => Some(Self::Node),
+            "ROLE_GATEWAY" => Some(Self::Gateway),
+            "ROLE_COORDINATOR" => Some(Self::Coordinator),
+            "ROLE_RELAY" => Some(Self::Relay),
+            _ => None,
+        }
+    }
+}
