Expert maps follow a mean of demand that begins anew when it moves, judged on the ranks it was not made from

Cause: the estimate was four fifths the newest look, a few dozen prompts a group, and a map was judged on the very counts that it was searched on.

Change: counts are kept in eight parts of the ranks, whose scatter tells the error of their mean. Looks that are farther from the mean than twice their error add up, as in a cumulative sum; past 12 demand has moved, and the mean is that of the looks since. A map is searched on one half of the ranks and judged on the other. A search is made again where it may find more: after a switch, and with twice the looks.

--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod balance;
 mod coordinator;
+mod demand;
 mod map;
 mod muster;
 pub mod pilot;
@@ -12,6 +13,7 @@
 
 pub use balance::{Costs, Estimate, Plan, plan, repack, skew, step_cost};
 pub use coordinator::{Action, Coordinator, Settled};
+pub use demand::{Demand, Loads};
 pub use map::{ExpertMap, MapFault};
 pub use muster::{GroupName, Muster};
 pub use rank::{Order, OrderKind, OrderRefusal, Rank, RankReport};
--- a/crates/group/src/pilot/mod.rs
+++ b/crates/group/src/pilot/mod.rs
@@ -28,6 +28,7 @@
 pub use model::{Ask, Call, Command, EngineId, Note, Pass, Reply, Shape, View};
 
 use crate::Version;
+use crate::demand::Demand;
 use crate::map::ExpertMap;
 use indexmap::IndexMap;
 use std::sync::Arc;
@@ -170,11 +171,12 @@
     /// The map in use, where its content is known, with its version.
     map: Option<(Version, Arc<ExpertMap>)>,
     counted: IndexMap<EngineId, Vec<u64>>,
-    /// Counts of fresh looks that are not judged yet.
-    lately: Vec<u64>,
-    loads: Vec<Vec<f64>>,
+    /// What is asked of each expert.
+    demand: Demand,
     /// Lag of the map that the last search found.
     reached: f64,
+    /// Looks that it knew of.
+    searched: f64,
     switch: Switch,
     notes: Vec<Note>,
     /// Paces as they were told, in steps, and those that are not told yet.
@@ -206,9 +208,9 @@
             epoch: 0,
             map: None,
             counted: IndexMap::new(),
-            lately: Vec::new(),
-            loads: Vec::new(),
+            demand: Demand::new(),
             reached: 1.0,
+            searched: 0.0,
             switch: Switch::default(),
             notes: Vec::new(),
             paced: IndexMap::new(),
--- a/crates/group/src/pilot/planning.rs
+++ b/crates/group/src/pilot/planning.rs
@@ -3,7 +3,7 @@
 use super::rounds::views;
 use super::{
     AHEAD, Call, Command, EngineId, FRESH_AHEAD, FURTHEST, LONGEST_PASS, Note, PER_TERM, Pass,
-    Phase, Pilot, Reply, SHORTEST_PASS, Shape, Switch,
+    Phase, Pilot, Reply, SHORTEST_PASS, Switch,
 };
 use crate::map::ExpertMap;
 use crate::spread::{Limits, lag, spread};
@@ -17,8 +17,6 @@
 const REPORT_AGE: Duration = Duration::from_millis(220);
 /// Copies that take longer than this are given up; nothing is armed yet then.
 const COPY_WITHIN: Duration = Duration::from_secs(6);
-/// Weight of the newest counts in the estimate of loads.
-const ALPHA: f64 = 0.8;
 /// Time that a rank may take to copy for one switch. Until it is done nothing gets better,
 /// and passes take 15 in 100 longer.
 const COPY_TIME: Duration = Duration::from_millis(120);
@@ -27,66 +25,58 @@
 const GAIN: f64 = 0.1;
 /// Lag above what the search found last up to which it is not made again.
 const AS_GOOD: f64 = 0.04;
+/// Looks more, in times those that the last search knew of, with which it is made again: the error of
+/// the mean is smaller by three tenths then.
+const SURER: f64 = 2.0;
 /// A new map must lower the busiest rank by this part of the mean.
 const LEAST_GAIN: f64 = 0.12;
 /// Tokens counted in a window below which nothing is concluded.
-pub(super) const FEWEST: u64 = 2_000;
+const FEWEST: u64 = 2_000;
 
 impl Pilot {
     pub(super) fn counted(&mut self, now: Duration, back: &IndexMap<EngineId, Reply>) -> Vec<Call> {
-        let Some(fresh) = self.take_counts(back) else {
+        if !self.take_counts(back) {
+            self.demand.drop_counted();
             return self.rest_a_while(now);
-        };
-        self.judge(now, &fresh)
+        }
+        self.judge(now)
     }
 
-    /// Takes the newest counts into the estimate of loads; has a better map prepared.
-    pub(super) fn judge(&mut self, now: Duration, fresh: &[Vec<f64>]) -> Vec<Call> {
-        let mut estimate = crate::Estimate {
-            layers: std::mem::take(&mut self.loads),
-        };
-        estimate.update(fresh, ALPHA);
-        self.loads = estimate.layers;
+    /// Takes what was counted into the estimate of demand, where it is enough to conclude anything; has
+    /// a better map prepared.
+    pub(super) fn judge(&mut self, now: Duration) -> Vec<Call> {
+        if self.demand.counted() < FEWEST {
+            return self.rest_a_while(now);
+        }
+        if self.demand.take_in() {
+            self.note("demand_moved", self.map.as_ref().map_or(0, |(v, _)| *v));
+            self.searched = 0.0;
+        }
         match self.better() {
             Some(map) => self.prepare(now, map),
             None => self.rest_a_while(now),
         }
     }
 
-    /// What was chosen since the last look, over all ranks, by set and expert.
-    pub(super) fn take_counts(
-        &mut self,
-        back: &IndexMap<EngineId, Reply>,
-    ) -> Option<Vec<Vec<f64>>> {
-        let Shape { sets, experts, .. } = self.shape;
-        let mut sums = vec![0u64; sets * experts];
+    /// What the sampled ranks chose since the look before; `false` where one of them does not tell.
+    fn take_counts(&mut self, back: &IndexMap<EngineId, Reply>) -> bool {
+        let size = self.shape.sets * self.shape.experts;
         for (engine, reply) in back {
             let Reply::Counts(epoch, counts) = reply else {
-                return None;
+                return false;
             };
-            if *epoch != self.epoch || counts.len() != sums.len() {
-                return None;
+            if *epoch != self.epoch || counts.len() != size {
+                return false;
             }
             // One that is counted for the first time tells nothing of late.
             let Some(before) = self.counted.insert(engine.clone(), counts.clone()) else {
                 continue;
             };
             let pairs = counts.iter().zip(&before);
-            for (sum, (new, old)) in sums.iter_mut().zip(pairs) {
-                *sum += new.saturating_sub(*old);
-            }
-        }
-        if sums.iter().sum::<u64>() < FEWEST {
-            return None;
+            let fresh: Vec<u64> = pairs.map(|(new, old)| new.saturating_sub(*old)).collect();
+            self.demand.add(&fresh);
         }
-        Some(self.by_layer(&sums))
-    }
-
-    pub(super) fn by_layer(&self, sums: &[u64]) -> Vec<Vec<f64>> {
-        let layers = sums.chunks(self.shape.experts.max(1));
-        layers
-            .map(|l| l.iter().map(|n| *n as f64).collect())
-            .collect()
+        true
     }
 
     pub(super) fn better(&mut self) -> Option<ExpertMap> {
@@ -100,16 +90,23 @@
             gain: GAIN,
             paces: &paces,
         };
-        let before = lag(map, &self.loads, limits);
-        // As good as the search found last: it would hardly find a better one, and takes 2
-        // to 3 ms for 72 ranks, many times that on a leader's share of a core.
-        if before < self.reached + AS_GOOD {
+        let [searched, judged] = self.demand.halves(self.shape.experts);
+        let before = lag(map, &judged, limits);
+        // As good as the search found last, by counts that are hardly surer: it would hardly find a
+        // better one, and takes 2 to 3 ms for 72 ranks, many times that on a leader's share of a core.
+        let surer = self.demand.looks() >= SURER * self.searched;
+        if before < self.reached + AS_GOOD && !surer {
             return None;
         }
-        let next = spread(map, &self.loads, limits);
-        let after = lag(&next, &self.loads, limits);
+        self.searched = self.demand.looks();
+        let next = spread(map, &searched, limits);
+        let after = lag(&next, &judged, limits);
         self.reached = after;
         let pays = before - after >= LEAST_GAIN;
+        if pays {
+            // One switch brings few experts new to a rank: the next may go on from there.
+            self.searched = 0.0;
+        }
         self.notes.push(Note {
             event: if pays { "map_better" } else { "map_kept" },
             number: self.map.as_ref().map_or(0, |(v, _)| *v),
--- a/crates/group/src/pilot/rounds.rs
+++ b/crates/group/src/pilot/rounds.rs
@@ -1,7 +1,6 @@
 //! Rounds of calls: to all ranks, to some, or to the one that holds the group; with a higher
 //! token each time an order is repeated.
 
-use super::planning::FEWEST;
 use super::{Ask, Call, Command, EngineId, NO_VERSION, PER_TERM, Phase, Pilot, Reply, Round, View};
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -28,17 +27,10 @@
             return self.ask_some();
         }
         let size = self.shape.sets * self.shape.experts;
-        self.lately.resize(size, 0);
         for counts in counts.iter().filter(|c| c.len() == size) {
-            let pairs = self.lately.iter_mut().zip(counts);
-            pairs.for_each(|(sum, new)| *sum += new);
+            self.demand.add(counts);
         }
-        if self.lately.iter().sum::<u64>() < FEWEST {
-            return self.rest_a_while(now);
-        }
-        let sums = std::mem::take(&mut self.lately);
-        let fresh = self.by_layer(&sums);
-        self.judge(now, &fresh)
+        self.judge(now)
     }
 
     /// Asks the sampled ranks for counts.
--- a/crates/group/src/pilot/survey.rs
+++ b/crates/group/src/pilot/survey.rs
@@ -45,7 +45,7 @@
             // A new forming knows no order: it starts with map 0.
             self.map = None;
             self.counted.clear();
-            self.lately.clear();
+            self.demand.drop_counted();
         }
         self.epoch = epoch;
         self.order_all(Phase::Fence, |_| Command::Disarm(NO_VERSION))
@@ -125,7 +125,7 @@
         match self.map_in_use() {
             // The group has just formed: what was in demand before still is, and every
             // pass on map 0 is slow.
-            Some(true) if self.map_is_first() && !self.loads.is_empty() => match self.better() {
+            Some(true) if self.map_is_first() && self.demand.looks() > 0.0 => match self.better() {
                 Some(map) => self.prepare(now, map),
                 None => self.count(now),
             },
--- a/crates/group/tests/engines/mod.rs
+++ b/crates/group/tests/engines/mod.rs
@@ -1,7 +1,15 @@
 //! A model of the ranks of a group as the pages of their maker describe them: they carry
 //! out what they are ordered, late where trouble is, and compare no maps themselves.
 
+// Each file of tests uses a part of it.
+#![allow(dead_code)]
+
+mod prompts;
+
+pub(crate) use prompts::Prompts;
+
 use bn_group::pilot::{Ask, Call, Command, Pilot, Reply, Shape, View};
+use bn_group::{ExpertMap, Limits};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::VecDeque;
@@ -84,6 +92,8 @@
     pub(crate) paces: Vec<u32>,
     /// Paces that leaders told, in order.
     pub(crate) told: Vec<(String, u32)>,
+    /// Where set, looks count the prompts of the moment, and what is liked moves by this alone.
+    pub(crate) prompts: Option<Prompts>,
 }
 
 impl World {
@@ -115,6 +125,7 @@
             looked: vec![Vec::new(); ranks],
             paces: vec![100; ranks],
             told: Vec::new(),
+            prompts: None,
         }
     }
 
@@ -169,6 +180,25 @@
         self.pass
     }
 
+    /// Load of the busiest rank over the mean with the map in use, as prompts are in the long run.
+    pub(crate) fn lag(&self) -> f64 {
+        let content = &self.engines[0].content;
+        let ranks = self.engines.len();
+        let map = match content.is_empty() {
+            true => ExpertMap::even(SHAPE.sets, SHAPE.experts, ranks),
+            false => ExpertMap::parse(content).unwrap(),
+        };
+        let limits = Limits {
+            ranks,
+            places: SHAPE.places,
+            spare: SHAPE.spare,
+            copies: SHAPE.spare,
+            gain: 0.0,
+            paces: &vec![1.0; ranks],
+        };
+        bn_group::lag(&map, &self.prompts.unwrap().loads(), limits)
+    }
+
     pub(crate) fn last_order(&self) -> Option<&'static str> {
         self.orders.last().map(|(c, _)| name(c))
     }
@@ -417,6 +447,9 @@
 
     /// Counts since the look before.
     fn lately(&mut self, rank: usize) -> Vec<u64> {
+        if let Some(prompts) = self.prompts {
+            return prompts.counts(&mut self.rng);
+        }
         let Reply::Counts(_, now) = self.counts(rank) else {
             return Vec::new();
         };
