Two coordinators tell a gateway of backend servers, by pushes that go on from a mark

Cause: each coordinator told each gateway of every backend server. Copies grew with the coordinators, bytes with gateways x coordinators x backend servers.

Ruled out: asks of a few coordinators alone (directories go by whom each coordinator hears itself); the same with pulls only (news would be half a round late, 450 ms in the mean for some 150); pushes without a mark (each change would be asked for once more); coordinators that hear no leader left out (each change of leader would have whole tables sent anew).

Change: a gateway subscribes to two coordinators, the first of those that answer in an order of its own; it asks the others for everything but registrations. What does not follow is counted, logged and asked for. Marks outlast a change of coordinators. Who is told what is a plain value (`Subscribers`) that does not know `Core`. Departures go to all gateways from the coordinator that was told.

--- a/crates/coordinator/src/announcements.rs
+++ b/crates/coordinator/src/announcements.rs
@@ -14,6 +14,33 @@
 /// Bits of what a leader told that count within its term.
 const TERM_BITS: u32 = 32;
 
+/// From where a change of a backend server is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// It announced itself here.
+    Announced,
+    /// It said here that it leaves.
+    Left,
+    /// It told this leader its group or pace.
+    Rank,
+    /// A gateway heard its limit.
+    Limit,
+    /// Another coordinator told it.
+    Coordinator,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Source::Announced => "announced",
+            Source::Left => "left",
+            Source::Rank => "rank",
+            Source::Limit => "limit",
+            Source::Coordinator => "told",
+        }
+    }
+}
+
 impl Core {
     /// Takes an announcement in; answered with whether it is one of ours. One for a service that
     /// no document names is not: it must not take the place of a good backend server that has
@@ -31,7 +58,7 @@
         }
         let id = record.id.clone();
         let change = self.registry.take(now, record);
-        self.spread(&id, change, "announced");
+        self.spread(&id, change, Source::Announced);
         self.untold.once_told(Told::Announced(done));
     }
 
@@ -87,7 +114,7 @@
             ..record.clone()
         };
         let change = self.registry.take(now, record);
-        self.spread(id, change, "rank");
+        self.spread(id, change, Source::Rank);
     }
 
     /// A gateway heard of limits. One of a start that is not known is told again until it is.
@@ -114,7 +141,7 @@
             ..known.clone()
         };
         let change = self.registry.take(now, record);
-        self.spread(&heard.id, change, "limit");
+        self.spread(&heard.id, change, Source::Limit);
     }
 
     /// Which backend servers name a limit, for operators.
@@ -133,25 +160,25 @@
     /// A backend server is gone for good.
     pub(crate) fn on_leave(&mut self, now: Duration, id: &str, done: oneshot::Sender<()>) {
         let change = self.registry.leave(now, id);
-        self.spread(id, change, "left");
+        self.spread(id, change, Source::Left);
         self.untold.once_told(Told::Left(done));
     }
 
     /// Notes what is to be told of a backend server.
-    pub(crate) fn spread(&mut self, id: &str, change: Change, source: &str) {
+    pub(crate) fn spread(&mut self, id: &str, change: Change, source: Source) {
         let Some(record) = self.registry.get(id).filter(|_| change == Change::News) else {
             return;
         };
         self.lines.put("backend_server", told(record, source));
-        self.untold.add(record);
+        self.untold.add(record, source != Source::Coordinator);
     }
 }
 
-fn told(record: &Record, source: &str) -> serde_json::Value {
+fn told(record: &Record, source: Source) -> serde_json::Value {
     json!({
         "id": record.id, "service": record.service, "address": record.address,
         "condition": format!("{:?}", record.condition), "sequence": record.sequence,
-        "began": record.began, "group": record.group, "pace": record.pace, "source": source,
+        "began": record.began, "group": record.group, "pace": record.pace, "source": source.name(),
         "limit": record.limit.rate, "turn": record.limit.turn,
     })
 }
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -3,6 +3,7 @@
 use crate::durable::{first_members, restored};
 use crate::ring::{Event, Inlet, Ring, ring};
 use crate::settled::{Settled, decode};
+use crate::subscribers::Subscribers;
 use crate::supervise::{Opening, supervise};
 use crate::{
     CallsSnafu, ListenSnafu, Result, cases, groups, http, news, reads, relays, settling, tell,
@@ -55,6 +56,7 @@
     pub(crate) directory: Directory,
     pub(crate) peers: news::Peers,
     pub(crate) untold: tell::Untold,
+    pub(crate) subscribers: Subscribers,
     pub(crate) waits: settling::Waits,
     pub(crate) reads: reads::Reads,
     pub(crate) members: Upkeep,
@@ -167,6 +169,7 @@
             directory: Directory::default(),
             peers: Default::default(),
             untold: Default::default(),
+            subscribers: Default::default(),
             waits: Default::default(),
             reads: Default::default(),
             heard_of: IndexSet::new(),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -19,6 +19,7 @@
 mod ring;
 mod settled;
 mod settling;
+mod subscribers;
 mod supervise;
 mod tell;
 
@@ -28,6 +29,7 @@
 pub use self::pages::{LIMITS, MEMBERS, QUARANTINE, pages};
 pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part};
 pub use self::ring::{Event, Inlet, Ring, ring};
+pub use self::subscribers::Subscribers;
 
 use snafu::Snafu;
 
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -5,6 +5,7 @@
 //! then asks stay unanswered, the asker opens its link anew and says so in its next ask,
 //! and the other side opens its own anew.
 
+use crate::announcements::Source;
 use crate::core::Core;
 use bn_directory::{Gateway, Named};
 use bn_registry::{Condition, Record};
@@ -171,7 +172,15 @@
             true => self.settled.document.clone(),
             false => Vec::new(),
         };
-        let changed = self.registry.since(mark);
+        let changed = match ask.brief {
+            true => Vec::new(),
+            false => self.registry.since(mark),
+        };
+        match (is_gateway, ask.brief) {
+            (true, true) => self.subscribers.drop(inbox),
+            (true, false) => self.subscribers.told(inbox, self.registry.mark()),
+            (false, _) => {}
+        }
         let plain = self.plain_news();
         let named = match is_gateway && ask.named != self.peers.named.mark() {
             true => self.peers.named.gateways(),
@@ -180,7 +189,8 @@
         let news = wire::News {
             document,
             named: named.iter().map(Into::into).collect(),
-            mark: self.registry.mark(),
+            mark: if ask.brief { 0 } else { self.registry.mark() },
+            after: mark,
             changed: changed.iter().map(Registration::from).collect(),
             cases: self.cases.told_since(known, is_gateway),
             cases_mark: self.cases.table.turn(),
@@ -224,7 +234,7 @@
             // Departures go on at once: the coordinator that was told of it may be cut
             // off from gateways that this one reaches.
             if gone {
-                self.spread(&id, change, "told");
+                self.spread(&id, change, Source::Coordinator);
             }
         }
     }
@@ -258,6 +268,7 @@
         for gone in self.directory.forget(now) {
             self.net.forget(gone);
             self.peers.lag.clear(gone);
+            self.subscribers.drop(gone);
             self.lines.put("gateway_lost", json!({ "inbox": gone }));
         }
         let forgotten = self.registry.forget(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,7 @@
 mod ticket;
 
 pub use events::Splitter;
-pub use sources::{Position, Sources};
+pub use sources::{Heard, Position, Sources, Telling};
 pub use start::{Handle, start};
 
 use snafu::Snafu;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -5,7 +5,7 @@
 
 use crate::asked;
 use crate::shared::Shared;
-use crate::sources::Sources;
+use crate::sources::{Sources, Telling};
 use crate::suspects::Report;
 use bn_backpressure::Share;
 use bn_directory::{Named, NamedGateway};
@@ -185,6 +185,7 @@
             unheard: position.unheard,
             rate: self.rate.note(self.shared.now(), self.shared.taken()),
             named: self.shared.state().named.mark(),
+            brief: position.brief,
         };
         self.net.send(inbox, Body::NewsAsk(ask));
     }
@@ -198,7 +199,18 @@
             Some(Body::TrialAnswer(answer)) => return self.take_word(&answer),
             _ => return,
         };
-        if self.sources.heard(inbox, envelope.incarnation, news.mark) {
+        let telling = Telling {
+            incarnation: envelope.incarnation,
+            mark: news.mark,
+            after: news.after,
+        };
+        let heard = self.sources.heard(inbox, telling);
+        if heard.gap {
+            metrics::counter!("news_gaps_total").increment(1);
+            let fields = json!({ "coordinator": inbox, "after": news.after, "mark": news.mark });
+            self.shared.lines.put("news_gap", fields);
+        }
+        if heard.regained {
             let fields = json!({ "coordinator": inbox, "version": news.version });
             self.shared.lines.put("coordinator_regained", fields);
         }
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -5,6 +5,8 @@
 //! second later.
 
 use indexmap::IndexMap;
+use siphasher::sip::SipHasher13;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +16,9 @@
 const LEAST_GAP: Duration = Duration::from_millis(100);
 /// Asks without an answer after which a link is taken for dead: 1.6 s.
 const SILENT_ASKS: u32 = 2;
+/// Coordinators that tell a gateway of backend servers. What one of them does not hear, the other
+/// does; with all of them, each change would come as often as there are coordinators.
+const SUBSCRIPTIONS: usize = 2;
 /// Silent asks after which one that is no longer named is forgotten.
 const FORGOTTEN: u32 = 4 * SILENT_ASKS;
 
@@ -24,6 +29,8 @@
     mark: u64,
     cases: u64,
     unanswered: u32,
+    /// It was asked to tell of backend servers.
+    subscribed: bool,
 }
 
 /// What is said in an ask to a coordinator.
@@ -41,6 +48,28 @@
     pub reopen: bool,
     /// It is taken for lost from now on.
     pub lost: bool,
+    /// Others tell of backend servers.
+    pub brief: bool,
+}
+
+/// What a coordinator told of registrations.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Telling {
+    /// Start of its process.
+    pub incarnation: u64,
+    /// They are known up to there; 0 where it says nothing of that.
+    pub mark: u64,
+    /// Where it went on from.
+    pub after: u64,
+}
+
+/// What a telling was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Heard {
+    /// The coordinator had been taken for lost.
+    pub regained: bool,
+    /// Something before it is not known yet, and has to be asked for.
+    pub gap: bool,
 }
 
 /// All coordinators that this gateway knows of.
@@ -49,17 +78,20 @@
     seeds: Vec<SocketAddr>,
     rows: IndexMap<SocketAddr, Source>,
     next: usize,
+    /// Makes each gateway choose others to be told by.
+    salt: u64,
 }
 
 impl Sources {
-    /// Begins with those that the settings name, at the `first` of them: gateways that start
-    /// together should not all ask the same one.
+    /// Begins with those that the settings name, at the `first` of them, a random number: gateways that
+    /// start together should not all ask the same one, nor be told by the same ones.
     pub fn new(seeds: Vec<SocketAddr>, first: usize) -> Sources {
         let rows = seeds.iter().map(|s| (*s, Source::default())).collect();
         Sources {
             seeds,
             rows,
             next: first,
+            salt: first as u64,
         }
     }
 
@@ -69,8 +101,13 @@
         (ROUND / count).max(LEAST_GAP)
     }
 
-    /// The one whose turn it is.
+    /// The one whose turn it is. One that is to tell of backend servers from now on goes first: until it is
+    /// asked, what it knows is not told.
     pub fn turn(&mut self) -> Option<SocketAddr> {
+        let subscribed = |a: &SocketAddr| self.rows.get(a).is_some_and(|s| s.subscribed);
+        if let Some(new) = self.subscriptions().into_iter().find(|a| !subscribed(a)) {
+            return Some(new);
+        }
         let count = self.rows.len().max(1);
         let at = self.next % count;
         self.next = (at + 1) % count;
@@ -82,9 +119,22 @@
         self.rows.keys().copied().collect()
     }
 
+    /// Those that tell of backend servers: of those that answer, the same ones as long as these do.
+    pub fn subscriptions(&self) -> Vec<SocketAddr> {
+        let answer = |(_, s): &(&SocketAddr, &Source)| s.unanswered < SILENT_ASKS;
+        let heard = self.rows.iter().filter(answer);
+        let mut heard: Vec<SocketAddr> = heard.map(|(a, _)| *a).collect();
+        heard.sort_by_cached_key(|a| (place(self.salt, a), *a));
+        heard.truncate(SUBSCRIPTIONS);
+        heard
+    }
+
     /// One is asked now; what the ask says.
     pub fn asked(&mut self, inbox: SocketAddr) -> Position {
+        let subscriptions = self.subscriptions();
+        let brief = subscriptions.len() == SUBSCRIPTIONS && !subscriptions.contains(&inbox);
         let source = self.rows.entry(inbox).or_default();
+        source.subscribed = !brief;
         let before = source.unanswered;
         source.unanswered += 1;
         let unheard = before >= SILENT_ASKS;
@@ -95,24 +145,32 @@
             unheard,
             reopen: unheard && before.is_multiple_of(SILENT_ASKS),
             lost: before == SILENT_ASKS,
+            brief,
         }
     }
 
-    /// One told something; `mark` is 0 where that was a push, which says nothing of how far its
-    /// registrations are known. Returns whether it had been taken for lost.
-    pub fn heard(&mut self, inbox: SocketAddr, incarnation: u64, mark: u64) -> bool {
+    /// One told something. Marks are of one start, and of what follows without a gap.
+    pub fn heard(&mut self, inbox: SocketAddr, telling: Telling) -> Heard {
         let source = self.rows.entry(inbox).or_default();
         let regained = source.unanswered > SILENT_ASKS;
         source.unanswered = 0;
-        if mark > 0 {
-            if source.incarnation != incarnation {
-                // Another start counts its changes anew.
-                source.cases = 0;
-            }
-            source.incarnation = incarnation;
-            source.mark = mark;
+        if telling.mark == 0 {
+            return Heard {
+                regained,
+                gap: false,
+            };
+        }
+        if source.incarnation != telling.incarnation {
+            // Another start counts its changes anew.
+            source.incarnation = telling.incarnation;
+            source.mark = 0;
+            source.cases = 0;
         }
-        regained
+        let gap = telling.after > source.mark;
+        if !gap {
+            source.mark = source.mark.max(telling.mark);
+        }
+        Heard { regained, gap }
     }
 
     /// One told its cases up to a change; 0 where it pushed a few.
@@ -133,3 +191,10 @@
         }
     }
 }
+
+/// Place of a coordinator in an order that each salt makes another one.
+fn place(salt: u64, coordinator: &SocketAddr) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(salt, 0);
+    coordinator.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/gateway/tests/sources.rs
+++ b/crates/gateway/tests/sources.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use bn_gateway::Sources;
+use bn_gateway::{Sources, Telling};
 use googletest::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +11,14 @@
     ([10, 0, 1, n], 7340).into()
 }
 
+fn told(incarnation: u64, after: u64, mark: u64) -> Telling {
+    Telling {
+        incarnation,
+        mark,
+        after,
+    }
+}
+
 fn six() -> Sources {
     let mut sources = Sources::new((0..3).map(coordinator).collect(), 4);
     sources.follow(&(0..6).map(coordinator).collect::<Vec<_>>());
@@ -23,7 +31,17 @@
 fn asks_do_not_grow_with_the_coordinators() {
     let mut sources = six();
 
-    let asked: Vec<SocketAddr> = (0..6).map(|_| sources.turn().unwrap()).collect();
+    // Those that tell of backend servers are asked first, once.
+    let mut ask = || {
+        let inbox = sources.turn().unwrap();
+        sources.asked(inbox);
+        sources.heard(inbox, told(1, 0, 0));
+        inbox
+    };
+    for _ in 0..2 {
+        ask();
+    }
+    let asked: Vec<SocketAddr> = (0..6).map(|_| ask()).collect();
 
     let mut all = asked.clone();
     all.sort_unstable();
@@ -38,9 +56,9 @@
 #[googletest::test]
 fn a_push_does_not_unsettle_what_is_known() {
     let mut sources = six();
-    sources.heard(coordinator(2), 77, 198);
+    sources.heard(coordinator(2), told(77, 0, 198));
 
-    sources.heard(coordinator(2), 77, 0);
+    sources.heard(coordinator(2), told(77, 0, 0));
 
     let next = sources.asked(coordinator(2));
     expect_that!((next.incarnation, next.mark), eq((77, 198)));
@@ -53,7 +71,7 @@
     let mut sources = six();
 
     let asks: Vec<_> = (0..5).map(|_| sources.asked(coordinator(1))).collect();
-    let regained = sources.heard(coordinator(1), 1, 1);
+    let regained = sources.heard(coordinator(1), told(1, 0, 1)).regained;
 
     let reopened: Vec<bool> = asks.iter().map(|p| p.reopen).collect();
     let lost: Vec<bool> = asks.iter().map(|p| p.lost).collect();
@@ -76,3 +94,53 @@
     expect_true!(all.contains(&coordinator(0)));
     expect_false!(all.contains(&coordinator(5)));
 }
+
+/// Guards against news that are taken for known because later ones came.
+#[googletest::test]
+fn news_that_do_not_follow_what_is_known_are_asked_for() {
+    let mut sources = six();
+    sources.heard(coordinator(2), told(77, 0, 5));
+
+    let next = sources.heard(coordinator(2), told(77, 5, 7));
+    let gap = sources.heard(coordinator(2), told(77, 9, 12));
+    let known = sources.asked(coordinator(2));
+
+    expect_false!(next.gap);
+    expect_true!(gap.gap);
+    expect_that!((known.incarnation, known.mark), eq((77, 7)));
+}
+
+/// Guards against a mark of an earlier start that is taken for one of the next.
+#[googletest::test]
+fn a_push_of_another_start_has_everything_asked_for() {
+    let mut sources = six();
+    sources.heard(coordinator(2), told(77, 0, 500));
+
+    let gap = sources.heard(coordinator(2), told(78, 30, 31));
+    let known = sources.asked(coordinator(2));
+
+    expect_true!(gap.gap);
+    expect_that!((known.incarnation, known.mark), eq((78, 0)));
+}
+
+/// Guards against a gateway that learns of no backend server any more, since those that told it are gone.
+#[googletest::test]
+fn who_tells_of_backend_servers_is_replaced_when_silent_and_takes_over_again() {
+    let mut sources = six();
+    let before = sources.subscriptions();
+    let silent = before[0];
+    sources.heard(silent, told(77, 0, 500));
+
+    for _ in 0..2 {
+        sources.asked(silent);
+    }
+    let without = sources.subscriptions();
+    sources.heard(silent, told(77, 0, 0));
+    let again = sources.asked(silent);
+
+    expect_that!(before.len(), eq(2));
+    expect_that!(without.len(), eq(2));
+    expect_false!(without.contains(&silent));
+    expect_true!(without.contains(&before[1]));
+    expect_that!((again.brief, again.mark), eq((false, 500)));
+}
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -997,6 +997,9 @@
     /// of a gateway: mark of the choice of gateways that it knows
     #[prost(uint32, tag = "10")]
     pub named: u32,
+    /// of a gateway: others tell it of backend servers
+    #[prost(bool, tag = "11")]
+    pub brief: bool,
 }
 /// Answer to NewsAsk, or pushed at a change.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -1007,7 +1010,7 @@
     /// packed; only where it is newer than asked
     #[prost(bytes = "vec", tag = "2")]
     pub document: ::prost::alloc::vec::Vec<u8>,
-    /// 0: pushed, `changed` holds just what is new
+    /// 0: `changed` holds some that are new, and nothing follows of the others
     #[prost(uint64, tag = "3")]
     pub mark: u64,
     #[prost(message, repeated, tag = "4")]
@@ -1033,6 +1036,9 @@
     /// callers may be sent there; only where another choice was known
     #[prost(message, repeated, tag = "11")]
     pub named: ::prost::alloc::vec::Vec<NamedGateway>,
+    /// mark that `changed` goes on from
+    #[prost(uint64, tag = "12")]
+    pub after: u64,
 }
 /// One start of a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
