--- a/crates/cli/src/cmd/bench/mod.rs
+++ b/crates/cli/src/cmd/bench/mod.rs
@@ -3,6 +3,7 @@
 
 mod claim;
 mod control;
+mod fleet;
 mod group;
 mod load;
 mod page;
@@ -22,6 +23,8 @@
     Load(load::Args),
     /// Cost of control against the number of nodes, and the time to being in force.
     Control(control::Args),
+    /// What coordinators and gateways exchange at any size, by a model.
+    Fleet(fleet::Args),
     /// The balancing policy on drifting expert loads, against its baselines.
     Group(group::Args),
     /// Claims of idempotency keys: rate and memory of a holder, time of a claim.
@@ -32,6 +35,7 @@
     match &args.bench {
         Bench::Load(args) => load::run(args),
         Bench::Control(args) => control::run(args),
+        Bench::Fleet(args) => fleet::run(args),
         Bench::Group(args) => group::run(args),
         Bench::Claim(args) => claim::run(args),
     }
