Relays pass on within their failure domain

Cause: the asks of a look were cut into parts in the order of the ranks' ids, so that four in five counts that a relay collects came from another failure domain. A head that is cut off also hid ranks of domains that were not.

Change: parts are of one failure domain each and about equal: 15 for 192 ranks where there were 14, 4 for 16 as before.

Test: relays_pass_on_within_their_failure_domain.

--- a/crates/coordinator/src/carry.rs
+++ b/crates/coordinator/src/carry.rs
@@ -28,15 +28,17 @@
         let mut beside = Vec::new();
         for (at, call) in calls.into_iter().enumerate() {
             let record = self.registry.get(&call.engine);
-            let Some(address) = record.and_then(|r| r.address) else {
+            let Some((record, address)) = record.and_then(|r| Some((r, r.address?))) else {
                 self.hand_back(group, call.call, Reply::Silent);
                 continue;
             };
+            let domain = record.domain.clone();
             let counts = relays::is_counted(at, count);
             let relay = self.relays.beside(now, address, port);
             match (way(&call, ranks), relay) {
                 (Way::Relay, Some(relay)) => beside.push(Beside {
                     relay,
+                    domain,
                     counts,
                     call,
                 }),
@@ -44,6 +46,7 @@
                     let relay = SocketAddr::new(address.ip(), port);
                     let around = Beside {
                         relay,
+                        domain,
                         counts,
                         call,
                     };
@@ -54,8 +57,8 @@
         }
         let map = self.map_of(&beside);
         let part = relays::part(beside.len(), map.len());
-        for calls in beside.chunks(part) {
-            self.ask_relays(now, group, calls, &map);
+        for calls in relays::parts(beside, part, |b| &b.domain) {
+            self.ask_relays(now, group, &calls, &map);
         }
     }
 
@@ -110,6 +113,7 @@
             relay,
             counts,
             call,
+            ..
         } in calls
         {
             let number = self.next_call();
@@ -185,6 +189,8 @@
 /// A call that goes by the relay beside its engine.
 struct Beside {
     relay: SocketAddr,
+    /// Failure domain of the engine, and so of its relay.
+    domain: String,
     /// A look takes counts, too.
     counts: bool,
     call: pilot::Call,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -27,7 +27,7 @@
 pub use self::core::start;
 pub use self::news::Lag;
 pub use self::pages::{LIMITS, MEMBERS, QUARANTINE, pages};
-pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part};
+pub use self::relays::{About, Ask as RelayAsk, GroupId, Relays, is_counted, part, parts};
 pub use self::ring::{Event, Inlet, Ring, ring};
 pub use self::subscribers::Subscribers;
 
--- a/crates/coordinator/src/relays.rs
+++ b/crates/coordinator/src/relays.rs
@@ -196,6 +196,29 @@
     fewest.min(1 + others)
 }
 
+/// Asks in parts of at most `part`, each part of one failure domain, and those of a domain about equal: what
+/// relays pass on and collect then stays within their domain, where links are short and are cut off
+/// together.
+pub fn parts<T>(asks: Vec<T>, part: usize, domain: impl Fn(&T) -> &str) -> Vec<Vec<T>> {
+    let mut near: IndexMap<String, Vec<T>> = IndexMap::new();
+    for ask in asks {
+        let domain = domain(&ask).to_string();
+        near.entry(domain).or_default().push(ask);
+    }
+    near.into_values()
+        .flat_map(|asks| split(asks, part))
+        .collect()
+}
+
+/// Parts of about equal size, of at most `part`.
+fn split<T>(asks: Vec<T>, part: usize) -> Vec<Vec<T>> {
+    let count = asks.len().div_ceil(part.max(1)).max(1);
+    let size = asks.len().div_ceil(count);
+    let mut rest = asks.into_iter();
+    let parts = (0..count).map(|_| rest.by_ref().take(size).collect::<Vec<T>>());
+    parts.filter(|p| !p.is_empty()).collect()
+}
+
 /// Whether the look at one of `count` engines takes counts, too. Requests are spread over ranks
 /// whatever they are about, so that some tell what all choose; counts of 3,840 experts are 4 KB, and
 /// take the links of those that collect them from 13 others 70 ms a look, by their size.
--- a/crates/coordinator/tests/relays.rs
+++ b/crates/coordinator/tests/relays.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use bn_coordinator::{About, GroupId, Relays, Way, is_counted, part, way};
+use bn_coordinator::{About, GroupId, Relays, Way, is_counted, part, parts, way};
 use bn_group::pilot::{Ask, Call, Command};
 use googletest::prelude::*;
 use std::net::SocketAddr;
@@ -202,3 +202,22 @@
     expect_that!(part(72, 0), le(10));
     expect_that!(messages(3), eq(3));
 }
+
+/// Guards against counts that cross failure domains on their way to the relay that collects them, and
+/// against ranks that are not seen because that relay is cut off.
+#[googletest::test]
+fn relays_pass_on_within_their_failure_domain() {
+    let domains = ["a", "b", "c", "d", "e"];
+    let ranks: Vec<&str> = (0..192).map(|n| domains[n % domains.len()]).collect();
+
+    let parts = parts(ranks, part(192, 0), |domain| domain);
+
+    expect_that!(parts.iter().map(Vec::len).sum::<usize>(), eq(192));
+    // Three of each domain, one more than parts that ignore domains.
+    expect_that!(parts.len(), eq(15));
+    for part in parts {
+        expect_true!(part.iter().all(|d| *d == part[0]));
+        expect_that!(part.len(), ge(12));
+        expect_that!(part.len(), le(14));
+    }
+}
