--- a/crates/fake/src/handle.rs
+++ b/crates/fake/src/handle.rs
@@ -70,14 +70,7 @@
     }
     match shared.kind {
         Kind::Plain => {
-            let line = Line {
-                event: "start".into(),
-                key,
-                attempt,
-                prompt: body.clone(),
-                step: 0,
-                map: 0,
-            };
+            let line = Line::of_request("start", key, attempt, body.clone());
             shared.record.add(line);
             whole(&serde_json::json!({ "done": true, "echo": body }).to_string())
         }
@@ -112,14 +105,8 @@
     prompt: String,
     seconds: u64,
 ) -> Response<Body> {
-    shared.record.add(Line {
-        event: "turned_away".into(),
-        key,
-        attempt,
-        prompt,
-        step: 0,
-        map: 0,
-    });
+    let line = Line::of_request("turned_away", key, attempt, prompt);
+    shared.record.add(line);
     let mut response = status(503, "no more for now");
     let headers = response.headers_mut();
     headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
@@ -136,14 +123,8 @@
     attempt: String,
     prompt: String,
 ) -> Response<Body> {
-    shared.record.add(Line {
-        event: "fatal".into(),
-        key,
-        attempt,
-        prompt,
-        step: 0,
-        map: 0,
-    });
+    let line = Line::of_request("fatal", key, attempt, prompt);
+    shared.record.add(line);
     tokio::time::sleep(shared.step).await;
     std::process::exit(FATAL);
 }
--- a/crates/fake/src/record.rs
+++ b/crates/fake/src/record.rs
@@ -23,6 +23,20 @@
     pub map: u64,
 }
 
+impl Line {
+    /// An event of a request that takes no step of an engine.
+    pub(crate) fn of_request(event: &str, key: String, attempt: String, prompt: String) -> Line {
+        Line {
+            event: event.into(),
+            key,
+            attempt,
+            prompt,
+            step: 0,
+            map: 0,
+        }
+    }
+}
+
 /// The record, in memory and in a file where one is given, so that it outlives a kill.
 #[derive(Debug, Default)]
 pub(crate) struct Record(Mutex<(Vec<Line>, Option<File>)>);
--- a/crates/node/src/agent/engine.rs
+++ b/crates/node/src/agent/engine.rs
@@ -59,7 +59,14 @@
             full: false,
         };
         self.send(Body::Finish(finish));
-        let _ = self.ring.send(Event::Ended(self.key));
+        self.tell(Event::Ended(self.key));
+    }
+
+    /// Tells the agent's thread. It is gone only where the process ends.
+    fn tell(&self, event: Event) {
+        if self.ring.send(event).is_err() {
+            log::info!("the agent's thread has ended before a request");
+        }
     }
 
     fn ask(&self) -> End {
@@ -109,7 +116,7 @@
             ..Asked::default()
         };
         let own = true;
-        let _ = self.ring.send(Event::Answered(Answer { asked, sent, own }));
+        self.tell(Event::Answered(Answer { asked, sent, own }));
     }
 
     fn stream(&self, sent: Duration, response: http::Response<ureq::Body>) -> End {
--- a/crates/serve/src/client.rs
+++ b/crates/serve/src/client.rs
@@ -164,8 +164,7 @@
 ///
 /// A connection that is closed is reset. After an ordinary close the system goes on sending what the
 /// other side has not acknowledged: a request that was given up arrives, and is begun, when a cut
-/// ends or a frozen machine wakes, seconds after its caller left. A reset drops it. Six plays of a day
-/// with frozen machines had two in which such requests arrived, and none so.
+/// ends or a frozen machine wakes, seconds after its caller left. A reset drops it.
 fn guard(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
