--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! Processor time is not modelled, nor are documents, consensus and groups.
 
+mod coordinator;
+mod gateway;
 mod mail;
 mod play;
 mod tally;
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -1,23 +1,19 @@
 //! The processes of the model and their clock.
 
+use crate::coordinator::Coordinator;
+use crate::gateway::Gateway;
 use crate::mail::{Mail, ask_size, news_size};
 use crate::tally::{Load, Tally, busiest};
 use bn_backpressure::Limit;
-use bn_coordinator::Subscribers;
-use bn_gateway::{Sources, Telling};
-use bn_registry::{Condition, Record, Registry};
+use bn_gateway::Position;
+use bn_registry::{Condition, Record};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(10);
-/// Between two pushes of one coordinator to the others.
-const AMONG: Duration = Duration::from_millis(50);
-/// Between two asks of one coordinator to another, which are answered with what was lost.
-const REPAIR: Duration = Duration::from_millis(500);
 /// Coordinators that settings name.
 const SEEDS: usize = 3;
 const PORT: u16 = 7340;
@@ -33,23 +29,6 @@
     pub lost: f64,
 }
 
-struct Coordinator {
-    registry: Registry,
-    subscribers: Subscribers,
-    untold: Vec<Record>,
-    stopped: bool,
-    tally: Tally,
-}
-
-struct Gateway {
-    inbox: SocketAddr,
-    sources: Sources,
-    due: Duration,
-    /// Copies of each change that came, and when the first did.
-    held: IndexMap<String, (u32, Duration)>,
-    tally: Tally,
-}
-
 /// A fleet under way.
 pub struct World {
     now: Duration,
@@ -69,21 +48,13 @@
     pub fn new(seed: u64, shape: Shape) -> World {
         let mut rng = SmallRng::seed_from_u64(seed);
         let inboxes: Vec<SocketAddr> = (0..shape.coordinators).map(coordinator_inbox).collect();
-        let coordinator = |_| Coordinator {
-            registry: Registry::default(),
-            subscribers: Subscribers::default(),
-            untold: Vec::new(),
-            stopped: false,
-            tally: Tally::default(),
-        };
-        let coordinators = inboxes.iter().map(coordinator).collect();
+        let coordinators = (0..shape.coordinators)
+            .map(|_| Coordinator::new())
+            .collect();
         let seeds: Vec<SocketAddr> = inboxes.iter().copied().take(SEEDS).collect();
-        let gateway = |n: usize| Gateway {
-            inbox: gateway_inbox(n),
-            sources: Sources::new(seeds.clone(), rng.random_range(0..1 << 16)),
-            due: Duration::from_millis(rng.random_range(0..100)),
-            held: IndexMap::new(),
-            tally: Tally::default(),
+        let gateway = |n: usize| {
+            let due = Duration::from_millis(rng.random_range(0..100));
+            Gateway::new(n, seeds.clone(), rng.random_range(0..1 << 16), due)
         };
         let gateways: Vec<Gateway> = (0..shape.gateways).map(gateway).collect();
         let by_inbox = gateways.iter().enumerate().map(|(n, g)| (g.inbox, n));
@@ -119,8 +90,7 @@
         let running = |c: &usize| self.coordinators.get(*c).is_some_and(|c| !c.stopped);
         let to = all.find(running);
         if let Some(coordinator) = to.and_then(|c| self.coordinators.get_mut(c)) {
-            coordinator.registry.take(self.now, record.clone());
-            coordinator.untold.push(record);
+            coordinator.announce(self.now, record);
         }
     }
 
@@ -153,7 +123,7 @@
     /// Copies of one change that came to one gateway, in the mean.
     pub fn copies(&self) -> f64 {
         let all = self.gateways.iter().flat_map(|g| g.held.values());
-        let (sum, count) = all.fold((0, 0), |(s, n), h| (s + h.0, n + 1));
+        let (sum, count) = all.fold((0, 0), |(s, n), h| (s + h.copies, n + 1));
         f64::from(sum) / f64::from(count)
     }
 
@@ -162,8 +132,8 @@
         let mut latest = Duration::ZERO;
         for gateway in &self.gateways {
             for (id, announced) in &self.announced {
-                let (_, at) = gateway.held.get(id)?;
-                latest = latest.max(at.saturating_sub(*announced));
+                let held = gateway.held.get(id)?;
+                latest = latest.max(held.first.saturating_sub(*announced));
             }
         }
         Some(latest)
@@ -189,14 +159,10 @@
 
     fn ask(&mut self, at: usize) {
         let now = self.now;
-        let Some(gateway) = self.gateways.get_mut(at).filter(|g| now >= g.due) else {
-            return;
-        };
-        gateway.due = now + gateway.sources.gap();
-        let Some(to) = gateway.sources.turn() else {
+        let asked = self.gateways.get_mut(at).and_then(|g| g.ask(now));
+        let Some((to, position)) = asked else {
             return;
         };
-        let position = gateway.sources.asked(to);
         let coordinator = self.inboxes.iter().position(|i| *i == to);
         if let Some(coordinator) = coordinator {
             self.post(Mail::Ask {
@@ -212,29 +178,17 @@
         let Some(coordinator) = self.coordinators.get_mut(at).filter(|c| !c.stopped) else {
             return;
         };
-        let mark = coordinator.registry.mark();
         let mut mail = Vec::new();
-        for (after, inboxes) in coordinator.subscribers.behind(now, mark, false) {
-            let changed: Rc<[Record]> = coordinator.registry.since(after).into();
-            let telling = Telling {
-                incarnation: 1,
-                mark,
-                after,
-            };
-            let gateways = inboxes.iter().filter_map(|i| self.by_inbox.get(i));
+        for push in coordinator.push(now) {
+            let gateways = push.inboxes.iter().filter_map(|i| self.by_inbox.get(i));
             mail.extend(gateways.map(|gateway| Mail::News {
                 coordinator: at,
                 gateway: *gateway,
-                telling,
-                changed: changed.clone(),
+                telling: push.telling,
+                changed: push.changed.clone(),
             }));
         }
-        let in_turn = |gap: Duration| now.as_millis().is_multiple_of(gap.as_millis());
-        if in_turn(REPAIR) {
-            coordinator.untold = coordinator.registry.since(0);
-        }
-        if in_turn(AMONG) && !coordinator.untold.is_empty() {
-            let changed: Rc<[Record]> = std::mem::take(&mut coordinator.untold).into();
+        if let Some(changed) = coordinator.tell_others(now) {
             let others = (0..self.inboxes.len()).filter(|to| *to != at);
             mail.extend(others.map(|to| Mail::Among {
                 from: at,
@@ -291,16 +245,14 @@
             Mail::Among { from, to, changed } => {
                 let running = self.coordinators.get(from).is_some_and(|c| !c.stopped);
                 if let Some(to) = self.coordinators.get_mut(to).filter(|_| running) {
-                    for record in changed.iter() {
-                        to.registry.take(now, record.clone());
-                    }
+                    to.take(now, &changed);
                 }
             }
             Mail::Ask {
                 gateway,
                 coordinator,
                 position,
-            } => self.answer(gateway, coordinator, position.mark, position.brief),
+            } => self.answer(gateway, coordinator, position),
             Mail::News {
                 coordinator,
                 gateway,
@@ -308,37 +260,19 @@
                 changed,
             } => {
                 let inbox = coordinator_inbox(coordinator);
-                let Some(gateway) = self.gateways.get_mut(gateway) else {
-                    return;
-                };
-                gateway.sources.heard(inbox, telling);
-                gateway.sources.follow(&self.inboxes);
-                for record in changed.iter() {
-                    let held = gateway.held.entry(record.id.clone()).or_insert((0, now));
-                    held.0 += 1;
+                if let Some(gateway) = self.gateways.get_mut(gateway) {
+                    gateway.take(now, inbox, telling, &changed);
+                    gateway.sources.follow(&self.inboxes);
                 }
             }
         }
     }
 
-    fn answer(&mut self, gateway: usize, at: usize, mark: u64, brief: bool) {
+    fn answer(&mut self, gateway: usize, at: usize, position: Position) {
         let Some(coordinator) = self.coordinators.get_mut(at).filter(|c| !c.stopped) else {
             return;
         };
-        let inbox = gateway_inbox(gateway);
-        let mut telling = Telling {
-            incarnation: 1,
-            ..Telling::default()
-        };
-        let mut changed: Rc<[Record]> = Rc::default();
-        if brief {
-            coordinator.subscribers.drop(inbox);
-        } else {
-            telling.mark = coordinator.registry.mark();
-            telling.after = mark;
-            changed = coordinator.registry.since(mark).into();
-            coordinator.subscribers.told(inbox, telling.mark);
-        }
+        let (telling, changed) = coordinator.answer(gateway_inbox(gateway), position);
         self.post(Mail::News {
             coordinator: at,
             gateway,
@@ -348,11 +282,11 @@
     }
 }
 
-fn coordinator_inbox(n: usize) -> SocketAddr {
+pub(crate) fn coordinator_inbox(n: usize) -> SocketAddr {
     ([10, 0, 1, n as u8], PORT).into()
 }
 
-fn gateway_inbox(n: usize) -> SocketAddr {
+pub(crate) fn gateway_inbox(n: usize) -> SocketAddr {
     ([10, 1, (n >> 8) as u8, n as u8], PORT).into()
 }
 
