--- a/crates/group/tests/demand.rs
+++ b/crates/group/tests/demand.rs
@@ -4,6 +4,7 @@
 
 mod engines;
 
+use bn_group::Demand;
 use engines::{Prompts, Trouble, World};
 use googletest::prelude::*;
 use std::time::Duration;
@@ -64,3 +65,33 @@
         expect_that!(left, lt(0.5 * way), "{ranks} ranks");
     }
 }
+
+/// Guards against an estimate without any error to judge by, which would never be dropped.
+#[googletest::test]
+fn counts_that_come_as_one_part_are_followed_look_by_look() {
+    let mut demand = Demand::new();
+    demand.add(&[90, 10]);
+    demand.take_in();
+
+    demand.add(&[10, 90]);
+    let moved = demand.take_in();
+
+    expect_true!(moved);
+    expect_that!(demand.looks(), eq(1.0));
+    let [searched, judged] = demand.halves(2);
+    expect_that!(searched, eq(&vec![vec![0.1, 0.9]]));
+    expect_that!(judged, eq(&searched));
+}
+
+/// Guards against looks without any choice, which tell nothing and have no shares.
+#[googletest::test]
+fn looks_in_which_nothing_was_counted_change_nothing() {
+    let mut demand = Demand::new();
+    demand.add(&[0, 0]);
+    demand.add(&[0, 0]);
+
+    let moved = demand.take_in();
+
+    expect_false!(moved);
+    expect_that!(demand.looks(), eq(0.0));
+}
