--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -12,10 +12,9 @@
 const AMONG: Duration = Duration::from_millis(50);
 /// Between two asks of one coordinator to another, which are answered with what was lost.
 const REPAIR: Duration = Duration::from_millis(500);
-/// Its start; none of the model starts again.
-const INCARNATION: u64 = 1;
-
+#[derive(Default)]
 pub(crate) struct Coordinator {
+    incarnation: u64,
     registry: Registry,
     subscribers: Subscribers,
     untold: Vec<Record>,
@@ -31,16 +30,19 @@
 }
 
 impl Coordinator {
-    pub(crate) fn new() -> Coordinator {
+    /// One that starts, for the so-manieth time, and knows nothing.
+    pub(crate) fn start(incarnation: u64) -> Coordinator {
         Coordinator {
-            registry: Registry::default(),
-            subscribers: Subscribers::default(),
-            untold: Vec::new(),
-            stopped: false,
-            tally: Tally::default(),
+            incarnation,
+            ..Coordinator::default()
         }
     }
 
+    /// The next start of it.
+    pub(crate) fn start_anew(&mut self) {
+        *self = Coordinator::start(self.incarnation + 1);
+    }
+
     /// A backend server announces itself here.
     pub(crate) fn announce(&mut self, now: Duration, record: Record) {
         self.registry.take(now, record.clone());
@@ -60,7 +62,7 @@
         let behind = self.subscribers.behind(now, mark, false);
         let push = |(after, inboxes): (Mark, Vec<SocketAddr>)| Push {
             inboxes,
-            telling: telling(after, mark),
+            telling: self.telling(after, mark),
             changed: self.registry.since(after).into(),
         };
         behind.into_iter().map(push).collect()
@@ -84,19 +86,24 @@
     ) -> (Telling, Rc<[Record]>) {
         if position.brief {
             self.subscribers.drop(gateway);
-            return (telling(0, 0), Rc::default());
+            return (self.telling(0, 0), Rc::default());
         }
+        // A mark of an earlier start says nothing of this one.
+        let known = match position.incarnation == self.incarnation {
+            true => position.mark,
+            false => 0,
+        };
         let mark = self.registry.mark();
         self.subscribers.told(gateway, mark);
-        let changed = self.registry.since(position.mark);
-        (telling(position.mark, mark), changed.into())
+        let changed = self.registry.since(known);
+        (self.telling(known, mark), changed.into())
     }
-}
 
-fn telling(after: Mark, mark: Mark) -> Telling {
-    Telling {
-        incarnation: INCARNATION,
-        mark,
-        after,
+    fn telling(&self, after: Mark, mark: Mark) -> Telling {
+        Telling {
+            incarnation: self.incarnation,
+            mark,
+            after,
+        }
     }
 }
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -14,6 +14,8 @@
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(10);
+/// Number of a coordinator's first start.
+const FIRST: u64 = 1;
 /// Coordinators that settings name.
 const SEEDS: usize = 3;
 const PORT: u16 = 7340;
@@ -49,7 +51,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let inboxes: Vec<SocketAddr> = (0..shape.coordinators).map(coordinator_inbox).collect();
         let coordinators = (0..shape.coordinators)
-            .map(|_| Coordinator::new())
+            .map(|_| Coordinator::start(FIRST))
             .collect();
         let seeds: Vec<SocketAddr> = inboxes.iter().copied().take(SEEDS).collect();
         let gateway = |n: usize| {
@@ -101,6 +103,13 @@
         }
     }
 
+    /// One coordinator starts again, and knows nothing.
+    pub fn start_anew(&mut self, coordinator: usize) {
+        if let Some(coordinator) = self.coordinators.get_mut(coordinator) {
+            coordinator.start_anew();
+        }
+    }
+
     /// Counts of messages begin anew.
     pub fn count_anew(&mut self) {
         self.counted = self.now;
--- a/crates/fleet/tests/telling.rs
+++ b/crates/fleet/tests/telling.rs
@@ -80,3 +80,37 @@
         );
     }
 }
+
+/// Guards against marks of an earlier start that hide what coordinators learn after they come back empty.
+#[googletest::test]
+fn all_learn_of_what_is_new_after_coordinators_came_back_empty() {
+    for emptied in [1, 5, 9] {
+        let mut world = World::new(1, shape(60, 9));
+        (0..SERVERS).for_each(|number| world.announce(number));
+        world.run(Duration::from_secs(3));
+
+        (0..emptied).for_each(|c| world.start_anew(c));
+        (SERVERS..2 * SERVERS).for_each(|number| world.announce(number));
+        world.run(Duration::from_secs(3));
+
+        let latest = world.latest();
+        expect_that!(
+            latest,
+            some(le(Duration::from_millis(1_500))),
+            "{emptied} emptied"
+        );
+    }
+}
+
+/// Guards against gateways whose coordinators are all among those that were killed.
+#[googletest::test]
+fn all_learn_of_what_is_new_though_more_than_half_of_the_coordinators_are_killed() {
+    let mut world = World::new(2, shape(60, 9));
+    world.run(Duration::from_secs(3));
+
+    (0..6).for_each(|c| world.stop(c));
+    (0..SERVERS).for_each(|number| world.announce(number));
+    world.run(Duration::from_secs(6));
+
+    expect_that!(world.latest(), some(le(Duration::from_secs(4))));
+}
