Nothing is concluded from the prompts of a few ranks

Change: a look is taken in once four parts have choices, or all of them where there are fewer; until then counts add up. A rank stays in its part: looks are added in the order of ranks.

--- a/crates/group/src/demand.rs
+++ b/crates/group/src/demand.rs
@@ -10,6 +10,11 @@
 
 /// Parts into which the ranks of a look fall; how much they differ tells the error of their mean.
 const PARTS: usize = 8;
+/// Parts with choices without which nothing is concluded: of the few prompts of a group that has just begun
+/// to run no error can be told, and each would pass for a move of demand.
+const LEAST_PARTS: usize = 4;
+/// Choices without which nothing is concluded.
+const LEAST_CHOICES: u64 = 2_000;
 /// Looks that the mean reaches back at most: what drifts too slowly to show between looks is followed
 /// within some ten seconds.
 const HORIZON: f64 = 64.0;
@@ -25,7 +30,6 @@
 pub struct Demand {
     /// Counts since the last look that was taken in.
     parts: Vec<Vec<u64>>,
-    next: usize,
     known: Mean,
     /// The same of the looks since one was farther away than usual.
     lately: Mean,
@@ -53,35 +57,38 @@
         Demand::default()
     }
 
-    /// Adds the counts of one rank, or of some together, by set and expert in one list.
-    pub fn add(&mut self, counts: &[u64]) {
-        if self.parts.len() < PARTS {
-            self.parts.push(vec![0; counts.len()]);
-        }
-        let at = self.next % PARTS;
-        self.next += 1;
-        if let Some(part) = self.parts.get_mut(at) {
-            let pairs = part.iter_mut().zip(counts);
-            pairs.for_each(|(sum, new)| *sum = sum.saturating_add(*new));
+    /// Adds the counts of one look: of each rank, or of some together, by set and expert in one list. They
+    /// come in the same order each time, so that a rank stays in its part.
+    pub fn add(&mut self, look: &[Vec<u64>]) {
+        for (at, counts) in look.iter().enumerate() {
+            let at = at % PARTS;
+            if self.parts.len() <= at {
+                self.parts.push(vec![0; counts.len()]);
+            }
+            if let Some(part) = self.parts.get_mut(at) {
+                let pairs = part.iter_mut().zip(counts);
+                pairs.for_each(|(sum, new)| *sum = sum.saturating_add(*new));
+            }
         }
     }
 
-    /// Choices counted since the last look that was taken in.
-    pub fn counted(&self) -> u64 {
-        self.parts.iter().flatten().sum()
+    /// Enough was counted since the last look that was taken in.
+    pub fn is_enough(&self) -> bool {
+        let sums = self.parts.iter().map(|p| p.iter().sum::<u64>());
+        let sums: Vec<u64> = sums.filter(|sum| *sum > 0).collect();
+        let least = LEAST_PARTS.min(self.parts.len());
+        sums.len() >= least && sums.iter().sum::<u64>() >= LEAST_CHOICES
     }
 
     /// Drops what was counted and is not taken in yet.
     pub fn drop_counted(&mut self) {
         self.parts.clear();
-        self.next = 0;
     }
 
     /// Takes in what was counted as one look. Returns whether demand has moved: what was known before
     /// is dropped then.
     pub fn take_in(&mut self) -> bool {
         let parts = split(std::mem::take(&mut self.parts));
-        self.next = 0;
         if parts.is_empty() {
             return false;
         }
--- a/crates/group/src/pilot/planning.rs
+++ b/crates/group/src/pilot/planning.rs
@@ -30,8 +30,6 @@
 const SURER: f64 = 2.0;
 /// A new map must lower the busiest rank by this part of the mean.
 const LEAST_GAIN: f64 = 0.12;
-/// Tokens counted in a window below which nothing is concluded.
-const FEWEST: u64 = 2_000;
 
 impl Pilot {
     pub(super) fn counted(&mut self, now: Duration, back: &IndexMap<EngineId, Reply>) -> Vec<Call> {
@@ -45,7 +43,7 @@
     /// Takes what was counted into the estimate of demand, where it is enough to conclude anything; has
     /// a better map prepared.
     pub(super) fn judge(&mut self, now: Duration) -> Vec<Call> {
-        if self.demand.counted() < FEWEST {
+        if !self.demand.is_enough() {
             return self.rest_a_while(now);
         }
         if self.demand.take_in() {
@@ -61,6 +59,9 @@
     /// What the sampled ranks chose since the look before; `false` where one of them does not tell.
     fn take_counts(&mut self, back: &IndexMap<EngineId, Reply>) -> bool {
         let size = self.shape.sets * self.shape.experts;
+        let mut look = Vec::new();
+        let mut back: Vec<_> = back.iter().collect();
+        back.sort_by_key(|(engine, _)| *engine);
         for (engine, reply) in back {
             let Reply::Counts(epoch, counts) = reply else {
                 return false;
@@ -73,9 +74,9 @@
                 continue;
             };
             let pairs = counts.iter().zip(&before);
-            let fresh: Vec<u64> = pairs.map(|(new, old)| new.saturating_sub(*old)).collect();
-            self.demand.add(&fresh);
+            look.push(pairs.map(|(new, old)| new.saturating_sub(*old)).collect());
         }
+        self.demand.add(&look);
         true
     }
 
--- a/crates/group/src/pilot/rounds.rs
+++ b/crates/group/src/pilot/rounds.rs
@@ -21,15 +21,16 @@
 
     /// Counts that came with fresh looks, or else those of the sampled ranks.
     pub(super) fn count(&mut self, now: Duration) -> Vec<Call> {
-        let counts = self.views.values_mut().filter_map(|v| v.lately.take());
-        let counts: Vec<Vec<u64>> = counts.collect();
+        let mut views: Vec<&mut View> = self.views.values_mut().collect();
+        views.sort_by_key(|v| v.rank);
+        let counts = views.into_iter().filter_map(|v| v.lately.take());
+        let mut counts: Vec<Vec<u64>> = counts.collect();
         if counts.is_empty() {
             return self.ask_some();
         }
         let size = self.shape.sets * self.shape.experts;
-        for counts in counts.iter().filter(|c| c.len() == size) {
-            self.demand.add(counts);
-        }
+        counts.retain(|c| c.len() == size);
+        self.demand.add(&counts);
         self.judge(now)
     }
 
--- a/crates/group/tests/demand.rs
+++ b/crates/group/tests/demand.rs
@@ -13,7 +13,11 @@
 const SIZES: [usize; 2] = [16, 32];
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
 
-const PROMPTS: Prompts = Prompts { count: 2, moved: 0 };
+const PROMPTS: Prompts = Prompts {
+    count: 2,
+    moved: 0,
+    ranks: usize::MAX,
+};
 
 fn busy(seed: u64, ranks: usize) -> World {
     let beside = Trouble {
@@ -42,6 +46,29 @@
     }
 }
 
+/// Guards against maps that follow each prompt of a group that has just begun to run and has few.
+#[googletest::test]
+fn few_prompts_on_few_ranks_keep_their_map() {
+    for ranks in SIZES {
+        for seed in SEEDS {
+            let mut world = busy(seed, ranks);
+            world.run(Duration::from_secs(10));
+            let before = world.switches;
+
+            let few = Prompts {
+                count: 1,
+                ranks: 2,
+                ..PROMPTS
+            };
+            world.prompts = Some(few);
+            world.run(Duration::from_secs(30));
+
+            let changes = world.switches - before;
+            expect_that!(changes, le(1), "{ranks} ranks, seed {seed}");
+        }
+    }
+}
+
 /// Guards against an estimate that clings to what was liked before.
 #[googletest::test]
 fn demand_that_moves_is_followed_half_of_the_way_within_two_seconds() {
@@ -70,10 +97,10 @@
 #[googletest::test]
 fn counts_that_come_as_one_part_are_followed_look_by_look() {
     let mut demand = Demand::new();
-    demand.add(&[90, 10]);
+    demand.add(&[vec![90, 10]]);
     demand.take_in();
 
-    demand.add(&[10, 90]);
+    demand.add(&[vec![10, 90]]);
     let moved = demand.take_in();
 
     expect_true!(moved);
@@ -87,8 +114,7 @@
 #[googletest::test]
 fn looks_in_which_nothing_was_counted_change_nothing() {
     let mut demand = Demand::new();
-    demand.add(&[0, 0]);
-    demand.add(&[0, 0]);
+    demand.add(&[vec![0, 0], vec![0, 0]]);
 
     let moved = demand.take_in();
 
--- a/crates/group/tests/engines/mod.rs
+++ b/crates/group/tests/engines/mod.rs
@@ -447,8 +447,10 @@
 
     /// Counts since the look before.
     fn lately(&mut self, rank: usize) -> Vec<u64> {
-        if let Some(prompts) = self.prompts {
-            return prompts.counts(&mut self.rng);
+        match self.prompts {
+            Some(prompts) if rank < prompts.ranks => return prompts.counts(&mut self.rng),
+            Some(_) => return vec![0; SHAPE.sets * SHAPE.experts],
+            None => {}
         }
         let Reply::Counts(_, now) = self.counts(rank) else {
             return Vec::new();
--- a/crates/group/tests/engines/prompts.rs
+++ b/crates/group/tests/engines/prompts.rs
@@ -13,6 +13,8 @@
     pub(crate) count: usize,
     /// Experts by which what is liked has moved.
     pub(crate) moved: usize,
+    /// Ranks that have any prompts.
+    pub(crate) ranks: usize,
 }
 
 /// Parts of the prompts that each subject has.
