wire, conf: messages for evacuations and demand, settings for load

The interfaces that the parts of docs/LOAD.md share, agreed before they are built: LogCommand, EvacuationOrder, Evacuations, Demand, Registration.cold_ms; settings cold_ratio, cold_slack, memory_mb, admission of a gateway. Nothing uses them yet: polls and updates carry none of the new fields.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use check::{Agent, Control, Entry, FieldError, Logging, POLICIES, Peer, Settings, Tls, parse};
 
-pub use roles::{Coordinator, Gateway, Relay};
+pub use roles::{Admission, Coordinator, Gateway, Relay};
 
 use snafu::Snafu;
 use std::path::PathBuf;
--- a/crates/conf/src/roles.rs
+++ b/crates/conf/src/roles.rs
@@ -8,6 +8,7 @@
 
 /// Time for a graceful stop if the settings give none.
 const DEFAULT_GRACE_PERIOD: Duration = Duration::from_secs(8);
+const BYTES_PER_MB: f64 = 1_048_576.0;
 /// Window of the retry budget if the settings give none.
 const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
 
@@ -30,6 +31,25 @@
     pub retry_window: Duration,
     /// Address at which callers resolve addresses; `None` if other processes serve that.
     pub directory: Option<SocketAddr>,
+    /// Requests per second that a cold backend server may get, relative to the rate that its
+    /// service names.
+    pub cold_ratio: f64,
+    /// Requests per second that a cold backend server may get beyond that.
+    pub cold_slack: f64,
+    /// Memory of the process in bytes; `None` if it is not limited.
+    pub memory_bytes: Option<u64>,
+    /// What admission to lock-step groups aims at.
+    pub admission: Admission,
+}
+
+/// What admission to lock-step groups aims at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Admission {
+    /// Single pauses between events that stay within the allowed one.
+    #[default]
+    Pauses,
+    /// Streams that are in time to their end.
+    Streams,
 }
 
 /// Settings of the coordinator role.
@@ -63,6 +83,15 @@
 }
 
 pub(crate) fn gateway(raw: &wire::GatewaySettings, errors: &mut FieldErrors) -> Gateway {
+    for (field, value) in [
+        ("gateway.cold_ratio", raw.cold_ratio),
+        ("gateway.cold_slack", raw.cold_slack),
+        ("gateway.memory_mb", raw.memory_mb),
+    ] {
+        if !(value >= 0.0 && value.is_finite()) {
+            errors.add(field, value.to_string(), "give a non-negative number");
+        }
+    }
     if !(0.0..=1.0).contains(&raw.retry_ratio) {
         let value = raw.retry_ratio.to_string();
         errors.add("gateway.retry_ratio", value, "give a fraction from 0 to 1");
@@ -89,6 +118,24 @@
             DEFAULT_RETRY_WINDOW,
         ),
         directory: errors.parse_optional_address("gateway.directory", &raw.directory),
+        cold_ratio: match raw.cold_ratio {
+            0.0 => 1.0,
+            ratio => ratio,
+        },
+        cold_slack: raw.cold_slack,
+        memory_bytes: (raw.memory_mb > 0.0).then_some((raw.memory_mb * BYTES_PER_MB) as u64),
+        admission: admission(&raw.admission, errors),
+    }
+}
+
+fn admission(raw: &str, errors: &mut FieldErrors) -> Admission {
+    match raw {
+        "" | "pauses" => Admission::Pauses,
+        "streams" => Admission::Streams,
+        other => {
+            errors.add("gateway.admission", other, "give pauses or streams");
+            Admission::default()
+        }
     }
 }
 
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -155,3 +155,35 @@
         ]
     );
 }
+
+#[gtest]
+fn gateway_settings_for_load_have_defaults_and_are_checked() {
+    let text = |extra: &str| {
+        format!(
+            r#"{{"id": "g1", "domain": "d", "inbox": "127.0.0.1:1", "operators": "127.0.0.1:2",
+            "gateway": {{"callers": "127.0.0.1:4", "readiness": "127.0.0.1:3",
+                "seeds": ["127.0.0.1:5"]{extra}}}}}"#
+        )
+    };
+    let gateway = |extra: &str| parse(&text(extra)).unwrap().gateway.unwrap();
+
+    let default = gateway("");
+    let set = gateway(
+        r#", "cold_ratio": 1.5, "cold_slack": 5, "memory_mb": 0.5, "admission": "streams""#,
+    );
+    let wrong = parse(&text(
+        r#", "cold_ratio": -1, "memory_mb": -2, "admission": "fair""#,
+    ));
+
+    expect_that!(default.cold_ratio, eq(1.0));
+    expect_that!(default.memory_bytes, none());
+    expect_that!(default.admission, eq(bn_conf::Admission::Pauses));
+    expect_that!(set.cold_ratio, eq(1.5));
+    expect_that!(set.cold_slack, eq(5.0));
+    expect_that!(set.memory_bytes, some(eq(512 * 1024)));
+    expect_that!(set.admission, eq(bn_conf::Admission::Streams));
+    let message = wrong.unwrap_err().to_string();
+    for field in ["cold_ratio", "memory_mb", "admission"] {
+        expect_that!(message, contains_substring(format!("gateway.{field}")));
+    }
+}
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -188,6 +188,7 @@
             rate: self.rate.update(self.shared.now(), self.shared.accepted()),
             named: self.shared.state().selection.checksum(),
             brief: poll.omit_registrations,
+            ..wire::NewsAsk::default()
         };
         self.net.send(inbox, Body::NewsAsk(request));
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -211,6 +211,7 @@
         Body::ReadAsk(_) => "read_ask",
         Body::ReadAnswer(_) => "read_answer",
         Body::JoinAsk(_) => "join_ask",
+        Body::EvacuationAsk(_) => "evacuation_ask",
         Body::EngineAsks(_) => "engine_asks",
         Body::EngineAnswers(_) => "engine_answers",
         Body::Ended(_) => "ended",
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -30,6 +30,7 @@
             told: r.rank_version,
             limit: r.limit.rate,
             limit_turn: r.limit.version,
+            cold_ms: None,
         }
     }
 }
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -16,7 +16,7 @@
     pub role: i32,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 70, 71, 80, 81, 82, 83, 90"
+        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 67, 70, 71, 80, 81, 82, 83, 90"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -70,6 +70,8 @@
         ReadAnswer(super::ReadAnswer),
         #[prost(message, tag = "66")]
         JoinAsk(super::JoinAsk),
+        #[prost(message, tag = "67")]
+        EvacuationAsk(super::EvacuationOrder),
         #[prost(message, tag = "70")]
         EngineAsks(super::EngineAsks),
         #[prost(message, tag = "71")]
@@ -963,10 +965,13 @@
     /// number of what gateways heard of the limit; later ones are higher
     #[prost(uint64, tag = "13")]
     pub limit_turn: u64,
+    /// time for which it stays cold, counted from sending; absent: not announced
+    #[prost(uint32, optional, tag = "14")]
+    pub cold_ms: ::core::option::Option<u32>,
 }
 /// Gateway or coordinator to a coordinator, a few times a second: what it has, and
 /// what it is, so that the answer and the list of gateways stay current.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NewsAsk {
     /// of a gateway: where callers connect; else empty
     #[prost(string, tag = "1")]
@@ -1000,6 +1005,12 @@
     /// of a gateway: others tell it of backend servers
     #[prost(bool, tag = "11")]
     pub brief: bool,
+    /// of a gateway: revision of the evacuations that it knows; absent: none
+    #[prost(uint64, optional, tag = "12")]
+    pub evacuations: ::core::option::Option<u64>,
+    /// of a gateway: demand that it saw lately
+    #[prost(message, optional, tag = "13")]
+    pub demand: ::core::option::Option<Demand>,
 }
 /// Answer to NewsAsk, or pushed at a change.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -1039,6 +1050,12 @@
     /// mark that `changed` goes on from
     #[prost(uint64, tag = "12")]
     pub after: u64,
+    /// with a document, and where another revision was known
+    #[prost(message, optional, tag = "13")]
+    pub evacuations: ::core::option::Option<Evacuations>,
+    /// sum over the gateways that reported lately
+    #[prost(message, optional, tag = "14")]
+    pub demand: ::core::option::Option<Demand>,
 }
 /// One start of a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1126,6 +1143,93 @@
     #[prost(message, repeated, tag = "1")]
     pub limits: ::prost::alloc::vec::Vec<LimitHeard>,
 }
+/// A command of the log of documents and evacuations, and the state in its snapshots. The
+/// field numbers of a document are those of DocumentAsk, which earlier versions stored here.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LogCommand {
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// packed
+    #[prost(bytes = "vec", tag = "3")]
+    pub document: ::prost::alloc::vec::Vec<u8>,
+    /// an order in place of a document
+    #[prost(message, optional, tag = "4")]
+    pub evacuation: ::core::option::Option<EvacuationOrder>,
+    /// in snapshots
+    #[prost(message, optional, tag = "5")]
+    pub evacuations: ::core::option::Option<Evacuations>,
+}
+/// An operator's order about one failure domain, sent to the leader and kept in the log.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuationOrder {
+    /// random
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
+    pub domain: ::prost::alloc::string::String,
+    /// false: takes the evacuation back
+    #[prost(bool, tag = "3")]
+    pub evacuated: bool,
+    /// revision known to the proposer: void if another order was applied since
+    #[prost(uint64, tag = "4")]
+    pub base: u64,
+}
+/// Failure domains whose backend servers get no requests.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Evacuations {
+    /// log index of the last order applied; 0: none
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub domains: ::prost::alloc::vec::Vec<EvacuatedDomain>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuatedDomain {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// log index
+    #[prost(uint64, tag = "2")]
+    pub since: u64,
+}
+/// First attempts for one service and priority.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ServiceDemand {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// 0 is the most urgent
+    #[prost(uint32, tag = "2")]
+    pub priority: u32,
+    /// requests a second
+    #[prost(float, tag = "3")]
+    pub rate: f32,
+    /// queued requests
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+}
+/// Work done for a client account while others of its priority had to wait.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AccountUsage {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub priority: u32,
+    #[prost(string, tag = "3")]
+    pub account: ::prost::alloc::string::String,
+    /// tokens a second
+    #[prost(float, tag = "4")]
+    pub rate: f32,
+}
+/// Demand seen by one gateway, or the sum over some.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Demand {
+    #[prost(message, repeated, tag = "1")]
+    pub services: ::prost::alloc::vec::Vec<ServiceDemand>,
+    #[prost(message, repeated, tag = "2")]
+    pub accounts: ::prost::alloc::vec::Vec<AccountUsage>,
+    /// number of gateways in the sum
+    #[prost(uint32, tag = "3")]
+    pub gateways: u32,
+}
 /// A document for the leader to settle.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DocumentAsk {
--- a/crates/wire/src/gen/bn.settings.rs
+++ b/crates/wire/src/gen/bn.settings.rs
@@ -144,6 +144,18 @@
     /// "ip:port" for callers that ask where to connect; empty: they ask others
     #[prost(string, tag = "8")]
     pub directory: ::prost::alloc::string::String,
+    /// requests a second to a cold backend server, relative to what its service names; 0: 1
+    #[prost(double, tag = "9")]
+    pub cold_ratio: f64,
+    /// requests a second beyond that
+    #[prost(double, tag = "10")]
+    pub cold_slack: f64,
+    /// memory of this process; 0: not limited
+    #[prost(double, tag = "11")]
+    pub memory_mb: f64,
+    /// "pauses" or "streams"; empty: pauses
+    #[prost(string, tag = "12")]
+    pub admission: ::prost::alloc::string::String,
 }
 /// A process that keeps the settled documents and the registrations.
 #[derive(serde::Serialize, serde::Deserialize)]
