Tests: addresses that no other process is given

Cause: fixtures bound port 0, released the port and used it later.

Change: crates/net/tests/addresses gives out addresses that are reserved by construction: a loopback address derived from the process id, which is unique among running processes, and ports from a counter below the kernel's ephemeral range (32768 and up). Neither outgoing connections nor binds to port 0 take them, and no other process uses the loopback address. Used by the tests of net and engine and by asking and the restarting backend servers of cli. The testbed of cli holds a listener on its network for as long as it runs, and the other fixtures keep the listener that they bind; they needed no change.

What remains: two processes with the same id in different process namespaces that share one network, and a listener on all addresses at one of these ports.

--- a/crates/cli/tests/asking.rs
+++ b/crates/cli/tests/asking.rs
@@ -8,9 +8,9 @@
 
 use bn_platform::header::{LEAVING, LIMIT, NOT_RUN, RETRY_AFTER};
 use fleet::Fleet;
+use fleet::addresses::free_address;
 use fleet::recording::{Arrival, Recorder, ResponseHead, TimedResponse, max_within, send_all};
 use googletest::prelude::*;
-use std::net::TcpListener;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -327,9 +327,7 @@
 #[googletest::test]
 fn a_fake_backend_server_sets_a_limit_and_backoff_on_command() {
     let fleet = Fleet::start(48);
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    drop(listener);
+    let address = free_address().to_string();
     let control = fleet.control(1).to_string();
     let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornnotch"));
     let args = "fake --kind plain --name stand-in --service plain";
--- a/crates/cli/tests/fleet/crashing.rs
+++ b/crates/cli/tests/fleet/crashing.rs
@@ -1,5 +1,6 @@
 //! Backend servers that terminate on some requests and start again as a new incarnation.
 
+use super::addresses::free_address;
 use super::{Message, PATHS, call, read_message};
 use bn_platform::header::{ATTEMPT, SIGNATURE};
 use std::io::{BufReader, Write};
@@ -42,9 +43,7 @@
 /// announces itself at `control`.
 pub(crate) fn run(name: &str, service: &str, control: SocketAddr, record: &Arc<Mutex<Record>>) {
     let (name, service, record) = (name.to_string(), service.to_string(), record.clone());
-    let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
-    let address = listener.local_addr().expect("address");
-    drop(listener);
+    let address = free_address();
     thread::spawn(move || {
         for number in 0.. {
             let id = format!("{name}-{number}");
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -3,6 +3,9 @@
 
 // Each test target uses only some of these modules.
 #[allow(dead_code)]
+#[path = "../../../net/tests/addresses/mod.rs"]
+pub(crate) mod addresses;
+#[allow(dead_code)]
 pub(crate) mod crashing;
 mod message;
 #[allow(dead_code)]
--- a/crates/engine/tests/relay.rs
+++ b/crates/engine/tests/relay.rs
@@ -2,6 +2,10 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+#[path = "../../net/tests/addresses/mod.rs"]
+mod addresses;
+
+use addresses::free_address;
 use bn_conf::{Logging, Relay, Settings};
 use bn_engine::compress_placements;
 use bn_net::Net;
@@ -77,11 +81,6 @@
     Some(text + &String::from_utf8_lossy(&body))
 }
 
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// A relay beside `engine`, and the coordinator's end of the link to it.
 struct Harness {
     relay: SocketAddr,
@@ -92,13 +91,13 @@
 
 impl Harness {
     fn new(engine: SocketAddr) -> Harness {
-        let (relay, requester) = (free_port(), free_port());
+        let (relay, requester) = (free_address(), free_address());
         let settings = Settings {
             id: "r1".into(),
             domain: "d1".into(),
             inbox: relay,
             listen: relay,
-            operators: free_port(),
+            operators: free_address(),
             tls: None,
             log: Logging {
                 level: "info".into(),
@@ -254,7 +253,7 @@
 fn unreachable_relay_is_reported_in_time() {
     let (engine, _) = engine(Box::new(answer_normally));
     let harness = Harness::new(engine);
-    let unreachable = free_port();
+    let unreachable = free_address();
     let start = Instant::now();
 
     harness.send_all(vec![(harness.relay, poll(1)), (unreachable, poll(2))], &[]);
--- a/crates/net/tests/links.rs
+++ b/crates/net/tests/links.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod addresses;
+
+use addresses::free_address;
 use bn_net::Net;
 use bn_wire::messages::{News, Role, envelope::Body};
 use googletest::prelude::*;
@@ -25,11 +28,6 @@
 const SEND_INTERVAL: Duration = Duration::from_micros(100);
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn open() -> (SocketAddr, Net) {
     let address = free_address();
     let net = Net::start(Role::Node, "a", address, address, |_| true).unwrap();
--- a/crates/net/tests/traffic.rs
+++ b/crates/net/tests/traffic.rs
@@ -2,20 +2,18 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod addresses;
+
+use addresses::free_address;
 use bn_net::{Disposition, Flow, Net, Tally};
 use bn_wire::messages::{News, NewsAsk, Role, envelope::Body};
 use googletest::prelude::*;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn process(role: Role, accepts: bool) -> (SocketAddr, Net) {
     let address = free_address();
     let net = Net::start(role, "p", address, address, move |_| accepts).unwrap();
