Tests: announcements wait until the coordinator is current

Cause: announcements_of_other_writers_change_nothing waited for the gateways only. A coordinator that does not know the newest document yet accepts services that the document does not name, as it should, and answered 200 instead of 400.

Change: the test waits until the page /v1/members of the coordinator that it calls has current and the version of the committed document.

--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -207,6 +207,7 @@
 #[googletest::test]
 fn announcements_of_other_writers_change_nothing() {
     let fleet = Fleet::start(37);
+    fleet.wait_current(1, 7);
     let backend = Backend::start("a", succeed);
     fleet.announce(&backend, "plain", "ready", 1);
     let announcements = [
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -256,6 +256,17 @@
         self.wait("document", |_| (1..=3).any(put));
     }
 
+    /// Waits until a coordinator knows that it has the newest document and that this has at least
+    /// `version`. Before that it accepts announcements of services that the document does not name.
+    pub(crate) fn wait_current(&self, n: u8, version: u64) {
+        self.wait("a current coordinator", |f| {
+            let head = "GET /v1/members HTTP/1.1\r\nhost: x";
+            let page = call(f.operators(n), head, "").map_or(String::new(), |m| m.text());
+            let page: serde_json::Value = serde_json::from_str(&page).unwrap_or_default();
+            page["current"] == true && page["version"].as_u64() >= Some(version)
+        });
+    }
+
     pub(crate) fn put_document(&self, n: u8, document: &str) -> u16 {
         let head = format!("PUT {} HTTP/1.1\r\nhost: x", PATHS.document);
         call(self.addr(n, 2), &head, document).map_or(0, |m| m.status())
