Quorum: tests that notice four mechanisms being removed

Cause, for each mutant that no test noticed: - quorum-restart-wait: the scenario has two leases overlap only if a restart and two messages fall between two heartbeats, which its one seed never does. - quorum-unanimous-first: a wiped replica of the simulation has no initial members and cannot campaign at all, so the size of its quorum is never used. - quorum-repair: the partitioned follower cannot acknowledge the change of members, so the repair waits for it with or without the check. - leader-lease: in the scenario the other processes refuse the old leader's orders by their term; the lease itself is not observed.

--- a/crates/quorum/tests/directed.rs
+++ b/crates/quorum/tests/directed.rs
@@ -125,6 +125,167 @@
     expect_that!(second, err(eq(&Error::ChangeUnderWay)));
 }
 
+/// A replica `a` with identity 1 among the voters `a`, `bb` and `ccc`, at a time long after 0.
+fn replica_of_three(identities: [u64; 3], restored: Restored) -> (Replica, Duration) {
+    let member = |(n, identity): (&str, u64)| {
+        let member = Member {
+            identity,
+            address: n.into(),
+            voter: true,
+        };
+        (n.to_string(), member)
+    };
+    let config = ReplicaConfig {
+        id: "a".into(),
+        identity: 1,
+        initial_members: ["a", "bb", "ccc"]
+            .into_iter()
+            .zip(identities)
+            .map(member)
+            .collect(),
+        timing: Timing::default(),
+        seed: 1,
+    };
+    let now = Duration::from_secs(1_000);
+    (Replica::new(config, restored, now), now)
+}
+
+fn receive(replica: &mut Replica, now: Duration, from: (&str, u64), term: u64, kind: Kind) {
+    let (from, identity) = from;
+    let message = Message {
+        term,
+        identity,
+        kind,
+    };
+    replica.receive(now, from, message);
+}
+
+/// Grants the replica's pre-vote and then its vote in the term after its own.
+fn grant_votes(replica: &mut Replica, now: Duration, from: (&str, u64), term: u64) {
+    for pre_vote in [true, false] {
+        let kind = Kind::VoteResponse {
+            pre_vote,
+            granted: true,
+        };
+        receive(replica, now, from, term, kind);
+    }
+}
+
+/// A leader `a` in term 1 at the returned time, with an entry of its term committed.
+fn leader_of_three() -> (Replica, Duration) {
+    let (mut leader, start) = replica_of_three([1, 2, 3], Restored::default());
+    let now = start + Duration::from_secs(2);
+    leader.tick(now);
+    grant_votes(&mut leader, now, ("bb", 2), 1);
+    for from in [("bb", 2), ("ccc", 3)] {
+        receive(&mut leader, now, from, 1, accepted(1, 1));
+    }
+    assert_eq!((leader.role(), leader.commit()), (Role::Leader, 1));
+    (leader, now)
+}
+
+fn accepted(index: u64, round: u64) -> Kind {
+    Kind::AppendResponse {
+        accepted: true,
+        index,
+        round,
+    }
+}
+
+fn granted_vote(replica: &mut Replica) -> bool {
+    let messages = replica.take_output().messages;
+    let granted = |(_, m): &(String, Message)| matches!(m.kind, Kind::VoteResponse { granted, .. } if granted);
+    messages.iter().any(granted)
+}
+
+/// Guards against two leaders with a lease at once: a voter that answered a leader and restarted
+/// right after that votes for another replica while the lease that it answered may be valid.
+#[gtest]
+fn a_restarted_voter_grants_no_vote_within_a_lease() {
+    let (mut voter, start) = replica_of_three([1, 2, 3], Restored::default());
+    let lease = Timing::default().lease;
+    let mut ask = |now, pre_vote| {
+        let kind = Kind::VoteRequest {
+            pre_vote,
+            last_index: 9,
+            last_term: 9,
+        };
+        receive(&mut voter, now, ("bb", 2), 10, kind);
+        granted_vote(&mut voter)
+    };
+
+    let early: Vec<bool> = [Duration::ZERO, lease / 2, lease]
+        .iter()
+        .flat_map(|after| [ask(start + *after, true), ask(start + *after, false)])
+        .collect();
+    let later = start + lease * 2;
+
+    expect_that!(early, each(eq(&false)));
+    expect_that!([ask(later, true), ask(later, false)], eq([true, true]));
+}
+
+/// Guards against a second log beside the surviving one: two of three replicas start with empty
+/// disks and the same initial members, and their two votes are taken for a majority although they
+/// cannot know what the third has.
+#[gtest]
+fn a_new_log_needs_the_votes_of_all_initial_members() {
+    let (mut replica, start) = replica_of_three([0, 0, 0], Restored::default());
+    let now = start + Duration::from_secs(2);
+    replica.tick(now);
+    let mut role_after = |from, pre_vote| {
+        let kind = Kind::VoteResponse {
+            pre_vote,
+            granted: true,
+        };
+        receive(&mut replica, now, from, 1, kind);
+        replica.role()
+    };
+
+    let pre_votes = [("bb", 2), ("ccc", 3)].map(|from| role_after(from, true));
+    let votes = [("bb", 2), ("ccc", 3)].map(|from| role_after(from, false));
+
+    expect_that!(pre_votes, eq([Role::Trial, Role::Candidate]));
+    expect_that!(votes, eq([Role::Candidate, Role::Leader]));
+}
+
+/// Guards against the loss of acknowledged commands: a voter whose disk was emptied counts towards
+/// commits again before it has synced the entries that were acknowledged with its old disk.
+#[gtest]
+fn a_learner_votes_only_once_it_has_synced_everything() {
+    let (mut leader, mut now) = leader_of_three();
+    leader.demote("ccc").unwrap();
+    receive(&mut leader, now, ("bb", 2), 1, accepted(2, 1));
+    let index = leader.propose(vec![1]).unwrap();
+    receive(&mut leader, now, ("bb", 2), 1, accepted(index, 1));
+    assert_eq!(leader.commit(), index);
+    let mut votes_after = |synced| {
+        receive(&mut leader, now, ("ccc", 33), 1, accepted(synced, 1));
+        now += Timing::default().heartbeat;
+        leader.tick(now);
+        leader.members()["ccc"].voter
+    };
+
+    let votes = [votes_after(1), votes_after(index - 1), votes_after(index)];
+
+    expect_that!(votes, eq([false, false, true]));
+}
+
+/// Guards against grants by two leaders: a leader that no majority answers any more takes its lease
+/// for valid, and continues to lead.
+#[gtest]
+fn a_leader_without_answers_loses_its_lease_and_steps_down() {
+    let (mut leader, start) = leader_of_three();
+    let timing = Timing::default();
+
+    let before = leader.holds_lease(start + timing.lease / 2);
+    let after = leader.holds_lease(start + timing.lease);
+    let steps = (1..=20).map(|n| start + timing.heartbeat * n);
+    steps.for_each(|now| leader.tick(now));
+
+    expect_that!((before, after), eq((true, false)));
+    expect_that!(leader.role(), not(eq(Role::Leader)));
+}
+
 fn entry(index: u64, term: u64) -> Entry {
     Entry {
         index,
