--- /dev/null
+++ b/crates/backpressure/src/cold.rs
@@ -0,0 +1,158 @@
+//! Cold periods: a backend server that has just started, or was idle, handles few requests a second
+//! for some seconds.
+
+use crate::ServerId;
+use crate::schedule::{JOIN_DELAY, Schedule};
+use crate::senders::{GatewaySet, WINDOW, window_interval};
+use std::time::Duration;
+
+/// Smaller moves of the end are the varying delay of the messages that carry it.
+const END_TOLERANCE: Duration = Duration::from_millis(250);
+/// An answer takes precedence over announcements for this long: they come every 1.2 s.
+const ANSWER_PRECEDENCE: Duration = Duration::from_secs(2);
+/// An announcement received within that time overrides the answer only if its end is later by more
+/// than the age that an announcement may have on its way through the coordinators.
+const ANNOUNCEMENT_AGE: Duration = Duration::from_secs(1);
+
+/// Where the end of a cold period is known from, from the least to the most reliable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ColdSource {
+    /// Assumed, for want of a report.
+    #[default]
+    Assumed,
+    /// An announcement of the backend server.
+    Announced,
+    /// An answer of the backend server.
+    Answered,
+}
+
+/// Time left of a cold period.
+#[derive(Debug, Clone, Copy)]
+pub struct ColdReport {
+    /// Time left, counted from arrival; zero if the backend server is not cold.
+    pub left: Duration,
+    /// Where it is known from.
+    pub source: ColdSource,
+    /// When the request was sent whose answer this is; otherwise, the time of arrival.
+    pub sent_at: Duration,
+    /// The backend server itself reports it. An end moves forward by other reports only.
+    pub authentic: bool,
+}
+
+/// Cold period of one start of a backend server, as far as this gateway knows.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Cold {
+    /// Requests that all gateways together may send in any second of a cold period; `None` if
+    /// backend servers of this service are never cold.
+    pub(crate) bound: Option<f64>,
+    pub(crate) until: Duration,
+    pub(crate) source: ColdSource,
+    /// When the end was last moved.
+    changed_at: Duration,
+    answered_at: Option<Duration>,
+    /// Set from the first cold period on.
+    schedule: Option<Schedule>,
+    /// Number of changes of the end.
+    pub(crate) changes: u64,
+}
+
+impl Cold {
+    /// Applies a report; `true` if it moves the end.
+    pub(crate) fn on_report(&mut self, now: Duration, report: &ColdReport) -> bool {
+        if self.bound.is_none() {
+            return false;
+        }
+        let held = self.until.max(now);
+        let until = now.saturating_add(report.left);
+        let later = until > held + END_TOLERANCE || (held == now && !report.left.is_zero());
+        let earlier = until + END_TOLERANCE < held;
+        let answered = |at| now < at + ANSWER_PRECEDENCE;
+        let adopted = match report.source {
+            ColdSource::Assumed => later,
+            ColdSource::Announced if self.answered_at.is_some_and(answered) => {
+                until > held + ANNOUNCEMENT_AGE
+            }
+            ColdSource::Announced => later || earlier,
+            // Answers overtake each other: an earlier one may be from before the cold period.
+            ColdSource::Answered => {
+                let newer = report.authentic && report.sent_at >= self.changed_at;
+                later || (earlier && newer)
+            }
+        };
+        if report.source == ColdSource::Answered {
+            self.answered_at = Some(now);
+        }
+        if adopted {
+            (self.until, self.source, self.changed_at) = (until, report.source, now);
+            self.changes += 1;
+        } else if until > held && report.source != ColdSource::Assumed {
+            self.until = until;
+        }
+        adopted
+    }
+
+    pub(crate) fn is_active(&self, now: Duration) -> bool {
+        self.bound.is_some() && now < self.until
+    }
+
+    /// Recomputes the schedule after a change; `true` if that changes it. `first` discards the one
+    /// of an earlier cold period; `last_sent` is when a request was last sent.
+    pub(crate) fn reschedule(
+        &mut self,
+        now: Duration,
+        id: &ServerId,
+        set: &GatewaySet,
+        draw: f64,
+        (first, last_sent): (bool, Option<Duration>),
+    ) -> bool {
+        let Some(bound) = self.bound.filter(|_| self.is_active(now)) else {
+            return self.schedule.take().is_some();
+        };
+        let first = first || self.schedule.is_none();
+        if first {
+            self.schedule = None;
+        }
+        let earliest = match first {
+            // Requests sent before the cold period was known count, and so do those that this
+            // gateway may have sent before it was restarted.
+            true => now
+                .max(last_sent.map_or(Duration::ZERO, |at| at + WINDOW))
+                .max(set.listed_at + JOIN_DELAY),
+            false => now + JOIN_DELAY,
+        };
+        let interval = window_interval(bound, id, set);
+        let schedule = self.schedule.get_or_insert_default();
+        schedule.set_interval(earliest, interval, draw) || first
+    }
+
+    /// When the next request may be sent as far as the cold period is concerned. After its end,
+    /// all gateways may send.
+    pub(crate) fn next_send_at(&self) -> Duration {
+        let next_at = self.schedule.and_then(|s| s.next_send_at());
+        match (self.bound, self.schedule) {
+            (Some(_), Some(_)) => next_at.map_or(self.until, |at| at.min(self.until)),
+            _ => Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn on_sent(&mut self, now: Duration) {
+        if let Some(schedule) = &mut self.schedule {
+            schedule.on_sent(now);
+        }
+    }
+
+    /// Whether a request may be written now, if the previous one was written at `last_written`.
+    pub(crate) fn on_write(&mut self, now: Duration, last_written: Option<Duration>) -> bool {
+        if !self.is_active(now) {
+            return true;
+        }
+        let Some(interval) = self.schedule.and_then(|s| s.interval) else {
+            return false;
+        };
+        let open = last_written.is_none_or(|at| now >= at + interval);
+        if open {
+            self.on_sent(now);
+        }
+        open
+    }
+}
--- a/crates/backpressure/src/senders.rs
+++ b/crates/backpressure/src/senders.rs
@@ -18,6 +18,16 @@
 /// learns that a limit was lifted.
 const MIN_RATE: f64 = 0.05;
 
+/// Span in which the number of requests to a cold backend server is bounded. Requests of one second
+/// there were sent within this span: paths from gateways differ by less than 0.1 s.
+pub(crate) const WINDOW: Duration = Duration::from_millis(1_100);
+/// Added to intervals, so that the requests of a span and the first one after it are more than the
+/// span apart.
+const MARGIN: Duration = Duration::from_millis(1);
+/// Part of the bound that is handed out. Two views of the list of gateways may have no sender in
+/// common, since a gateway that is cut off holds an earlier list.
+const HANDED_OUT: f64 = 0.5;
+
 /// Determines a gateway's share of limits.
 #[derive(Debug, Clone, Default)]
 pub struct GatewaySet {
@@ -25,6 +35,8 @@
     pub own: Option<SocketAddr>,
     /// The same address of all gateways that callers are sent to.
     pub gateways: Vec<SocketAddr>,
+    /// When this gateway's own address came onto the list that it knows.
+    pub listed_at: Duration,
 }
 
 /// Interval between two requests of this gateway to a backend server that accepts `rate` per second
@@ -33,11 +45,30 @@
     let rate = rate.max(MIN_RATE);
     let senders = (rate.ceil() as usize).max(MIN_SENDERS);
     let senders = senders.min(set.gateways.len());
-    let own = set.own.filter(|own| set.gateways.contains(own))?;
+    let sends = is_sender(senders, id, set);
+    sends.then(|| Duration::from_secs_f64(senders as f64 / rate))
+}
+
+/// Interval between two requests of this gateway to a cold backend server that may get `bound`
+/// requests in any second from all gateways together; `None` if only others may send there.
+pub(crate) fn window_interval(bound: f64, id: &ServerId, set: &GatewaySet) -> Option<Duration> {
+    let shares = (bound * HANDED_OUT) as usize;
+    let gateways = set.gateways.len();
+    let share = (shares / gateways.max(1)).max(1);
+    let senders = gateways.min(shares / share);
+    let sends = is_sender(senders, id, set);
+    let share = u32::try_from(share).unwrap_or(u32::MAX);
+    sends.then(|| WINDOW / share + MARGIN)
+}
+
+/// Whether this gateway is one of the first `senders` in the order of a backend server.
+fn is_sender(senders: usize, id: &ServerId, set: &GatewaySet) -> bool {
+    let Some(own) = set.own.filter(|own| set.gateways.contains(own)) else {
+        return false;
+    };
     let own_rank = rank(id, own);
     let before = set.gateways.iter().filter(|g| rank(id, **g) < own_rank);
-    let sends = before.count() < senders;
-    sends.then(|| Duration::from_secs_f64(senders as f64 / rate))
+    before.count() < senders
 }
 
 /// Rank of a gateway in an order that all gateways agree on and that differs for each backend
--- a/crates/backpressure/src/state.rs
+++ b/crates/backpressure/src/state.rs
@@ -1,15 +1,13 @@
 //! Backpressure of one start of a backend server, as one gateway applies it.
 
 use crate::backoff::Backoff;
+use crate::cold::{Cold, ColdReport, ColdSource};
 use crate::limit::{Limit, stricter};
+use crate::schedule::{JOIN_DELAY, Schedule};
 use crate::senders::{GatewaySet, send_interval};
 use crate::{LimitVersion, ServerId};
 use std::time::Duration;
 
-/// A gateway that becomes one of the senders waits this long before it sends: the previous sender
-/// may not have received the change yet. Twice the time that a change takes to reach the gateways.
-const JOIN_DELAY: Duration = Duration::from_secs(2);
-
 /// A limit is raised or lifted by a response to a request sent at least this long after the last
 /// one that named the limit. A backend server may name it in some responses only, and would
 /// otherwise alternate between its limit and the full load.
@@ -31,6 +29,8 @@
     pub backoff: Option<Duration>,
     /// The backend server accepts no new work any more.
     pub leaving: bool,
+    /// The backend server is cold for this long; zero if it is not cold.
+    pub cold: Option<Duration>,
     /// A directive could not be parsed and is ignored.
     pub malformed: bool,
 }
@@ -47,15 +47,6 @@
     pub authentic: bool,
 }
 
-/// Whether, and how often, this gateway may send while there is a limit.
-#[derive(Debug, Clone, Copy, Default)]
-struct Schedule {
-    /// Interval between two requests; `None` if only others send.
-    interval: Option<Duration>,
-    /// When the next request may be sent.
-    next_at: Duration,
-}
-
 /// Backpressure of one start of a backend server, as far as this gateway knows.
 #[derive(Debug, Clone, Default)]
 pub struct Backpressure {
@@ -71,6 +62,12 @@
     backoff: Option<Backoff>,
     /// The backend server said that it accepts no new work. This start never revokes that.
     leaving: bool,
+    /// Bounds requests during a cold period, in addition to a limit.
+    cold: Cold,
+    /// When a request was last sent, or reserved.
+    last_sent: Option<Duration>,
+    /// When a request was last written to a connection.
+    last_written: Option<Duration>,
     /// Number of changes of when requests may be sent.
     changes: u64,
 }
@@ -100,11 +97,25 @@
             self.adopt(now, id, Limit { rate, version }, set, draw);
         }
         self.update_backoff(now, feedback, draw);
+        if let Some(left) = feedback.directives.cold {
+            let report = ColdReport {
+                left,
+                source: ColdSource::Answered,
+                sent_at: feedback.sent_at,
+                authentic: feedback.authentic,
+            };
+            self.on_cold_report(now, id, &report, set, draw);
+        }
         self.leaving |= feedback.directives.leaving;
         changed
     }
 
     fn update_directives(&mut self, now: Duration, directives: Directives) -> Option<Duration> {
+        // The time left of a cold period differs in each answer.
+        let directives = Directives {
+            cold: None,
+            ..directives
+        };
         let kinds = |d: &Directives| {
             (
                 d.limit.is_some(),
@@ -166,8 +177,47 @@
         self.reschedule(now, id, set, draw);
     }
 
-    /// Recomputes the schedule after a change of the limit or of the list of gateways.
+    /// Sets how many requests all gateways together may send in any second of a cold period; `None`
+    /// if there are no cold periods.
+    pub fn set_cold_bound(
+        &mut self,
+        now: Duration,
+        id: &ServerId,
+        bound: Option<f64>,
+        set: &GatewaySet,
+        draw: f64,
+    ) {
+        if self.cold.bound != bound {
+            self.cold.bound = bound;
+            self.reschedule(now, id, set, draw);
+        }
+    }
+
+    /// Applies what is known of a cold period; `true` if that changes its end.
+    pub fn on_cold_report(
+        &mut self,
+        now: Duration,
+        id: &ServerId,
+        report: &ColdReport,
+        set: &GatewaySet,
+        draw: f64,
+    ) -> bool {
+        let was_active = self.cold.is_active(now);
+        let changed = self.cold.on_report(now, report);
+        let begins = !was_active && self.cold.is_active(now);
+        if changed {
+            let past = (begins, self.last_sent);
+            let rescheduled = self.cold.reschedule(now, id, set, draw, past);
+            self.changes += u64::from(rescheduled);
+        }
+        changed
+    }
+
+    /// Recomputes the schedules after a change of the limit or of the list of gateways.
     pub fn reschedule(&mut self, now: Duration, id: &ServerId, set: &GatewaySet, draw: f64) {
+        let past = (false, self.last_sent);
+        let rescheduled = self.cold.reschedule(now, id, set, draw, past);
+        self.changes += u64::from(rescheduled);
         let Some(rate) = self.limit.rate else {
             self.changes += u64::from(self.schedule.take().is_some());
             return;
@@ -175,30 +225,19 @@
         let interval = send_interval(rate, id, set);
         let first = self.schedule.is_none();
         let schedule = self.schedule.get_or_insert_default();
-        if !first && schedule.interval == interval {
-            return;
-        }
-        self.changes += 1;
-        match (schedule.interval, interval) {
-            (Some(before), Some(interval)) => {
-                schedule.next_at = schedule.next_at.saturating_sub(before) + interval
-            }
-            (None, Some(interval)) => {
-                let delay = if first { Duration::ZERO } else { JOIN_DELAY };
-                schedule.next_at = schedule.next_at.max(now + delay + interval.mul_f64(draw));
-            }
-            (_, None) => {}
-        }
-        schedule.interval = interval;
+        let delay = if first { Duration::ZERO } else { JOIN_DELAY };
+        let changed = schedule.set_interval(now + delay, interval, draw);
+        self.changes += u64::from(first || changed);
     }
 
     /// When the next request may be sent; in the past if one may be sent now. `None` if only others
     /// send.
     pub fn next_send_at(&self) -> Option<Duration> {
         let backoff_end = self.backoff.map_or(Duration::ZERO, |b| b.until());
+        let earliest = backoff_end.max(self.cold.next_send_at());
         match &self.schedule {
-            None => Some(backoff_end),
-            Some(schedule) => schedule.interval.map(|_| schedule.next_at.max(backoff_end)),
+            None => Some(earliest),
+            Some(schedule) => schedule.next_send_at().map(|at| at.max(earliest)),
         }
     }
 
@@ -215,13 +254,43 @@
     /// A request is being sent, or is about to be.
     pub fn on_sent(&mut self, now: Duration) {
         if let Some(schedule) = &mut self.schedule {
-            schedule.next_at = now + schedule.interval.unwrap_or_default();
+            schedule.on_sent(now);
         }
+        self.cold.on_sent(now);
+        self.last_sent = Some(now);
         if let Some(backoff) = &mut self.backoff {
             backoff.on_probe(now);
         }
     }
 
+    /// Whether a request that waited for its connection may be written now; if so, it counts as
+    /// sent now. Requests that wait for different times would otherwise reach a cold backend server
+    /// closer together than they were scheduled.
+    pub fn confirm_send(&mut self, now: Duration) -> bool {
+        let open = self.cold.on_write(now, self.last_written);
+        if open {
+            (self.last_sent, self.last_written) = (Some(now), Some(now));
+        }
+        open
+    }
+
+    /// End of the cold period, and where it is known from; `None` if the backend server is not
+    /// cold.
+    pub fn cold(&self, now: Duration) -> Option<(Duration, ColdSource)> {
+        let active = self.cold.is_active(now);
+        active.then_some((self.cold.until, self.cold.source))
+    }
+
+    /// Source of the latest end of a cold period, also of one that has passed.
+    pub fn cold_source(&self) -> ColdSource {
+        self.cold.source
+    }
+
+    /// Number of changes of the end of the cold period: it grows with each change.
+    pub fn cold_changes(&self) -> u64 {
+        self.cold.changes
+    }
+
     /// Number of changes of when requests may be sent: it grows with each change.
     pub fn changes(&self) -> u64 {
         self.changes
--- a/crates/backpressure/tests/limits.rs
+++ b/crates/backpressure/tests/limits.rs
@@ -23,6 +23,7 @@
     GatewaySet {
         own: Some(gateways[own]),
         gateways,
+        ..GatewaySet::default()
     }
 }
 
--- a/crates/backpressure/tests/world/mod.rs
+++ b/crates/backpressure/tests/world/mod.rs
@@ -78,6 +78,7 @@
             set: GatewaySet {
                 own: Some(address(n)),
                 gateways: (0..count).map(address).collect(),
+                ..GatewaySet::default()
             },
             next_poll: rng.random_range(Duration::ZERO..POLL_INTERVAL),
             informed_at: None,
--- a/crates/route/tests/asked.rs
+++ b/crates/route/tests/asked.rs
@@ -19,6 +19,7 @@
     let set = GatewaySet {
         own: Some(own),
         gateways: vec![own],
+        ..GatewaySet::default()
     };
     fleet.set_gateways(NOW, set, || 0.0);
     fleet
