--- a/crates/backpressure/src/cold.rs
+++ b/crates/backpressure/src/cold.rs
@@ -10,10 +10,6 @@
 const END_TOLERANCE: Duration = Duration::from_millis(250);
 /// An answer takes precedence over announcements for this long: they come every 1.2 s.
 const ANSWER_PRECEDENCE: Duration = Duration::from_secs(2);
-/// An announcement received within that time overrides the answer only if its end is later by more
-/// than the age that an announcement may have on its way through the coordinators.
-const ANNOUNCEMENT_AGE: Duration = Duration::from_secs(1);
-
 /// Where the end of a cold period is known from, from the least to the most reliable.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum ColdSource {
@@ -50,6 +46,8 @@
     /// When the end was last moved.
     changed_at: Duration,
     answered_at: Option<Duration>,
+    /// End in the latest announcement.
+    announced_until: Duration,
     /// Set from the first cold period on.
     schedule: Option<Schedule>,
     /// Number of changes of the end.
@@ -69,23 +67,27 @@
         let answered = |at| now < at + ANSWER_PRECEDENCE;
         let adopted = match report.source {
             ColdSource::Assumed => later,
-            ColdSource::Announced if self.answered_at.is_some_and(answered) => {
-                until > held + ANNOUNCEMENT_AGE
+            // An end that an answer has overridden since may be announced again.
+            ColdSource::Announced if until.abs_diff(self.announced_until) < END_TOLERANCE => {
+                later && self.answered_at.is_none()
             }
-            ColdSource::Announced => later || earlier,
+            ColdSource::Announced => later || (earlier && !self.answered_at.is_some_and(answered)),
             // Answers overtake each other: an earlier one may be from before the cold period.
             ColdSource::Answered => {
                 let newer = report.authentic && report.sent_at >= self.changed_at;
                 later || (earlier && newer)
             }
         };
-        if report.source == ColdSource::Answered {
-            self.answered_at = Some(now);
+        match report.source {
+            ColdSource::Assumed => {}
+            ColdSource::Announced => self.announced_until = until,
+            ColdSource::Answered => self.answered_at = Some(now),
         }
         if adopted {
             (self.until, self.source, self.changed_at) = (until, report.source, now);
             self.changes += 1;
-        } else if until > held && report.source != ColdSource::Assumed {
+        } else if self.until > now && until > held && until <= held + END_TOLERANCE {
+            // Too small a move to report. The later end holds.
             self.until = until;
         }
         adopted
