gateway, registry, platform: cold periods from the document to the backend server

The document's cold-start-s and cold-per-s, announcements' cold-remaining-ms and answers' X-Cold-Ms reach Backpressure. Registrations forward the time left; an end that moves by less than 250 ms isn't pushed. The fleet assumes a cold period after a start, an evacuation and a refused connection, and ramps up the load of backend servers that started recently. Services without these terms are served as before.

Tested: cargo test -p bn-route -p bn-registry -p bn-platform -p bn-gateway -p bn-settle -p bn-backpressure (all pass), clippy clean.

--- a/crates/coordinator/src/pushes.rs
+++ b/crates/coordinator/src/pushes.rs
@@ -104,7 +104,8 @@
         let cursor = self.registry.cursor();
         for (after, inboxes) in self.subscribers.take_behind(now, cursor, urgent) {
             let changed = self.registry.changed_since(after);
-            let changed = changed.iter().map(Registration::from).collect();
+            let changed = changed.iter().map(|r| self.registry.to_wire(now, r));
+            let changed = changed.collect();
             let update = wire::News {
                 mark: cursor,
                 after,
@@ -119,7 +120,7 @@
     fn push_to_coordinators(&mut self, now: Duration, urgent: bool) {
         let ids = self.pushes.take_due(now, urgent);
         let records = ids.iter().filter_map(|id| self.registry.get(id));
-        let changed: Vec<Registration> = records.map(Registration::from).collect();
+        let changed: Vec<Registration> = records.map(|r| self.registry.to_wire(now, r)).collect();
         if changed.is_empty() {
             return;
         }
--- a/crates/coordinator/src/updates.rs
+++ b/crates/coordinator/src/updates.rs
@@ -180,6 +180,8 @@
             (true, false) => self.subscribers.record_sent(inbox, self.registry.cursor()),
             (false, _) => {}
         }
+        let changed = changed.iter().map(|r| self.registry.to_wire(now, r));
+        let changed: Vec<Registration> = changed.collect();
         let base = self.base_update();
         let gateways = match is_gateway && poll.named != self.peers.selection.checksum() {
             true => self.peers.selection.gateways(),
@@ -194,7 +196,7 @@
                 self.registry.cursor()
             },
             after: cursor,
-            changed: changed.iter().map(Registration::from).collect(),
+            changed,
             cases: self.cases.updates_since(known_cases, is_gateway),
             cases_mark: self.cases.table.cursor(),
             ..base
--- a/crates/fake/src/register.rs
+++ b/crates/fake/src/register.rs
@@ -25,6 +25,7 @@
         slowdown: 0,
         rank_version: 0,
         limit: Limit::default(),
+        cold_left: None,
     };
     let url = format!("http://{control}{}", call::announcement_path(&fake.name));
     loop {
--- a/crates/fleet/src/simulation.rs
+++ b/crates/fleet/src/simulation.rs
@@ -313,5 +313,6 @@
         slowdown: 0,
         rank_version: 1 << 32,
         limit: Limit::default(),
+        cold_left: None,
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -91,6 +91,7 @@
                 Ok(connection) => connection,
                 Err(e) => {
                     log::debug!("connecting to {} failed: {e}", reservation.server.id);
+                    feedback::record_refused(shared, &reservation.server);
                     return Outcome::NotSent("no connection");
                 }
             },
@@ -102,7 +103,9 @@
     let now = shared.now();
     // The slot was reserved before the waits for the leader's answer and the connection; meanwhile,
     // other requests may have received directives of this backend server.
-    if !shared.state().fleet.may_send(now, &reservation.server) {
+    let may_send = shared.state().fleet.may_send(now, &reservation.server);
+    feedback::log_cold_changes(shared);
+    if !may_send {
         return Outcome::Withheld;
     }
     let request = request(now, ctx, &reservation.server, last_event);
--- a/crates/gateway/src/feedback.rs
+++ b/crates/gateway/src/feedback.rs
@@ -2,16 +2,26 @@
 
 use crate::context::{RequestContext, text};
 use crate::shared::Shared;
-use bn_backpressure::{Directives, Feedback};
+use bn_backpressure::{ColdSource, Directives, Feedback};
 use bn_platform::{directives as format, header};
 use bn_registry::Record;
-use bn_route::Server;
+use bn_route::{ColdTerms, Server};
+use bn_settle::{Document, Service};
 use hyper::Response;
 use hyper::header::HeaderMap;
+use indexmap::IndexMap;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Requests per second that a cold backend server may get: `ratio` times the rate of its service,
+/// plus `slack`.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ColdAllowance {
+    pub(crate) ratio: f64,
+    pub(crate) slack: f64,
+}
+
 /// Records the directives in a response's headers, whatever else the response says; `sent` is when
 /// its request was sent.
 pub(crate) fn record<B>(
@@ -44,6 +54,7 @@
         let limit = backpressure.map(|b| b.limit()).unwrap_or_default();
         (held_for, limit, backpressure.and_then(|b| b.interval()))
     };
+    log_cold_changes(shared);
     let Some(held_for) = held_for else {
         return;
     };
@@ -85,6 +96,47 @@
     }
 }
 
+/// Records that a backend server refused a connection.
+pub(crate) fn record_refused(shared: &Shared, server: &Server) {
+    let now = shared.now();
+    let draw = rand::random();
+    shared.state().fleet.record_refused(now, &server.id, draw);
+    log_cold_changes(shared);
+}
+
+/// Logs the changes of what is known of cold periods.
+pub(crate) fn log_cold_changes(shared: &Shared) {
+    let changes = shared.state().fleet.take_cold_changes();
+    for change in changes {
+        let source = match change.source {
+            ColdSource::Assumed => "assumed",
+            ColdSource::Announced => "announced",
+            ColdSource::Answered => "answered",
+        };
+        let fields = json!({
+            "id": change.id, "began": change.start_time, "until_ms": millis(change.left),
+            "source": source,
+        });
+        shared.lines.put("backend_server_cold", fields);
+    }
+}
+
+/// The terms of the document's services for cold backend servers.
+pub(crate) fn cold_terms(
+    document: &Document,
+    allowance: ColdAllowance,
+) -> IndexMap<String, ColdTerms> {
+    let terms = |service: &Service| {
+        let cold = service.cold?;
+        let terms = ColdTerms {
+            time: cold.time,
+            bound: cold.rate * allowance.ratio + allowance.slack,
+        };
+        Some((service.name.clone(), terms))
+    };
+    document.services().values().filter_map(terms).collect()
+}
+
 /// If a header is repeated, the more restrictive value counts.
 fn parse_directives(status: u16, headers: &HeaderMap) -> Directives {
     let limits = values(headers, header::LIMIT, format::limit);
@@ -93,8 +145,13 @@
         _ => Vec::new(),
     };
     let leaving = values(headers, header::LEAVING, format::leaving);
+    let cold = values(headers, header::COLD, format::cold);
     Directives {
-        malformed: limits.contains(&None) || backoffs.contains(&None) || leaving.contains(&None),
+        malformed: limits.contains(&None)
+            || backoffs.contains(&None)
+            || leaving.contains(&None)
+            || cold.contains(&None),
+        cold: cold.into_iter().flatten().max(),
         limit: limits.into_iter().flatten().reduce(f64::min),
         backoff: backoffs.into_iter().flatten().max(),
         leaving: leaving.contains(&Some(true)),
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,7 +3,7 @@
 //! Every coordinator is polled in turn, again and again; an update from any of them is applied if
 //! it is newer. A gateway that reaches no coordinator continues with its current state.
 
-use crate::feedback;
+use crate::feedback::{self, ColdAllowance};
 use crate::shared::Shared;
 use crate::sources::{Sources, UpdateRange};
 use crate::suspects::Report;
@@ -12,13 +12,13 @@
 use bn_net::{Net, UsageReporter};
 use bn_quarantine::{CaseUpdate, Digest};
 use bn_registry::{Condition, Record};
-use bn_route::Server;
+use bn_route::{ColdRegistration, Server};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Envelope};
 use indexmap::IndexMap;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 
 /// Time over which the request rate is averaged: some seconds, so that noise is not reported.
@@ -58,6 +58,7 @@
     pub(crate) callers: SocketAddr,
     pub(crate) domain: String,
     pub(crate) sources: Sources,
+    cold_allowance: ColdAllowance,
     /// Last readiness reported to coordinators: whether callers may be sent here.
     reported_ready: bool,
     registrations: IndexMap<String, Record>,
@@ -77,12 +78,14 @@
         callers: SocketAddr,
         domain: String,
         seeds: Vec<SocketAddr>,
+        cold_allowance: ColdAllowance,
     ) -> Link {
         Link {
             shared,
             net,
             callers,
             domain,
+            cold_allowance,
             sources: Sources::new(seeds, rand::random_range(0..1 << 16)),
             reported_ready: false,
             registrations: IndexMap::new(),
@@ -139,6 +142,8 @@
         self.shared.pool.evict_expired(now);
         let throttled = self.shared.state().fleet.throttled_count(now);
         metrics::gauge!("backend_servers_held").set(throttled as f64);
+        let cold = self.shared.state().fleet.cold_count(now);
+        metrics::gauge!("backend_servers_cold").set(cold as f64);
         self.report_limits();
         if let Some(inbox) = self.sources.next_poll() {
             self.poll(inbox);
@@ -264,7 +269,13 @@
             Ok(document) => {
                 let fields = json!({ "version": document.version(), "before": in_force });
                 self.shared.lines.put("document_in_force", fields);
-                self.shared.state().document = Some(std::sync::Arc::new(document));
+                let terms = feedback::cold_terms(&document, self.cold_allowance);
+                let now = self.shared.now();
+                let mut state = self.shared.state();
+                state.fleet.set_cold_terms(now, terms, rand::random);
+                state.document = Some(std::sync::Arc::new(document));
+                drop(state);
+                feedback::log_cold_changes(&self.shared);
             }
             // Coordinators validate a document before they settle it, so this is a bug.
             Err(e) => log::error!("document {} is invalid: {e}", update.version),
@@ -286,6 +297,7 @@
                 let gateway_set = GatewaySet {
                     own: Some(self.callers),
                     gateways: selection.gateways().iter().map(|g| g.callers).collect(),
+                    ..GatewaySet::default()
                 };
                 let now = self.shared.now();
                 let mut state = self.shared.state();
@@ -299,6 +311,13 @@
     /// `source` is the coordinator that sent it.
     fn on_registration(&mut self, record: Record, source: SocketAddr) {
         let known = self.registrations.get(&record.id);
+        let newer = known.is_none_or(|held| {
+            (record.start_time, record.sequence) > (held.start_time, held.sequence)
+        });
+        let cold = ColdRegistration {
+            left: record.cold_left.filter(|_| newer),
+            wall_ms: wall_ms(),
+        };
         let Some(record) = known.map_or(Some(record.clone()), |held| record.merged_over(held))
         else {
             return;
@@ -324,9 +343,13 @@
                 server.slowdown = f64::from(record.slowdown.max(BASELINE_SLOWDOWN))
                     / f64::from(BASELINE_SLOWDOWN);
                 state.fleet.upsert(server);
+                let now = self.shared.now();
+                let draw = rand::random();
+                state.fleet.on_cold_registration(now, id, cold, draw);
             }
         }
         drop(state);
+        feedback::log_cold_changes(&self.shared);
         feedback::merge_limit(&self.shared, &record, source);
         if let Some(address) = record.address.filter(|_| restarted) {
             self.shared.pool.close_idle(address);
@@ -342,3 +365,9 @@
         self.registrations.insert(record.id.clone(), record);
     }
 }
+
+/// Unix milliseconds by this instance's clock; 0 if it is set to a time before that.
+fn wall_ms() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(0))
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping a gateway.
 
+use crate::feedback::ColdAllowance;
 use crate::link::Link;
 use crate::shared::Shared;
 use crate::{ListenSnafu, Result, RuntimeSnafu, frontend};
@@ -85,6 +86,10 @@
         conf.callers,
         settings.domain.clone(),
         seeds.collect(),
+        ColdAllowance {
+            ratio: conf.cold_ratio,
+            slack: conf.cold_slack,
+        },
     );
     let callers = bind(conf.callers)?;
     let ready = bind(conf.readiness)?;
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -25,6 +25,9 @@
 /// A backend server without contact for this long is evicted: 50 times the usual interval between
 /// announcements. Until then each entry judges it by its own requests.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Smaller moves of the end of a cold period are the varying delay of announcements. If each were an
+/// update, every announcement of a cold backend server would be pushed to all gateways.
+const COLD_TOLERANCE: Duration = Duration::from_millis(250);
 
 /// Condition that a backend server reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +70,9 @@
     pub rank_version: RankVersion,
     /// Requests per second that it accepts from all gateways together, as gateways received it.
     pub limit: Limit,
+    /// Time for which it stays cold, counted from when this record was received; `None` if it was
+    /// not announced.
+    pub cold_left: Option<Duration>,
 }
 
 /// Effect of merging a record.
@@ -86,6 +92,8 @@
     /// Change at which it was last [`Change::Updated`].
     cursor: Cursor,
     last_contact: Duration,
+    /// When the time left of its cold period was received.
+    cold_at: Duration,
 }
 
 /// The table of one process.
@@ -113,6 +121,8 @@
             record.slowdown = latest.slowdown;
             record.rank_version = latest.rank_version;
             record.limit = limit;
+            // One without this time says nothing of it.
+            record.cold_left = record.cold_left.or(held.cold_left);
         }
         Some(record)
     }
@@ -133,21 +143,30 @@
                 record,
                 cursor,
                 last_contact: now,
+                cold_at: now,
             };
             self.rows.insert(id, row);
             return Change::Updated;
         };
-        let Some(record) = record.merged_over(&row.record) else {
+        let announced = record
+            .cold_left
+            .filter(|_| supersedes(&row.record, &record));
+        let Some(mut record) = record.merged_over(&row.record) else {
             return Change::Stale;
         };
         row.last_contact = now;
+        let cold_moved = announced.is_some_and(|left| row.moves_cold_end(now, left));
+        match cold_moved {
+            true => row.cold_at = now,
+            false => record.cold_left = row.record.cold_left,
+        }
         let same = Record {
             sequence: row.record.sequence,
             rank_version: row.record.rank_version,
             ..record.clone()
         } == row.record;
         row.record = record;
-        if same {
+        if same && !cold_moved {
             return Change::Refreshed;
         }
         self.cursor += 1;
@@ -171,6 +190,7 @@
             slowdown: 0,
             rank_version: 0,
             limit: Limit::default(),
+            cold_left: None,
         });
         let gone = Record {
             condition: Condition::Gone,
@@ -190,6 +210,13 @@
         newer.map(|r| r.record.clone()).collect()
     }
 
+    /// Time left of the cold period of the start that `record` describes.
+    pub fn cold_left(&self, now: Duration, record: &Record) -> Option<Duration> {
+        let row = self.rows.get(&record.id);
+        let row = row.filter(|r| r.record.start_time == record.start_time)?;
+        row.cold_left(now)
+    }
+
     /// The record of an id.
     pub fn get(&self, id: &str) -> Option<&Record> {
         self.rows.get(id).map(|r| &r.record)
@@ -226,6 +253,20 @@
     }
 }
 
+impl Row {
+    fn cold_left(&self, now: Duration) -> Option<Duration> {
+        let passed = now.saturating_sub(self.cold_at);
+        self.record.cold_left.map(|t| t.saturating_sub(passed))
+    }
+
+    /// Whether a cold period that ends after `left` differs from what is known. Ends in the past
+    /// are all the same.
+    fn moves_cold_end(&self, now: Duration, left: Duration) -> bool {
+        self.cold_left(now)
+            .is_none_or(|known| known.abs_diff(left) >= COLD_TOLERANCE)
+    }
+}
+
 /// Whether `next` replaces `held`: a later start always does, an earlier one never. Within a start
 /// departures are final, otherwise the higher sequence number wins; numbering restarts with each
 /// start. A late announcement cannot change draining back to ready, since its sequence number
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -1,9 +1,10 @@
 //! Conversions between [`Record`] and the wire message `Registration`.
 
-use crate::table::{Condition, Record};
+use crate::table::{Condition, Record, Registry};
 use bn_backpressure::Limit;
 use bn_wire::messages as wire;
 use snafu::{OptionExt, Snafu};
+use std::time::Duration;
 
 /// The address or limit of a `Registration` message does not parse.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
@@ -30,11 +31,26 @@
             told: r.rank_version,
             limit: r.limit.rate,
             limit_turn: r.limit.version,
-            cold_ms: None,
+            cold_ms: r.cold_left.map(to_millis),
         }
     }
 }
 
+impl Registry {
+    /// The message that describes a record of this table at the time `now`.
+    pub fn to_wire(&self, now: Duration, record: &Record) -> wire::Registration {
+        wire::Registration {
+            cold_ms: self.cold_left(now, record).map(to_millis),
+            ..record.into()
+        }
+    }
+}
+
+/// Rounded up: an end that is early lets too many requests through.
+fn to_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_nanos().div_ceil(1_000_000)).unwrap_or(u32::MAX)
+}
+
 impl TryFrom<wire::Registration> for Record {
     type Error = InvalidRegistration;
 
@@ -63,6 +79,7 @@
             slots: r.slots,
             condition,
             sequence: r.sequence,
+            cold_left: r.cold_ms.map(|ms| Duration::from_millis(ms.into())),
         })
     }
 }
--- a/crates/registry/tests/table.rs
+++ b/crates/registry/tests/table.rs
@@ -28,6 +28,7 @@
         slowdown: 0,
         rank_version: 0,
         limit: Limit::default(),
+        cold_left: None,
     }
 }
 
--- a/crates/route/src/backpressure.rs
+++ b/crates/route/src/backpressure.rs
@@ -23,14 +23,19 @@
         let server = self.servers.get_mut(id);
         let server = server.filter(|s| s.start_time == start_time)?;
         let before = server.backpressure.limit();
+        let cold_before = server.backpressure.cold_changes();
         let prior =
             server
                 .backpressure
                 .on_response(now, &server.id, feedback, &self.gateways, draw);
         server.leaving |= server.backpressure.is_leaving();
+        let cold_changed = server.backpressure.cold_changes() != cold_before;
         if server.backpressure.limit() != before {
             self.pending_limits.insert(server.id.clone(), None);
         }
+        if cold_changed {
+            self.record_cold_change(now, id);
+        }
         prior
     }
 
@@ -58,9 +63,14 @@
     pub fn set_gateways(
         &mut self,
         now: Duration,
-        gateways: GatewaySet,
+        mut gateways: GatewaySet,
         mut draw: impl FnMut() -> f64,
     ) {
+        let is_listed = |set: &GatewaySet| set.own.is_some_and(|own| set.gateways.contains(&own));
+        gateways.listed_at = match is_listed(&self.gateways) {
+            true => self.gateways.listed_at,
+            false => now,
+        };
         self.gateways = gateways;
         for server in self.servers.values_mut() {
             server
@@ -72,19 +82,20 @@
     /// Whether a request may still be sent to the backend server picked for it earlier. While it
     /// waited for a connection, another answer may have changed that.
     pub fn may_send(&mut self, now: Duration, picked: &Server) -> bool {
+        self.record_connected(now, &picked.id);
         let server = self.servers.get_mut(&picked.id);
         let Some(server) = server.filter(|s| s.start_time == picked.start_time && !s.leaving)
         else {
             return false;
         };
         if server.backpressure.changes() == picked.backpressure.changes() {
-            return true;
+            return server.backpressure.confirm_send(now);
         }
         let open = server.backpressure.may_send(now);
         if open {
             server.backpressure.on_sent(now);
         }
-        open
+        open && server.backpressure.confirm_send(now)
     }
 
     /// Limits that are due to be reported to the coordinators.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -1,6 +1,7 @@
 //! All backend servers of a gateway that sends requests to them directly, and the selection among
 //! them.
 
+use crate::cold::{ColdChange, ColdTerms};
 use crate::server::{LoadReport, Server, ServerId, StartTime, Unit, without_slow};
 use bn_backpressure::GatewaySet;
 use indexmap::{IndexMap, IndexSet};
@@ -81,6 +82,10 @@
     pub(crate) gateways: GatewaySet,
     /// Backend servers whose limit the coordinators may not know, and when it was last reported.
     pub(crate) pending_limits: IndexMap<ServerId, Option<Duration>>,
+    /// By service; those without cold periods are left out.
+    pub(crate) cold_terms: IndexMap<String, ColdTerms>,
+    /// Changes of cold periods that were not taken yet.
+    pub(crate) cold_changes: Vec<ColdChange>,
 }
 
 impl Fleet {
@@ -94,6 +99,8 @@
             peers: 0,
             gateways: GatewaySet::default(),
             pending_limits: IndexMap::new(),
+            cold_terms: IndexMap::new(),
+            cold_changes: Vec::new(),
         }
     }
 
@@ -182,7 +189,7 @@
         let healthy = candidates.into_iter().filter(|s| !s.health.is_ejected(now));
         let costed = healthy.filter_map(|s| {
             let unit = units.get(s.unit.as_str())?;
-            let limit = unit.fill_limit * s.slots() * s.health.capacity_share(now);
+            let limit = unit.fill_limit * s.slots() * s.capacity_share(now);
             let relative = unit.fill_limit / max_limit.max(f64::MIN_POSITIVE);
             let local = s.domain == self.domain;
             let cost = s.cost(now, unit.peer_load, relative, local) + JITTER * random();
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod backpressure;
+mod cold;
 mod fill_controller;
 mod fleet;
 mod health;
@@ -17,6 +18,7 @@
 mod server;
 
 pub use backend::{Backend, Report};
+pub use cold::{ColdChange, ColdRegistration, ColdTerms};
 pub use fill_controller::{FillController, FillUpdate, PauseBounds, fill_limit_for};
 pub use fleet::{Fleet, PickArgs, Unavailable};
 pub use health::Health;
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -1,5 +1,6 @@
 //! A gateway's view of one backend server: its address, health and load.
 
+use crate::cold::ColdRecord;
 use crate::health_record::HealthRecord;
 use bn_backpressure::Backpressure;
 use indexmap::IndexMap;
@@ -61,6 +62,7 @@
     pub backpressure: Backpressure,
     /// Health from the outcomes of requests.
     pub health: HealthRecord,
+    pub(crate) cold: ColdRecord,
     /// This gateway's requests in flight there.
     pub(crate) in_flight: u32,
     /// Requests of other gateways at its last load report.
@@ -85,6 +87,7 @@
             slowdown: 1.0,
             backpressure: Backpressure::default(),
             health: HealthRecord::default(),
+            cold: ColdRecord::default(),
             in_flight: 0,
             peer_requests: 0.0,
             reported_at: Duration::ZERO,
@@ -114,6 +117,13 @@
             + peer_load * self.slots() * (1.0 - fade)
     }
 
+    /// Share of its fill limit that it is given now, after an ejection or a start.
+    pub(crate) fn capacity_share(&self, now: Duration) -> f64 {
+        self.health
+            .capacity_share(now)
+            .min(self.cold.capacity_share(now))
+    }
+
     pub(crate) fn slots(&self) -> f64 {
         f64::from(self.slots.max(1))
     }
--- a/crates/route/tests/asked.rs
+++ b/crates/route/tests/asked.rs
@@ -99,6 +99,7 @@
     let others = GatewaySet {
         own: Some(([10, 1, 0, 1], 80).into()),
         gateways: vec![([10, 1, 0, 2], 80).into()],
+        ..GatewaySet::default()
     };
 
     fleet.set_gateways(NOW, others, || 0.0);
--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -140,6 +140,31 @@
     pub connections: u32,
     /// Present if its backend servers are engines.
     pub engine: Option<Engine>,
+    /// Present if its backend servers are cold after a start.
+    pub cold: Option<ColdStart>,
+}
+
+/// Longest cold period after a start that a document can set.
+const MAX_COLD_S: f64 = 3_600.0;
+
+/// What backend servers can handle after a start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which they are cold.
+    pub time: Duration,
+    /// Requests a second that a cold one can handle.
+    pub rate: f64,
+}
+
+impl ColdStart {
+    /// `None` unless both values are positive.
+    pub fn new(seconds: f64, rate: f64) -> Option<ColdStart> {
+        let valid = seconds > 0.0 && rate > 0.0;
+        valid.then(|| ColdStart {
+            time: Duration::from_secs_f64(seconds.min(MAX_COLD_S)),
+            rate,
+        })
+    }
 }
 
 /// Size and time limits of requests.
--- a/crates/settle/src/lib.rs
+++ b/crates/settle/src/lib.rs
@@ -5,8 +5,8 @@
 mod document;
 
 pub use document::{
-    Account, AccountId, Document, Engine, Experts, Kind, Limits, Route, Service, ServiceId,
-    Version, WeightedService,
+    Account, AccountId, ColdStart, Document, Engine, Experts, Kind, Limits, Route, Service,
+    ServiceId, Version, WeightedService,
 };
 
 use snafu::Snafu;
