--- a/crates/cli/src/cmd/fake.rs
+++ b/crates/cli/src/cmd/fake.rs
@@ -19,7 +19,7 @@
 #[command(after_help = "Example:\n  \
     buckthornnotch fake --kind engine --name n1 --service notice-gen \
 --listen 127.0.0.1:7501 --agent 127.0.0.1:7401\n  \
-    curl -d 1.5 127.0.0.1:7501/fake/limit   # rest SECONDS, say-leaving, stall MS, leave, die")]
+    curl -d 1.5 127.0.0.1:7501/fake/limit   # rest SECONDS, cold MS, say-leaving, stall MS, leave, die")]
 pub(crate) struct Args {
     /// Kind of backend server.
     #[arg(long, value_enum, default_value = "engine")]
@@ -69,6 +69,9 @@
     /// Terminate the process on a request whose body contains this text.
     #[arg(long)]
     fatal: Option<String>,
+    /// Time for which it is cold from its start on, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    cold_ms: u64,
 }
 
 pub(crate) fn run(args: Args) -> CliResult {
@@ -92,6 +95,7 @@
         record_steps: args.record_steps,
         record: args.record,
         fatal_text: args.fatal,
+        cold_time: Duration::from_millis(args.cold_ms),
     };
     bn_fake::run(fake).context(IoSnafu { name: "fake" })
 }
--- a/crates/fake/src/handle.rs
+++ b/crates/fake/src/handle.rs
@@ -3,7 +3,7 @@
 use crate::engine::{Job, TOKEN_BYTES};
 use crate::record::Line;
 use crate::serve::{Body, Kind, Shared};
-use bn_platform::header::NOT_RUN;
+use bn_platform::header::{COLD, NOT_RUN};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
@@ -38,6 +38,11 @@
     shared
         .directives
         .add_headers(&headers, &shared.name, response.headers_mut());
+    if let Some(left) = shared.cold.left() {
+        let value = HeaderValue::from(left.as_millis() as u64);
+        let headers = response.headers_mut();
+        headers.insert(HeaderName::from_static(COLD), value);
+    }
     response
 }
 
@@ -58,6 +63,7 @@
     if let Some(name) = path.strip_prefix("/fake/") {
         return ok_response(&command(name, &body, shared));
     }
+    shared.cold.on_request();
     if let Some(seconds) = shared.directives.remaining_backoff() {
         return reject_request(shared, key, attempt, body, seconds);
     }
@@ -142,6 +148,11 @@
         }
         // An empty body removes the limit.
         "limit" => shared.directives.set_limit(body.parse().ok()),
+        "cold" => {
+            let ms = body.parse().unwrap_or(3_000);
+            shared.cold.begin(Duration::from_millis(ms));
+        }
+        "cold-arrivals" => return shared.cold.json(),
         "say-leaving" => shared.directives.set_leaving(),
         "leave" => shared.leaving.store(true, Ordering::Relaxed),
         "return" => shared.leaving.store(false, Ordering::Relaxed),
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -2,6 +2,7 @@
 //! project's interfaces and keep their own record of what ran, the reference of every proof.
 
 mod announce;
+mod cold;
 mod directives;
 mod engine;
 mod handle;
--- a/crates/fake/src/register.rs
+++ b/crates/fake/src/register.rs
@@ -1,6 +1,6 @@
 //! Announces the fake to a coordinator, for gateways that send requests to it directly.
 
-use crate::serve::Fake;
+use crate::serve::{Fake, Shared};
 use bn_backpressure::Limit;
 use bn_platform::call;
 use bn_registry::{Condition, Record};
@@ -10,7 +10,7 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Announces until the process terminates; retries while the coordinator is not reachable yet.
-pub(crate) fn run(fake: &Fake, control: SocketAddr) {
+pub(crate) fn run(fake: &Fake, control: SocketAddr, shared: &Shared) {
     let start_time = SystemTime::now().duration_since(UNIX_EPOCH);
     let mut record = Record {
         id: fake.name.clone(),
@@ -30,6 +30,7 @@
     let url = format!("http://{control}{}", call::announcement_path(&fake.name));
     loop {
         record.sequence += 1;
+        record.cold_left = shared.cold.left();
         let result = bn_platform::encode_announcement(&record).map_err(|e| e.to_string());
         let result = result.and_then(|body| ureq::put(&url).send(body).map_err(|e| e.to_string()));
         if let Err(e) = result {
--- a/crates/fake/src/serve.rs
+++ b/crates/fake/src/serve.rs
@@ -1,6 +1,7 @@
 //! HTTP server of the fakes: requests, the record, and fault injection by commands.
 
 use crate::announce;
+use crate::cold::Cold;
 use crate::directives::Directives;
 use crate::engine::Engine;
 use crate::handle::{error_response, handle, ok_response};
@@ -65,6 +66,8 @@
     pub record: Option<PathBuf>,
     /// A request whose body contains this text terminates the process one step after its start.
     pub fatal_text: Option<String>,
+    /// Time for which it is cold from its start on; zero: it announces no cold period.
+    pub cold_time: Duration,
 }
 
 pub(crate) struct Shared {
@@ -81,6 +84,7 @@
     pub(crate) leaving: AtomicBool,
     /// Directives to the senders of requests.
     pub(crate) directives: Directives,
+    pub(crate) cold: Cold,
     pub(crate) fatal_text: Option<String>,
     pub(crate) step_time: Duration,
 }
@@ -170,6 +174,7 @@
         stalled_ms: AtomicU64::new(0),
         leaving: AtomicBool::new(false),
         directives: Directives::default(),
+        cold: Cold::starting(fake.cold_time),
         fatal_text: fake.fatal_text.clone(),
         step_time: fake.step_time,
     });
@@ -180,8 +185,8 @@
         let listener = tokio::net::TcpListener::bind(fake.listen).await?;
         tokio::spawn(run_steps(shared.clone(), fake.step_time));
         if let Some(control) = fake.control {
-            let fake = fake.clone();
-            std::thread::spawn(move || register::run(&fake, control));
+            let (fake, shared) = (fake.clone(), shared.clone());
+            std::thread::spawn(move || register::run(&fake, control, &shared));
         }
         let shared_state = shared.clone();
         std::thread::spawn(move || announce::run(&fake, &shared_state));
--- a/crates/registry/tests/table.rs
+++ b/crates/registry/tests/table.rs
@@ -213,3 +213,59 @@
     expect_that!(one.get("a").unwrap().slowdown, eq(0));
     expect_that!(other.get("a").unwrap().slowdown, eq(0));
 }
+
+/// Guards against pushing each announcement of a cold backend server to all gateways, and against
+/// missing that it became cold again or is no longer cold.
+#[googletest::test]
+fn only_a_moved_end_of_a_cold_period_is_an_update() {
+    let mut registry = Registry::default();
+    let mut announce = |ms, sequence, left: Option<u64>| {
+        let record = Record {
+            cold_left: left.map(Duration::from_millis),
+            ..record("a", sequence, Condition::Ready)
+        };
+        let now = NOW + Duration::from_millis(ms);
+        let change = registry.merge(now, record);
+        let left = registry.cold_left(now, registry.get("a").unwrap());
+        (change, left.map(|t| t.as_millis()))
+    };
+
+    let first = announce(0, 1, Some(3_000));
+    let same = announce(1_200, 2, Some(1_900));
+    let silent = announce(1_300, 3, None);
+    let stale = announce(1_400, 2, Some(0));
+    let again = announce(2_000, 4, Some(3_000));
+    let warm = announce(4_000, 5, Some(0));
+    let still_warm = announce(9_000, 6, Some(0));
+
+    expect_that!(first, eq((Change::Updated, Some(3_000))));
+    expect_that!(same, eq((Change::Refreshed, Some(1_800))));
+    expect_that!(silent, eq((Change::Refreshed, Some(1_700))));
+    expect_that!(stale, eq((Change::Stale, Some(1_600))));
+    expect_that!(again, eq((Change::Updated, Some(3_000))));
+    expect_that!(warm, eq((Change::Updated, Some(0))));
+    expect_that!(still_warm, eq((Change::Refreshed, Some(0))));
+}
+
+/// Guards against counting the time that a coordinator held an announcement as time left.
+#[googletest::test]
+fn messages_carry_the_time_that_is_left_when_they_are_sent() {
+    let mut registry = Registry::default();
+    let cold = Record {
+        cold_left: Some(Duration::from_millis(3_000)),
+        ..record("a", 1, Condition::Ready)
+    };
+    registry.merge(NOW, cold);
+    registry.merge(NOW, record("b", 1, Condition::Ready));
+    let message = |now, id| registry.to_wire(now, registry.get(id).unwrap());
+
+    let sent = message(NOW + Duration::from_millis(1_000), "a");
+    let late = message(NOW + Duration::from_millis(9_000), "a");
+    let unknown = message(NOW, "b");
+    let received = Record::try_from(sent.clone()).unwrap();
+
+    expect_that!(sent.cold_ms, some(eq(2_000)));
+    expect_that!(late.cold_ms, some(eq(0)));
+    expect_that!(unknown.cold_ms, none());
+    expect_that!(received.cold_left, some(eq(Duration::from_secs(2))));
+}
