--- a/crates/cli/tests/cold.rs
+++ b/crates/cli/tests/cold.rs
@@ -82,9 +82,13 @@
     // With fewer slots it is the second choice.
     let announcement = serde_json::json!({
         "service": "plain", "address": free.backend.address, "zone": "d1", "slots": 2,
-        "state": "ready", "sequence": 1, "cold-remaining-ms": 0,
+        "state": "ready", "sequence": 1,
     });
-    fleet.put_announcement(2, "free", &announcement.to_string());
+    let announcement = announcement.to_string();
+    let mut record = bn_platform::parse_announcement("free", announcement.as_bytes()).unwrap();
+    record.cold_left = Some(Duration::ZERO);
+    let announcement = bn_platform::encode_announcement(&record).unwrap();
+    fleet.put_announcement(2, "free", &String::from_utf8(announcement).unwrap());
     let knows = |f: &Fleet, n| {
         let line = f.last_line(&format!("g{n}"), "backend_server");
         line.contains("\"free\"")
