--- a/crates/backpressure/src/cold.rs
+++ b/crates/backpressure/src/cold.rs
@@ -31,7 +31,8 @@
     pub source: ColdSource,
     /// When the request was sent whose answer this is; otherwise, the time of arrival.
     pub sent_at: Duration,
-    /// The backend server itself reports it. An end moves forward by other reports only.
+    /// It certainly comes from the backend server itself. Other answers only move the end to a
+    /// later time.
     pub authentic: bool,
 }
 
