--- a/crates/route/tests/asked.rs
+++ b/crates/route/tests/asked.rs
@@ -19,6 +19,7 @@
     let set = GatewaySet {
         own: Some(own),
         gateways: vec![own],
+        ..GatewaySet::default()
     };
     fleet.set_gateways(NOW, set, || 0.0);
     fleet
@@ -98,6 +99,7 @@
     let others = GatewaySet {
         own: Some(([10, 1, 0, 1], 80).into()),
         gateways: vec![([10, 1, 0, 2], 80).into()],
+        ..GatewaySet::default()
     };
 
     fleet.set_gateways(NOW, others, || 0.0);
