Admission by urgency: rank, reserve, waits, retry times and floors from local figures

A free slot was taken by whichever request came first, so priorities only ordered the queue: in bursts of the least urgent kind, the most urgent requests were late and refused as often. A late request at the head of the queue also blocked requests behind it that may use more load.

Services whose requests differ in priority (Document::ranked_services) are admitted by the new crate bn-admission: a less urgent request is placed while the unit's mean load is below the fill limit less a reserve for more urgent arrivals, waits for what the tail of first events leaves of its target, is refused at once if its expected wait is longer, and gets a retry time from the rate of starts. Each waiting priority keeps a share of the starts. Other services keep their decisions.

buckthornnotch losses counts streams late by the target and pause of their own route.

Tested: bn-admission (model of 6, 24 and 40 gateways, both rules), bn-limit, bn-settle, bn-route, bn-gateway, and gateway, callers and losses of the cli: all pass.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,24 @@
+//! Admission of requests whose service serves several priorities: how much load a request may use,
+//! how long it may wait, and when it should be retried after a refusal. The decisions do no I/O:
+//! they take inputs and the time.
+//!
+//! Services whose requests all have the same priority do not use this crate.
+
+mod arrivals;
+mod first_events;
+mod floors;
+mod rank;
+mod reserve;
+mod retries;
+mod service;
+
+pub use arrivals::Arrivals;
+pub use first_events::FirstEvents;
+pub use floors::Floors;
+pub use rank::Rank;
+pub use reserve::reserved_slots;
+pub use retries::{RetryInput, RetrySchedule};
+pub use service::{Admission, LoadLimits, ServiceLoad, WaitInput};
+
+/// Priority of a request; 0 is the most urgent.
+pub type Priority = u32;
--- a/crates/cli/src/cmd/losses.rs
+++ b/crates/cli/src/cmd/losses.rs
@@ -18,10 +18,12 @@
     /// Time covered by one row, in milliseconds.
     #[arg(long, default_value_t = 2_000)]
     window_ms: u64,
-    /// Time to the first event above which a stream is late, in milliseconds.
+    /// Time to the first event above which a stream is late, in milliseconds, for lines without
+    /// the target of their route.
     #[arg(long, default_value_t = 400)]
     first_ms: u64,
-    /// Pause between events above which a stream is late, in milliseconds.
+    /// Pause between events above which a stream is late, in milliseconds, for lines without the
+    /// limit of their route.
     #[arg(long, default_value_t = 120)]
     pause_ms: u64,
 }
@@ -59,9 +61,12 @@
 }
 
 fn late_cause(line: &Line, args: &Args) -> &'static str {
-    let exceeds = |field: &str, limit: u64| line.number(field).is_some_and(|ms| ms > limit as f64);
-    let first = exceeds("first_ms", args.first_ms);
-    let pause = exceeds("longest_pause_ms", args.pause_ms);
+    let exceeds = |field: &str, limit: &str, default: u64| {
+        let limit = line.number(limit).unwrap_or(default as f64);
+        line.number(field).is_some_and(|ms| ms > limit)
+    };
+    let first = exceeds("first_ms", "target_ms", args.first_ms);
+    let pause = exceeds("longest_pause_ms", "max_pause_ms", args.pause_ms);
     match (line.is_true("came_back"), first, pause) {
         (true, ..) => "late: came back",
         (_, true, true) => "late: first event and a pause",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,12 +19,18 @@
 pub(crate) struct Reservation {
     shared: Shared,
     pub(crate) server: Server,
+    pub(crate) placed_at: Duration,
 }
 
 impl Reservation {
     pub(crate) fn new(shared: &Shared, server: Server) -> Reservation {
         let shared = shared.clone();
-        Reservation { shared, server }
+        let placed_at = shared.now();
+        Reservation {
+            shared,
+            server,
+            placed_at,
+        }
     }
 }
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -4,7 +4,7 @@
 use crate::context::{Denial, RequestContext};
 use crate::dispatch::{self, Attempts};
 use crate::shared::{InFlightGuard, Shared};
-use crate::{context, placement, plain, stream};
+use crate::{context, placement, plain, stream, urgency};
 use bn_directory::ANSWER_TTL;
 use bn_platform::call::{self, Call};
 use bn_serve::{Body, BodyError, read_body, text};
@@ -54,6 +54,7 @@
     }
     ctx.is_retry = shared.is_retry(&ctx.route.name, ctx.deadline);
     shared.count_request(&ctx.service);
+    urgency::record_arrival(&shared, &ctx);
     let result = match ctx.streams() {
         true => stream::serve(&shared, &ctx, Attempts::default(), in_flight).await,
         false => serve_plain(&shared, &ctx).await,
@@ -132,6 +133,7 @@
 fn refuse(shared: &Shared, ctx: &RequestContext, refusal: &Refusal) -> Response<Body> {
     let verdict = dispatch::verdict_name(refusal);
     let (fill_limit, queued) = shared.fill_and_queue(&ctx.service);
+    let (load, allowed) = urgency::load_and_limit(shared, ctx).unzip();
     shared.lines.put(
         "refused",
         json!({
@@ -139,7 +141,9 @@
             "account": ctx.account, "version": ctx.version, "status": refusal.status,
             "verdict": verdict, "why": refusal.reason,
             "held_ms": (shared.now() - ctx.arrived).as_millis() as u64,
-            "room": fill_limit, "waiting": queued,
+            "room": fill_limit, "waiting": queued, "priority": ctx.priority,
+            "came_back": ctx.is_retry, "load": load, "allowed_load": allowed,
+            "retry_ms": refusal.retry_after.map(|d| d.as_millis() as u64),
         }),
     );
     metrics::counter!("requests_total", "outcome" => verdict).increment(1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod start;
 mod stream;
 mod suspects;
+mod urgency;
 
 pub use events::Splitter;
 pub use sources::{PollState, Receipt, Sources, UpdateRange};
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -264,7 +264,9 @@
             Ok(document) => {
                 let fields = json!({ "version": document.version(), "before": in_force });
                 self.shared.lines.put("document_in_force", fields);
-                self.shared.state().document = Some(std::sync::Arc::new(document));
+                let mut state = self.shared.state();
+                state.adopt_priorities(&document);
+                state.document = Some(std::sync::Arc::new(document));
             }
             // Coordinators validate a document before they settle it, so this is a bug.
             Err(e) => log::error!("document {} is invalid: {e}", update.version),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::attempt::Reservation;
 use crate::context::RequestContext;
 use crate::shared::{Shared, State};
+use crate::urgency;
 use bn_limit::QueuedRequest;
 use bn_route::{FillController, PickArgs, ServerId, Unavailable, Unit, fill_limit_for};
 use indexmap::IndexMap;
@@ -16,7 +17,7 @@
 
 /// Ratio of load to slots up to which a backend server of a plain service is picked. Above 1, a
 /// request waits in the backend server's own queue, which is closer to the next free slot.
-const PLAIN_FILL_LIMIT: f64 = 1.0;
+pub(crate) const PLAIN_FILL_LIMIT: f64 = 1.0;
 /// Fraction of the target time that a request waits in the queue for a stream's slot: a first event
 /// takes half of the target by itself, so a stream that starts later is late.
 const STREAM_WAIT_FRACTION: f64 = 0.4;
@@ -53,8 +54,6 @@
 pub(crate) const FULL: &str = "all backend servers are full";
 /// Why they are refused if no backend server accepts a request in time, as all have directed.
 const THROTTLED: &str = "the backend servers take no more requests now";
-/// Number of request priorities: the lowest is the most urgent.
-const PRIORITIES: u32 = 10;
 
 /// Finds a slot and reserves it.
 pub(crate) async fn reserve(
@@ -78,7 +77,7 @@
     start: Duration,
     cause: Unavailable,
 ) -> Result<Reservation, Refusal> {
-    let until = start + max_queue_time(ctx, start);
+    let until = start + max_queue_time(shared, ctx, start);
     let reason = match cause {
         Unavailable::Full => return wait_in_queue(shared, ctx, tried, start).await,
         Unavailable::Throttled(Some(open_at)) if open_at <= until => {
@@ -108,7 +107,8 @@
     if queue.has_at_least(queue_priority(ctx, now)) {
         return Err(Unavailable::Full);
     }
-    let reservation = try_reserve(shared, &mut state, ctx, tried)?;
+    let reservation = try_reserve(shared, &mut state, ctx, tried, false)?;
+    urgency::record_start(&mut state, ctx);
     if let Some(queue) = state.queues.get_mut(&ctx.service) {
         queue.record_start(now);
     }
@@ -120,9 +120,11 @@
     state: &mut State,
     ctx: &RequestContext,
     tried: &[ServerId],
+    ignore_reserve: bool,
 ) -> Result<Reservation, Unavailable> {
     let now = shared.now();
     let late = accepts_late(ctx, now);
+    let limits = urgency::limits(state, now, ctx, ignore_reserve);
     let (controllers, service) = (&state.controllers, ctx.service.as_str());
     let fill_limit = |unit: &str| {
         let streams = || {
@@ -134,7 +136,10 @@
         } else {
             PLAIN_FILL_LIMIT
         };
-        fill_limit_for(late, fill_limit)
+        match &limits {
+            None => fill_limit_for(late, fill_limit),
+            Some(limits) => limits.fill_limit(unit, fill_limit),
+        }
     };
     let args = PickArgs {
         service: &ctx.service,
@@ -144,6 +149,10 @@
     };
     let picked = state.fleet.pick(now, &args, rand::random::<f64>);
     let server = picked.cloned()?;
+    if limits.is_some_and(|l| l.fill_limit(&server.unit, 1.0) <= 0.0) {
+        // An idle gateway's limit is raised after the reserve has been deducted.
+        return Err(Unavailable::Full);
+    }
     if ctx.streams() && !state.controllers.contains_key(&server.unit) {
         let controller =
             find_controller(&state.controllers, &server.unit, &server.service).cloned();
@@ -158,7 +167,7 @@
 
 /// Fill controller of a unit. What was learnt before a service's backend servers reported their
 /// groups applies to each group.
-fn find_controller<'a>(
+pub(crate) fn find_controller<'a>(
     controllers: &'a IndexMap<Unit, FillController>,
     unit: &str,
     service: &str,
@@ -169,14 +178,13 @@
 /// Whether a request waits for a stalled group to run again. A first attempt is told when to retry;
 /// a retry will not be repeated, so serving it late is better than not at all. The same holds for a
 /// request that has already waited past its target, for example for the configuration.
-fn accepts_late(ctx: &RequestContext, now: Duration) -> bool {
+pub(crate) fn accepts_late(ctx: &RequestContext, now: Duration) -> bool {
     ctx.is_retry || now > ctx.arrived + ctx.route.target
 }
 
 /// Position in the queue: by priority, and within one, requests that can still be in time go first.
-fn queue_priority(ctx: &RequestContext, now: Duration) -> u32 {
-    let in_time = u32::from(!accepts_late(ctx, now));
-    2 * PRIORITIES.saturating_sub(ctx.priority) + in_time
+pub(crate) fn queue_priority(ctx: &RequestContext, now: Duration) -> u32 {
+    urgency::rank(ctx, now).queue_priority()
 }
 
 async fn wait_for_servers(
@@ -186,7 +194,7 @@
     start: Duration,
 ) -> Result<Reservation, Refusal> {
     let until = match accepts_late(ctx, start) {
-        true => start + max_queue_time(ctx, start),
+        true => start + max_queue_time(shared, ctx, start),
         false => start + NO_SERVERS_WAIT.min(ctx.remaining(start) / 3),
     };
     loop {
@@ -203,10 +211,13 @@
 
 /// How long a request may wait in the queue. One that is already late goes behind those that can
 /// still be in time, but may wait for longer.
-fn max_queue_time(ctx: &RequestContext, now: Duration) -> Duration {
+fn max_queue_time(shared: &Shared, ctx: &RequestContext, now: Duration) -> Duration {
     let limit = match (accepts_late(ctx, now), ctx.streams()) {
         (true, _) => LATE_WAIT,
-        (false, true) => ctx.route.target.mul_f64(STREAM_WAIT_FRACTION),
+        (false, true) => {
+            let limit = ctx.route.target.mul_f64(STREAM_WAIT_FRACTION);
+            urgency::max_wait(shared, ctx, now, limit)
+        }
         (false, false) => ctx.route.target,
     };
     let waited = now.saturating_sub(ctx.arrived);
@@ -221,7 +232,7 @@
     tried: &[ServerId],
     start: Duration,
 ) -> Result<Reservation, Refusal> {
-    let until = start + max_queue_time(ctx, start);
+    let until = start + max_queue_time(shared, ctx, start);
     let request = QueuedRequest {
         id: rand::random(),
         account: ctx.account.clone().unwrap_or_default(),
@@ -280,8 +291,10 @@
         let now = shared.now();
         let enqueued = {
             let mut state = shared.state();
+            let rank_wait = urgency::expected_wait(&state, now, ctx, &request);
+            let in_time = rank_wait.is_none_or(|wait| now + wait <= request.deadline);
             let queue = state.queues.entry(ctx.service.clone()).or_default();
-            queue.push(now, request, MAX_QUEUED).is_ok()
+            in_time && queue.push(now, request, MAX_QUEUED).is_ok()
         };
         // Created only after the state is unlocked: dropping a queue entry locks it again.
         match enqueued {
@@ -295,11 +308,18 @@
         let now = self.shared.now();
         let service = &self.ctx.service;
         let mut state = self.shared.state();
-        let first = state.queues.get(service)?.start_order().first().copied();
+        let due = urgency::due(&state, now, service);
+        let first = match due {
+            Some(id) => Some(id),
+            None => state.queues.get(service)?.start_order().first().copied(),
+        };
         if first != Some(self.id) {
             return None;
         }
-        let reservation = try_reserve(self.shared, &mut state, self.ctx, tried).ok()?;
+        let ignore_reserve = due.is_some();
+        let reservation =
+            try_reserve(self.shared, &mut state, self.ctx, tried, ignore_reserve).ok()?;
+        urgency::record_start(&mut state, self.ctx);
         if let Some(queue) = state.queues.get_mut(service) {
             queue.start(now, self.id);
         }
@@ -334,10 +354,15 @@
     if stalled {
         return latest_retry(remaining);
     }
+    let latest = remaining.mul_f64(RETRY_FRACTION);
+    if open_at.is_none()
+        && let Some(delay) = urgency::retry_delay(shared, ctx, latest)
+    {
+        return delay;
+    }
     // Other gateways may serve it at once if only they send.
     let opens_in = open_at.unwrap_or_default().saturating_sub(now);
     let after = opens_in.max(RETRY_BASE) + RETRY_JITTER.mul_f64(rand::random());
-    let latest = remaining.mul_f64(RETRY_FRACTION);
     // A caller that retries at the latest time waits for the rest in the queue. If the throttling
     // ends even later, nobody should retry before its end.
     let max_wait = LATE_WAIT.min(remaining.saturating_sub(latest) / 3);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a gateway. It is locked only briefly, never across an await.
 
 use crate::suspects::Report;
+use crate::urgency::ServiceAdmission;
 use bn_directory::GatewaySelection;
 use bn_limit::Queue;
 use bn_quarantine::{LossTracker, Table};
@@ -54,6 +55,8 @@
     pub(crate) retry_budgets: IndexMap<String, RetryBudget>,
     /// Requests that wait for a slot, by service.
     pub(crate) queues: IndexMap<String, Queue>,
+    /// Admission to services whose requests differ in priority.
+    pub(crate) admissions: IndexMap<String, ServiceAdmission>,
     /// Fill controllers of streaming services, by unit.
     pub(crate) controllers: IndexMap<Unit, FillController>,
     /// When the next event on the fill limit is due.
@@ -100,6 +103,7 @@
             fleet: Fleet::new(domain),
             retry_budgets: IndexMap::new(),
             queues: IndexMap::new(),
+            admissions: IndexMap::new(),
             controllers: IndexMap::new(),
             fill_event_due: Duration::ZERO,
             retry_detector: RetryDetector::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -62,6 +62,7 @@
         .state()
         .fleet
         .record_success(now, &source.reservation.server.id);
+    let placed_at = source.reservation.placed_at;
     let (frames, receiver) = mpsc::channel(QUEUE_CAPACITY);
     let forwarder = EventForwarder {
         shared: shared.clone(),
@@ -69,6 +70,7 @@
         attempts,
         splitter: Splitter::default(),
         timing: Timing::default(),
+        placed_at,
         frames,
     };
     tokio::spawn(async move {
@@ -166,6 +168,8 @@
     attempts: Attempts,
     splitter: Splitter,
     timing: Timing,
+    /// When its first backend server was chosen.
+    placed_at: Duration,
     frames: mpsc::Sender<FrameResult>,
 }
 
@@ -239,6 +243,10 @@
                 continue;
             };
             let now = self.shared.now();
+            if self.timing.first.is_none() {
+                self.shared
+                    .record_first_event(&server.service, now.saturating_sub(self.placed_at));
+            }
             if let Some(pause) = self.timing.record_event(now, self.ctx.arrived) {
                 let max_pause = self.ctx.route.pause;
                 self.shared.record_pause(server, pause, max_pause);
@@ -302,6 +310,8 @@
                 "after_ms": millis(self.shared.now() - self.ctx.arrived),
                 "first_ms": self.timing.first.map(millis),
                 "longest_pause_ms": millis(self.timing.longest),
+                "target_ms": millis(self.ctx.route.target),
+                "max_pause_ms": millis(self.ctx.route.pause),
                 "came_back": self.ctx.is_retry, "deadline_ms": millis(self.ctx.deadline),
                 "digest": bn_quarantine::to_text(self.ctx.digest()),
             }),
--- /dev/null
+++ b/crates/gateway/src/urgency.rs
@@ -0,0 +1,317 @@
+//! Applies [`bn_admission`] to services whose requests differ in priority. For all other services,
+//! the functions here change nothing.
+
+use crate::context::RequestContext;
+use crate::placement;
+use crate::shared::{Inner, Shared, State};
+use bn_admission::{Admission, LoadLimits, Priority, Rank, RetryInput, ServiceLoad, WaitInput};
+use bn_limit::{Queue, QueuedRequest};
+use bn_route::{FillController, Fleet, fill_limit_for};
+use bn_settle::Document;
+use indexmap::IndexSet;
+use serde_json::json;
+use std::time::Duration;
+
+/// Minimum interval between two log lines on one service.
+const EVENT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Admission to one service.
+#[derive(Default)]
+pub(crate) struct ServiceAdmission {
+    decisions: Admission,
+    event_due: Duration,
+}
+
+impl State {
+    /// Keeps the admission state of services that still differ in priority, and starts that of new
+    /// ones.
+    pub(crate) fn adopt_priorities(&mut self, document: &Document) {
+        let ranked = document.ranked_services();
+        self.admissions
+            .retain(|service, _| ranked.contains(service));
+        for service in ranked {
+            self.admissions.entry(service.clone()).or_default();
+        }
+    }
+
+    fn service_load(&self, service: &str) -> ServiceLoad {
+        let named = u32::try_from(self.selection.gateways().len()).unwrap_or(u32::MAX);
+        ServiceLoad {
+            slots: self.fleet.slots_of(service),
+            gateways: named.max(1),
+        }
+    }
+}
+
+impl Inner {
+    /// Records the time from placing a stream to its first event.
+    pub(crate) fn record_first_event(&self, service: &str, time: Duration) {
+        let mut state = self.state();
+        if let Some(admission) = state.admissions.get_mut(service) {
+            admission.decisions.first_events.record(time);
+        }
+    }
+}
+
+/// Urgency of a request.
+pub(crate) fn rank(ctx: &RequestContext, now: Duration) -> Rank {
+    Rank {
+        priority: ctx.priority,
+        late: placement::accepts_late(ctx, now),
+    }
+}
+
+/// Load limits for one request.
+pub(crate) struct Limits<'a> {
+    fleet: &'a Fleet,
+    admission: &'a Admission,
+    now: Duration,
+    rank: Rank,
+    load: ServiceLoad,
+    /// This gateway has no request in flight: its fill limit is out of date.
+    idle: bool,
+    ignore_reserve: bool,
+}
+
+impl Limits<'_> {
+    /// Mean load over slots up to which requests of this rank are placed in a unit.
+    fn max_load(&self, fill_limit: f64) -> f64 {
+        let limits = load_limits(self.fill_or_idle(fill_limit));
+        match self.ignore_reserve {
+            true => limits.in_time,
+            false => {
+                let Limits {
+                    now, rank, load, ..
+                } = *self;
+                self.admission.max_load(now, rank, limits, load)
+            }
+        }
+    }
+
+    fn fill_or_idle(&self, fill_limit: f64) -> f64 {
+        if self.idle {
+            fill_limit.max(1.0)
+        } else {
+            fill_limit
+        }
+    }
+
+    /// Load over slots up to which each backend server of the unit is filled by this request.
+    pub(crate) fn fill_limit(&self, unit: &str, fill_limit: f64) -> f64 {
+        let limits = load_limits(fill_limit);
+        let reserves = self.admission.reserve(self.now, self.rank, self.load) > 0.0;
+        if !self.ignore_reserve && !reserves {
+            return fill_limit_for(self.rank.late, fill_limit);
+        }
+        let free = self.fleet.mean_load(self.now, unit) < self.max_load(fill_limit);
+        match (free, self.rank.late) {
+            (true, _) => limits.in_time,
+            // As many slots as late requests may use in any case.
+            (false, true) => limits.late,
+            (false, false) => 0.0,
+        }
+    }
+}
+
+fn load_limits(fill_limit: f64) -> LoadLimits {
+    LoadLimits {
+        in_time: fill_limit_for(false, fill_limit),
+        late: fill_limit_for(true, fill_limit),
+    }
+}
+
+/// The load limits of a request, if its service differs in priority. With `ignore_reserve` the
+/// request has its turn by the floor of its priority.
+pub(crate) fn limits<'a>(
+    state: &'a State,
+    now: Duration,
+    ctx: &RequestContext,
+    ignore_reserve: bool,
+) -> Option<Limits<'a>> {
+    let admission = state.admissions.get(&ctx.service)?;
+    Some(Limits {
+        fleet: &state.fleet,
+        admission: &admission.decisions,
+        now,
+        rank: rank(ctx, now),
+        load: state.service_load(&ctx.service),
+        idle: state.fleet.in_flight_of(&ctx.service) == 0,
+        ignore_reserve,
+    })
+}
+
+/// Excess of the least loaded unit over what a request may use, its mean load, and that limit.
+fn least_loaded(state: &State, now: Duration, ctx: &RequestContext) -> Option<(f64, f64, f64)> {
+    let limits = limits(state, now, ctx, false)?;
+    let fill_limit = |unit: &str| match ctx.streams() {
+        true => placement::find_controller(&state.controllers, unit, &ctx.service)
+            .map_or(FillController::INITIAL, FillController::fill_limit),
+        false => placement::PLAIN_FILL_LIMIT,
+    };
+    let units = state.fleet.units_of(&ctx.service).into_iter();
+    let loads = units.map(|unit| {
+        let load = state.fleet.mean_load(now, unit);
+        let max = limits.max_load(fill_limit(unit));
+        (load - max, load, max)
+    });
+    loads.min_by(|a, b| a.0.total_cmp(&b.0))
+}
+
+/// Mean load of the service's least loaded unit, and the load that a request's rank may use.
+pub(crate) fn load_and_limit(shared: &Shared, ctx: &RequestContext) -> Option<(f64, f64)> {
+    let now = shared.now();
+    let state = shared.state();
+    least_loaded(&state, now, ctx).map(|(_, load, max)| (load, max))
+}
+
+/// Counts an incoming request, and logs at intervals what the decisions are based on.
+pub(crate) fn record_arrival(shared: &Shared, ctx: &RequestContext) {
+    let now = shared.now();
+    let mut state = shared.state();
+    let load = state.service_load(&ctx.service);
+    let Some(admission) = state.admissions.get_mut(&ctx.service) else {
+        return;
+    };
+    if !ctx.is_retry {
+        admission.decisions.record_arrival(now, ctx.priority);
+    }
+    if now < admission.event_due {
+        return;
+    }
+    admission.event_due = now + EVENT_INTERVAL;
+    let decisions = &admission.decisions;
+    let reserve = |priority| {
+        decisions.reserve(
+            now,
+            Rank {
+                priority,
+                late: false,
+            },
+            load,
+        )
+    };
+    let levels: Vec<_> = decisions
+        .local_rates(now)
+        .into_iter()
+        .map(|(priority, rate)| (priority, rate, reserve(priority)))
+        .collect();
+    let tail = decisions.first_events.tail().map(|t| t.as_millis() as u64);
+    let units = state.fleet.units_of(&ctx.service).into_iter();
+    let loads: Vec<f64> = units.map(|u| state.fleet.mean_load(now, u)).collect();
+    for (priority, rate, reserve) in &levels {
+        let labels = [
+            ("service", ctx.service.clone()),
+            ("priority", priority.to_string()),
+        ];
+        metrics::gauge!("admission_rate", &labels).set(*rate);
+        metrics::gauge!("admission_reserve", &labels).set(*reserve);
+    }
+    let levels: Vec<_> = levels
+        .into_iter()
+        .map(|(priority, rate, reserve)| {
+            json!({ "priority": priority, "rate": rate, "reserve": reserve })
+        })
+        .collect();
+    let fields = json!({
+        "service": ctx.service, "levels": levels, "loads": loads, "gateways": load.gateways,
+        "slots": load.slots, "first_event_tail_ms": tail, "source": "local",
+        "waiting": state.queues.get(&ctx.service).map_or(0, Queue::len),
+    });
+    drop(state);
+    shared.lines.put("admission", fields);
+}
+
+/// Counts a start.
+pub(crate) fn record_start(state: &mut State, ctx: &RequestContext) {
+    if let Some(admission) = state.admissions.get_mut(&ctx.service) {
+        admission.decisions.record_start(ctx.priority);
+    }
+}
+
+/// The queued request whose turn it is by the floor of its priority, regardless of the reserve.
+pub(crate) fn due(state: &State, now: Duration, service: &str) -> Option<u64> {
+    let admission = state.admissions.get(service)?;
+    let queue = state.queues.get(service)?;
+    let waiting: IndexSet<Priority> = queue
+        .waiting_priorities()
+        .into_iter()
+        .map(|p| Rank::from_queue_priority(p).priority)
+        .collect();
+    let waiting: Vec<Priority> = waiting.into_iter().collect();
+    let due = admission.decisions.due(now, &waiting)?;
+    queue.first_with(|p| Rank::from_queue_priority(p).priority == due)
+}
+
+/// Longest wait of a request that can still be in time; `min` is that of other services.
+pub(crate) fn max_wait(
+    shared: &Shared,
+    ctx: &RequestContext,
+    now: Duration,
+    min: Duration,
+) -> Duration {
+    let state = shared.state();
+    let Some(admission) = state.admissions.get(&ctx.service) else {
+        return min;
+    };
+    let waited = now.saturating_sub(ctx.arrived);
+    admission
+        .decisions
+        .max_wait(ctx.route.target.saturating_sub(waited), min)
+}
+
+/// Expected wait of a request that would be queued now.
+pub(crate) fn expected_wait(
+    state: &State,
+    now: Duration,
+    ctx: &RequestContext,
+    request: &QueuedRequest,
+) -> Option<Duration> {
+    let admission = state.admissions.get(&ctx.service)?;
+    let queue = state.queues.get(&ctx.service)?;
+    let input = WaitInput {
+        rank: rank(ctx, now),
+        ahead: queue.ahead_of(request),
+        start_rate: queue.start_rate(),
+        excess: least_loaded(state, now, ctx).map_or(0.0, |(excess, ..)| excess),
+    };
+    let load = state.service_load(&ctx.service);
+    Some(admission.decisions.expected_wait(now, &input, load))
+}
+
+/// Delay after which a refused caller should retry, if its service differs in priority. A caller
+/// retries only once: later refusals of it reserve no time.
+pub(crate) fn retry_delay(
+    shared: &Shared,
+    ctx: &RequestContext,
+    latest: Duration,
+) -> Option<Duration> {
+    let now = shared.now();
+    let mut state = shared.state();
+    let State {
+        admissions, queues, ..
+    } = &mut *state;
+    let admission = admissions.get_mut(&ctx.service).filter(|_| !ctx.is_retry)?;
+    let queue = queues.get(&ctx.service)?;
+    if queue.start_rate() <= 0.0 {
+        return None;
+    }
+    let late = Rank {
+        priority: ctx.priority,
+        late: true,
+    };
+    let input = RetryInput {
+        priority: ctx.priority,
+        waiting: queue.waiting_at_least(late.queue_priority()),
+        start_rate: queue.start_rate(),
+        urgent_rate: admission
+            .decisions
+            .local_rate(now, ctx.priority.saturating_add(1)),
+        latest,
+    };
+    Some(
+        admission
+            .decisions
+            .retries
+            .delay(now, &input, rand::random()),
+    )
+}
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -2,7 +2,7 @@
 //! priority, bounded, and refused early if they cannot start in time.
 
 use crate::AccountId;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -94,6 +94,11 @@
 
     /// Expected wait of a request: the requests ahead of it, at the recent rate of starts.
     pub fn expected_wait(&self, request: &QueuedRequest) -> Duration {
+        Duration::from_secs_f64((self.ahead_of(request) * self.start_gap).min(3600.0))
+    }
+
+    /// Number of waiting requests that start before this one.
+    pub fn ahead_of(&self, request: &QueuedRequest) -> f64 {
         let ahead = |((priority, account), queue): (&(u32, AccountId), &AccountQueue)| {
             let waiting = queue.waiting.len() as f64;
             match priority.cmp(&request.priority) {
@@ -111,8 +116,36 @@
                 }
             }
         };
-        let before: f64 = self.queues.iter().map(ahead).sum();
-        Duration::from_secs_f64((before * self.start_gap).min(3600.0))
+        self.queues.iter().map(ahead).sum()
+    }
+
+    /// Recent number of starts per second; 0 if none is known.
+    pub fn start_rate(&self) -> f64 {
+        match self.start_gap > 0.0 {
+            true => 1.0 / self.start_gap,
+            false => 0.0,
+        }
+    }
+
+    /// Number of waiting requests of this or a higher priority.
+    pub fn waiting_at_least(&self, priority: u32) -> usize {
+        let queues = self.queues.iter().filter(|((p, _), _)| *p >= priority);
+        queues.map(|(_, q)| q.waiting.len()).sum()
+    }
+
+    /// Priorities of which requests are waiting.
+    pub fn waiting_priorities(&self) -> IndexSet<u32> {
+        let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
+        waiting.map(|((p, _), _)| *p).collect()
+    }
+
+    /// The first request in the start order among those with these priorities.
+    pub fn first_with(&self, matches: impl Fn(u32) -> bool) -> Option<u64> {
+        let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
+        let first = waiting
+            .filter(|((p, _), _)| matches(*p))
+            .min_by(|((pa, _), a), ((pb, _), b)| pb.cmp(pa).then(a.served.total_cmp(&b.served)));
+        first.and_then(|(_, q)| q.waiting.front().map(|r| r.id))
     }
 
     /// Ids in the order in which to try them while the earlier ones find no capacity: by priority,
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -265,3 +265,47 @@
     expect_that!(queue.has_at_least(3), eq(true));
     expect_that!(queue.has_at_least(5), eq(false));
 }
+
+// Services of one priority must wait and be refused as before there were ranks.
+#[googletest::test]
+fn the_expected_wait_is_the_requests_ahead_at_the_rate_of_starts() {
+    let mut rng = SmallRng::seed_from_u64(11);
+    for _ in 0..500 {
+        let mut queue = Queue::default();
+        let mut model: Vec<(u32, u32)> = Vec::new();
+        let mut now = ms(0);
+        for _ in 0..rng.random_range(2..60) {
+            now += ms(rng.random_range(1..200));
+            queue.record_start(now);
+        }
+        for id in 0..rng.random_range(0..30) {
+            let (account, priority) = (rng.random_range(0..4), 18 + rng.random_range(0..2_u32));
+            let queued = queued_request(id, account, priority, now + ms(1_000_000));
+            let wait = queue.expected_wait(&queued);
+            let of = |a, p| model.iter().filter(|q| **q == (a, p)).count() as f64;
+            let own = of(account, priority);
+            let others = (0..4).filter(|a| *a != account);
+            let peers: f64 = others.map(|a| of(a, priority).min(own + 1.0)).sum();
+            let higher = model.iter().filter(|(_, p)| *p > priority).count() as f64;
+            let rate = queue.start_rate();
+            let expected = if rate > 0.0 {
+                (own + peers + higher) / rate
+            } else {
+                0.0
+            };
+            expect_that!(wait.as_secs_f64(), near(expected, 1e-6));
+            queue.push(now, queued, 64).unwrap();
+            model.push((account, priority));
+        }
+    }
+}
+
+fn queued_request(id: u64, account: u32, priority: u32, deadline: Duration) -> QueuedRequest {
+    QueuedRequest {
+        id,
+        account: account.to_string(),
+        priority,
+        share: 1,
+        deadline,
+    }
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -228,6 +228,17 @@
         self.in_service(service).map(|s| s.unit.as_str()).collect()
     }
 
+    /// Slots of a service's backend servers that accept work.
+    pub fn slots_of(&self, service: &str) -> f64 {
+        let accepting = self.in_service(service).filter(|s| !s.leaving);
+        accepting.map(Server::slots).sum()
+    }
+
+    /// Number of this gateway's requests in flight at a service's backend servers.
+    pub fn in_flight_of(&self, service: &str) -> u32 {
+        self.in_service(service).map(Server::in_flight).sum()
+    }
+
     fn in_service<'a, 'b>(
         &'a self,
         service: &'b str,
--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -1,7 +1,7 @@
 //! Types and look-ups of a document.
 
 use crate::{Result, check};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
 /// Version of a document; the highest committed one is in force.
@@ -178,6 +178,8 @@
     route_index: IndexMap<String, IndexMap<String, usize>>,
     /// Account positions by key.
     key_index: IndexMap<String, usize>,
+    /// Services whose requests differ in priority.
+    ranked: IndexSet<ServiceId>,
 }
 
 impl Document {
@@ -193,6 +195,7 @@
         check::routes(&routes, &services)?;
         let route_index = check::route_index(&routes)?;
         let key_index = check::key_index(&accounts)?;
+        let ranked = ranked_services(&routes, &accounts);
         Ok(Document {
             version,
             routes,
@@ -201,6 +204,7 @@
             accounts,
             route_index,
             key_index,
+            ranked,
         })
     }
 
@@ -219,6 +223,11 @@
         &self.services
     }
 
+    /// Services whose requests differ in priority, by their routes or accounts.
+    pub fn ranked_services(&self) -> &IndexSet<ServiceId> {
+        &self.ranked
+    }
+
     /// Size and time limits of requests.
     pub fn limits(&self) -> Limits {
         self.limits
@@ -254,3 +263,23 @@
             .and_then(|position| self.accounts.get(*position))
     }
 }
+
+fn ranked_services(routes: &[Route], accounts: &[Account]) -> IndexSet<ServiceId> {
+    let mut priorities: IndexMap<&ServiceId, IndexSet<u32>> = IndexMap::new();
+    for route in routes {
+        // Requests without an account have the route's own priority.
+        let without_key = route.open || accounts.is_empty();
+        let by_account = accounts
+            .iter()
+            .map(|a| a.priority.unwrap_or(route.priority));
+        let of_route: Vec<u32> = by_account
+            .chain(without_key.then_some(route.priority))
+            .collect();
+        for weighted in route.services.iter().filter(|s| s.weight > 0) {
+            let known = priorities.entry(&weighted.service).or_default();
+            known.extend(of_route.iter().copied());
+        }
+    }
+    let ranked = priorities.into_iter().filter(|(_, p)| p.len() > 1);
+    ranked.map(|(service, _)| service.clone()).collect()
+}
--- a/crates/settle/tests/documents.rs
+++ b/crates/settle/tests/documents.rs
@@ -119,3 +119,36 @@
     expect_that!(picks, elements_are![eq(&"s"), eq(&"s"), eq(&"s"), eq(&"u")]);
     expect_that!(split.pick_service(4), none());
 }
+
+// A service whose requests all have one priority must be admitted as before there were ranks.
+#[googletest::test]
+fn services_are_ranked_only_if_their_requests_differ_in_priority() {
+    let of = |routes: Vec<(u32, bool)>, accounts: Vec<Option<u32>>| {
+        let routes = routes
+            .into_iter()
+            .enumerate()
+            .map(|(n, (priority, open))| Route {
+                priority,
+                open,
+                ..route("r", "h", &format!("/{n}/"))
+            });
+        let accounts = accounts
+            .into_iter()
+            .enumerate()
+            .map(|(n, priority)| Account {
+                priority,
+                ..account(&n.to_string(), &[&format!("key{n}")])
+            });
+        let document = document(routes.collect(), accounts.collect()).unwrap();
+        !document.ranked_services().is_empty()
+    };
+
+    expect_false!(of(vec![(1, false), (1, false)], vec![None, None]));
+    expect_false!(of(vec![(1, false), (1, false)], vec![None, Some(1)]));
+    // Every account overrides the routes with the same priority.
+    expect_false!(of(vec![(0, false), (2, false)], vec![Some(1), Some(1)]));
+    expect_false!(of(vec![(1, false)], vec![]));
+    expect_true!(of(vec![(0, false), (2, false)], vec![]));
+    expect_true!(of(vec![(1, false)], vec![None, Some(0)]));
+    expect_true!(of(vec![(0, true)], vec![Some(1)]));
+}
