Admission by urgency: demand at all gateways, and fair shares of accounts by work

Each gateway saw only its own requests: rates of few requests per second are noisy, and an account that reaches one gateway competed there with as many others as one that reaches all.

Gateways report rates, numbers of waiting requests and the work of accounts with their polls; coordinators add up the reports of the last 2 s and return the sum. The reserve uses it while it is fresh. Within a priority the account with the least work at all gateways goes first; accounts with more than the mean leave a small part of the slots to others while requests of their priority wait. Work is counted in tokens, by the headers of requests. An account passed over too often has a turn.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,20 +5,30 @@
 //! Services whose requests all have the same priority do not use this crate.
 
 mod arrivals;
+mod demand;
 mod first_events;
 mod floors;
 mod rank;
 mod reserve;
 mod retries;
 mod service;
+mod usage;
+mod view;
 
 pub use arrivals::Arrivals;
+pub use demand::{Demand, DemandSum, LevelDemand, MAX_AGE, ReceivedDemand};
 pub use first_events::FirstEvents;
 pub use floors::Floors;
 pub use rank::Rank;
 pub use reserve::reserved_slots;
 pub use retries::{RetryInput, RetrySchedule};
 pub use service::{Admission, LoadLimits, ServiceLoad, WaitInput};
+pub use usage::Usage;
+pub use view::View;
 
 /// Priority of a request; 0 is the most urgent.
 pub type Priority = u32;
+/// Name of a service.
+pub type ServiceId = String;
+/// Name of a client account.
+pub type AccountId = String;
--- a/crates/admission/src/service.rs
+++ b/crates/admission/src/service.rs
@@ -1,14 +1,26 @@
 //! Admission to one service.
 
-use crate::Priority;
 use crate::arrivals::Arrivals;
 use crate::first_events::FirstEvents;
 use crate::floors::{Floors, start_interval};
 use crate::rank::Rank;
 use crate::reserve::{VIEW_LAG, reserved_slots};
 use crate::retries::RetrySchedule;
+use crate::usage::Usage;
+use crate::view::View;
+use crate::{AccountId, Priority};
+use indexmap::IndexSet;
 use std::time::Duration;
 
+/// Part of the slots by which the limit of an account is lowered per multiple of the mean work that
+/// it got beyond the mean, while requests of its priority wait. An account that reaches few
+/// gateways then gets slots there that others leave. In the model of 40 gateways, 0.02 leaves a
+/// difference of 0.17 between the served shares of an account at one gateway and one at all, 0.04
+/// one of 0.14; 0.08 serves the account at one gateway less, since its own limit falls, too.
+const ACCOUNT_MARGIN: f64 = 0.04;
+/// Maximum of this part.
+const MAX_ACCOUNT_MARGIN: f64 = 0.05;
+
 /// Fill limits of a unit for requests of the most urgent rank and for late ones, as the fill
 /// controller allows them.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -50,6 +62,10 @@
     floors: Floors,
     /// Retries that callers were told to make.
     pub retries: RetrySchedule,
+    /// Work of client accounts at this gateway.
+    pub usage: Usage,
+    /// Demand at all gateways.
+    pub view: View,
 }
 
 impl Admission {
@@ -75,9 +91,69 @@
         self.arrivals.rates(now).collect()
     }
 
-    /// Rate at all gateways of first attempts of priorities below `below`.
+    /// Rate at all gateways of first attempts of priorities below `below`: as coordinators report
+    /// it, otherwise as if all gateways had as many as this one.
     pub fn rate(&self, now: Duration, below: Priority, load: ServiceLoad) -> f64 {
-        self.local_rate(now, below) * f64::from(load.gateways.max(1))
+        let local = self.local_rate(now, below);
+        let gateways = load.gateways.max(1);
+        match self.view.rate(now, below, gateways) {
+            Some(rate) => rate.max(local),
+            None => local * f64::from(gateways),
+        }
+    }
+
+    /// Counts the work of a request that starts. Only work that was given while requests of the
+    /// same priority waited, here or elsewhere, takes capacity from other accounts.
+    pub fn record_work(
+        &mut self,
+        now: Duration,
+        priority: Priority,
+        account: &str,
+        work: f64,
+        waiting: &[AccountId],
+    ) {
+        if !waiting.is_empty() || self.view.is_waiting(now, priority) {
+            self.usage
+                .record_start(now, priority, account, work, waiting);
+        }
+    }
+
+    /// Tokens per second that an account got lately at all gateways.
+    fn work(&self, now: Duration, priority: Priority, account: &str) -> f64 {
+        self.usage.rate(now, priority, account) + self.view.others(now, priority, account)
+    }
+
+    /// Position of an account among those of its priority that wait: the lowest goes first.
+    pub fn account_order(&self, now: Duration, priority: Priority, account: &str) -> f64 {
+        match self.usage.is_due(now, priority, account) {
+            true => -1.0,
+            false => self.work(now, priority, account),
+        }
+    }
+
+    /// Part of the slots that an account may not use while others of its priority have to wait.
+    /// `waiting` says whether some wait at this gateway.
+    pub fn account_margin(
+        &self,
+        now: Duration,
+        priority: Priority,
+        account: &str,
+        waiting: bool,
+    ) -> f64 {
+        if !waiting && !self.view.is_waiting(now, priority) {
+            return 0.0;
+        }
+        let own = self.usage.rates(now);
+        let own = own.filter(|((p, _), _)| *p == priority);
+        let mut accounts: IndexSet<&AccountId> = own.map(|((_, a), _)| a).collect();
+        accounts.extend(self.view.accounts(now, priority));
+        let all: f64 = accounts.iter().map(|a| self.work(now, priority, a)).sum();
+        let mean = all / accounts.len().max(1) as f64;
+        if mean <= 0.0 || self.usage.is_due(now, priority, account) {
+            return 0.0;
+        }
+        let excess = self.work(now, priority, account) / mean - 1.0;
+        (ACCOUNT_MARGIN * excess).clamp(0.0, MAX_ACCOUNT_MARGIN)
     }
 
     /// Load over slots that is kept free for requests more urgent than this rank.
@@ -86,15 +162,17 @@
         reserved_slots(rate, VIEW_LAG, 0.0) / load.slots.max(1.0)
     }
 
-    /// Mean load over slots of a unit below which a request of this rank is placed.
+    /// Mean load over slots of a unit below which a request of this rank is placed. `margin` is
+    /// what its account may not use.
     pub fn max_load(
         &self,
         now: Duration,
         rank: Rank,
         limits: LoadLimits,
         load: ServiceLoad,
+        margin: f64,
     ) -> f64 {
-        let reduced = limits.in_time - self.reserve(now, rank, load);
+        let reduced = limits.in_time - self.reserve(now, rank, load) - margin;
         // A large reserve must not stop less urgent requests while most slots are free.
         let reduced = reduced.max(limits.in_time / 2.0);
         match rank.late {
--- /dev/null
+++ b/crates/admission/src/usage.rs
@@ -0,0 +1,126 @@
+//! Work that client accounts got while others of their priority had to wait.
+
+use crate::floors::start_interval;
+use crate::{AccountId, Priority};
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Time constant by which work is forgotten: bursts last some seconds.
+const MEMORY: Duration = Duration::from_secs(4);
+/// Work below this fraction of a request's is forgotten.
+const MIN_WORK: f64 = 0.1;
+/// Maximum number of accounts that a report lists.
+pub(crate) const MAX_REPORTED: usize = 8;
+
+#[derive(Debug, Clone, Default)]
+struct Account {
+    /// Tokens, and starts, decaying.
+    work: f64,
+    arrivals: f64,
+    updated: Duration,
+    /// Tokens per second in the last report to a coordinator.
+    reported: f64,
+    /// Starts of other accounts since its last one while it waited.
+    passed: u32,
+}
+
+impl Account {
+    fn decay(&mut self, now: Duration) {
+        let fade = fade(now, self.updated);
+        self.work *= fade;
+        self.arrivals *= fade;
+        self.updated = now;
+    }
+}
+
+fn fade(now: Duration, updated: Duration) -> f64 {
+    (-now.saturating_sub(updated).as_secs_f64() / MEMORY.as_secs_f64()).exp()
+}
+
+/// Recent work of the accounts at one gateway, by priority.
+#[derive(Debug, Clone, Default)]
+pub struct Usage {
+    accounts: IndexMap<(Priority, AccountId), Account>,
+}
+
+impl Usage {
+    /// Counts a request of an account.
+    pub fn record_arrival(&mut self, now: Duration, priority: Priority, account: &str) {
+        let key = (priority, account.to_string());
+        let entry = self.accounts.entry(key).or_default();
+        entry.decay(now);
+        entry.arrivals += 1.0;
+    }
+
+    /// Counts a start worth `work` tokens; `waiting` are the accounts of this priority that wait.
+    pub fn record_start(
+        &mut self,
+        now: Duration,
+        priority: Priority,
+        account: &str,
+        work: f64,
+        waiting: &[AccountId],
+    ) {
+        for other in waiting.iter().filter(|a| *a != account) {
+            if let Some(entry) = self.accounts.get_mut(&(priority, other.clone())) {
+                entry.passed = entry.passed.saturating_add(1);
+            }
+        }
+        let key = (priority, account.to_string());
+        let entry = self.accounts.entry(key).or_default();
+        entry.decay(now);
+        entry.work += work;
+        entry.passed = 0;
+    }
+
+    /// Tokens per second that an account got lately.
+    pub fn rate(&self, now: Duration, priority: Priority, account: &str) -> f64 {
+        let found = self.accounts.get(&(priority, account.to_string()));
+        found.map_or(0.0, |a| {
+            a.work * fade(now, a.updated) / MEMORY.as_secs_f64()
+        })
+    }
+
+    /// Tokens per second of all accounts with recent work.
+    pub fn rates(&self, now: Duration) -> impl Iterator<Item = (&(Priority, AccountId), f64)> {
+        let rate = move |a: &Account| a.work * fade(now, a.updated) / MEMORY.as_secs_f64();
+        let all = self.accounts.iter().map(move |(key, a)| (key, rate(a)));
+        all.filter(|(_, rate)| *rate > 0.0)
+    }
+
+    /// Whether it is an account's turn regardless of the work that it got: an account whose demand
+    /// is a large part of all must not be starved by the others.
+    pub fn is_due(&self, now: Duration, priority: Priority, account: &str) -> bool {
+        let Some(own) = self.accounts.get(&(priority, account.to_string())) else {
+            return false;
+        };
+        let of_priority = self.accounts.iter().filter(|((p, _), _)| *p == priority);
+        let all: f64 = of_priority
+            .map(|(_, a)| a.arrivals * fade(now, a.updated))
+            .sum();
+        let share = own.arrivals * fade(now, own.updated) / all.max(f64::MIN_POSITIVE);
+        f64::from(own.passed) + 1.0 >= start_interval(share)
+    }
+
+    /// Tokens per second that the sums of coordinators may contain of this gateway: since its last
+    /// report the rate may have changed.
+    pub fn reported(&self, now: Duration, priority: Priority, account: &str) -> f64 {
+        let found = self.accounts.get(&(priority, account.to_string()));
+        let reported = found.map_or(0.0, |a| a.reported);
+        reported.max(self.rate(now, priority, account))
+    }
+
+    /// Remembers that the rates of now are reported.
+    pub fn record_report(&mut self, now: Duration) {
+        for account in self.accounts.values_mut() {
+            account.decay(now);
+            account.reported = account.work / MEMORY.as_secs_f64();
+        }
+    }
+
+    /// Forgets accounts without recent requests.
+    pub fn evict_idle(&mut self, now: Duration) {
+        self.accounts
+            .retain(|_, a| (a.arrivals + a.work) * fade(now, a.updated) > MIN_WORK);
+    }
+}
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -79,7 +79,7 @@
     let admission = with_rate(0, 2);
     let (retry, newcomer) = (rank(0, true), rank(1, false));
     expect_that!(retry.queue_priority(), gt(newcomer.queue_priority()));
-    let load = |rank| admission.max_load(ms(4_999), rank, LIMITS, LOAD);
+    let load = |rank| admission.max_load(ms(4_999), rank, LIMITS, LOAD, 0.0);
     expect_that!(load(retry), ge(load(newcomer)));
     expect_that!(load(rank(5, true)), ge(LIMITS.late));
 }
@@ -100,7 +100,7 @@
             in_time: rng.random_range(0.25..1.0),
             late: 0.1,
         };
-        let load = admission.max_load(ms(5_000), rank(priority, false), limits, LOAD);
+        let load = admission.max_load(ms(5_000), rank(priority, false), limits, LOAD, 0.0);
         expect_that!(load, eq(limits.in_time));
         expect_that!(admission.due(ms(5_000), &[priority]), none());
     }
--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -1,7 +1,9 @@
 //! Many gateways in front of one pool of slots, on a manual clock. Each sees the load that the
 //! others cause late and with an error.
 
-use bn_admission::{Admission, LoadLimits, Rank, RetryInput, ServiceLoad, WaitInput};
+use bn_admission::{
+    Admission, Demand, DemandSum, LevelDemand, LoadLimits, Rank, RetryInput, ServiceLoad, WaitInput,
+};
 use bn_limit::{Queue, QueuedRequest};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -14,6 +16,14 @@
 /// Ticks by which the view of other gateways' load lags.
 const LAG: usize = 40;
 const DEADLINE: Duration = Duration::from_secs(8);
+/// Interval between the polls of one gateway.
+const POLL: Duration = Duration::from_millis(800);
+/// Accounts with the same demand for the least urgent kind: one reaches a single gateway, the other
+/// all.
+const ONE: usize = 0;
+const ALL: usize = 1;
+/// Number of accounts. The two have a fifth of the least urgent kind each.
+const ACCOUNTS: usize = 24;
 /// Load that passes allow: a bit more than all slots.
 const LIMITS: LoadLimits = LoadLimits {
     in_time: 1.0,
@@ -32,6 +42,10 @@
     Present,
     /// Decisions by urgency from a gateway's own figures.
     Local,
+    /// With the sum of the demand over all gateways.
+    Shared,
+    /// The same, but no sum arrives any more once the burst has begun.
+    Outdated,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -40,6 +54,8 @@
     pub(crate) in_time: f64,
     pub(crate) late: f64,
     pub(crate) refused: f64,
+    /// Requests of the accounts [`ONE`] and [`ALL`], and of these the served ones, in the burst.
+    pub(crate) accounts: [(f64, f64); 2],
 }
 
 impl Count {
@@ -52,6 +68,7 @@
 struct Request {
     id: u64,
     kind: usize,
+    account: usize,
     arrived: Duration,
     retry: bool,
     /// Latest useful start of this attempt.
@@ -65,6 +82,7 @@
     waiting: Vec<Request>,
     running: usize,
     error: f64,
+    next_poll: Duration,
 }
 
 pub(crate) struct Model {
@@ -79,6 +97,7 @@
     retries: Vec<(Duration, Request)>,
     pub(crate) counts: [Count; 3],
     ids: u64,
+    sum: DemandSum<usize>,
 }
 
 fn burst(now: Duration, kind: usize) -> f64 {
@@ -90,6 +109,15 @@
     }
 }
 
+/// The least urgent kind has a burst, and queues have filled.
+fn contended(at: Duration) -> bool {
+    at >= Duration::from_millis(6_500) && at < Duration::from_secs(11)
+}
+
+fn level(priority: u32) -> impl Fn(u32) -> bool {
+    move |position| Rank::from_queue_priority(position).priority == priority
+}
+
 impl Model {
     pub(crate) fn run(rule: Rule, gateways: usize, seed: u64) -> [Count; 3] {
         let mut model = Model {
@@ -102,6 +130,7 @@
             retries: Vec::new(),
             counts: [Count::default(); 3],
             ids: 0,
+            sum: DemandSum::default(),
         };
         while model.now < END + DEADLINE {
             model.tick();
@@ -126,7 +155,10 @@
             let noise = self.rng.random_range(-0.006..0.006);
             gateway.error = gateway.error * 0.99 + noise;
         }
-        for at in 0..self.gateways.len() {
+        let gateways = self.gateways.len();
+        let first = self.rng.random_range(0..gateways);
+        for at in (first..first + gateways).map(|at| at % gateways) {
+            self.poll(at);
             self.start_waiting(at);
         }
         let due: Vec<Request> = self
@@ -147,9 +179,17 @@
                     self.ids += 1;
                     let id = self.ids;
                     self.counts[kind].arrived += 1.0;
+                    let account = match (kind, self.rng.random_range(0..10)) {
+                        (2, account @ (ONE | ALL)) => account,
+                        _ => self.rng.random_range(2..ACCOUNTS),
+                    };
+                    if kind == 2 && account <= ALL && contended(now) {
+                        self.counts[kind].accounts[account].0 += 1.0;
+                    }
                     self.arrive(Request {
                         id,
                         kind,
+                        account,
                         arrived: now,
                         retry: false,
                         until: now,
@@ -159,6 +199,41 @@
         }
     }
 
+    fn poll(&mut self, at: usize) {
+        let (now, gateway) = (self.now, &mut self.gateways[at]);
+        let lost = self.rule == Rule::Outdated && now > Duration::from_secs(6);
+        let polls = matches!(self.rule, Rule::Shared | Rule::Outdated) && !lost;
+        if !polls || now < gateway.next_poll {
+            return;
+        }
+        let spread = POLL.mul_f64(self.rng.random_range(0.5..1.0));
+        gateway.next_poll = now
+            + if gateway.next_poll.is_zero() {
+                spread
+            } else {
+                POLL
+            };
+        gateway.admission.usage.evict_idle(now);
+        let mut demand = Demand::default();
+        for (p, rate) in gateway.admission.local_rates(now) {
+            let waiting = gateway.queue.waiting_with(level(p)) as u32;
+            demand
+                .levels
+                .insert(("s".into(), p), LevelDemand { rate, waiting });
+        }
+        for ((p, account), rate) in gateway.admission.usage.rates(now) {
+            demand
+                .accounts
+                .insert(("s".into(), *p, account.clone()), rate);
+        }
+        gateway.admission.usage.record_report(now);
+        demand.truncate_accounts();
+        self.sum.record(now, at, demand);
+        let sum = self.sum.sum(now);
+        let Admission { view, usage, .. } = &mut gateway.admission;
+        view.update(now, "s", &sum, |p, account| usage.reported(now, p, account));
+    }
+
     fn service(&self) -> ServiceLoad {
         ServiceLoad {
             slots: SLOTS,
@@ -184,9 +259,15 @@
         match (self.rule, due, rank.late) {
             (Rule::Present, _, true) => LIMITS.late,
             (Rule::Present, ..) | (_, true, _) => LIMITS.in_time,
-            _ => self.gateways[at]
-                .admission
-                .max_load(self.now, rank, LIMITS, self.service()),
+            _ => {
+                let Gateway {
+                    admission, queue, ..
+                } = &self.gateways[at];
+                let account = request.account.to_string();
+                let waiting = queue.waiting_with(level(rank.priority)) > 0;
+                let margin = admission.account_margin(self.now, rank.priority, &account, waiting);
+                admission.max_load(self.now, rank, LIMITS, self.service(), margin)
+            }
         }
     }
 
@@ -199,12 +280,20 @@
         self.running.push((self.now + hold, at));
         let gateway = &mut self.gateways[at];
         gateway.running += 1;
-        gateway.admission.record_start(request.kind as u32);
+        let (priority, account) = (request.kind as u32, request.account.to_string());
+        gateway.admission.record_start(priority);
+        let waiting = gateway.queue.waiting_accounts(level(priority));
+        gateway
+            .admission
+            .record_work(self.now, priority, &account, 1_000.0, &waiting);
         let first_event = Duration::from_millis(self.rng.random_range(150..240));
         gateway.admission.first_events.record(first_event);
         let target = KINDS[request.kind].1;
         let in_time = self.now + first_event <= request.arrived + target;
         let count = &mut self.counts[request.kind];
+        if request.kind == 2 && request.account <= ALL && contended(request.arrived) {
+            count.accounts[request.account].1 += 1.0;
+        }
         match in_time {
             true => count.in_time += 1.0,
             false => count.late += 1.0,
@@ -213,12 +302,17 @@
     }
 
     fn arrive(&mut self, mut request: Request) {
-        let (now, at) = (self.now, self.rng.random_range(0..self.gateways.len()));
+        let now = self.now;
+        let at = match request.account {
+            ONE => 0,
+            _ => self.rng.random_range(0..self.gateways.len()),
+        };
         let rank = Model::rank(&request);
         if !request.retry {
-            self.gateways[at]
-                .admission
-                .record_arrival(now, rank.priority);
+            let admission = &mut self.gateways[at].admission;
+            admission.record_arrival(now, rank.priority);
+            let account = request.account.to_string();
+            admission.usage.record_arrival(now, rank.priority, &account);
         }
         let first = !self.gateways[at].queue.has_at_least(rank.queue_priority());
         if first && self.place(at, &request, false) {
@@ -235,7 +329,7 @@
         request.until = now + wait.min(remaining / 3);
         let queued = QueuedRequest {
             id: request.id,
-            account: (request.id % 24).to_string(),
+            account: request.account.to_string(),
             priority: rank.queue_priority(),
             share: 1,
             deadline: request.until,
@@ -284,14 +378,15 @@
                 .admission
                 .due(now, &levels)
                 .filter(|_| self.rule != Rule::Present);
-            let of_level = |d| {
-                gateway
-                    .queue
-                    .first_with(|p| Rank::from_queue_priority(p).priority == d)
+            let by_work = |position, account: &str| {
+                let priority = Rank::from_queue_priority(position).priority;
+                gateway.admission.account_order(now, priority, account)
+            };
+            let first = match (self.rule, due) {
+                (Rule::Present, _) => gateway.queue.start_order().first().copied(),
+                (_, Some(priority)) => gateway.queue.first_by(level(priority), by_work),
+                _ => gateway.queue.first_by(|_| true, by_work),
             };
-            let first = due
-                .and_then(of_level)
-                .or(gateway.queue.start_order().first().copied());
             let Some(request) = gateway
                 .waiting
                 .iter()
--- a/crates/coordinator/src/updates.rs
+++ b/crates/coordinator/src/updates.rs
@@ -6,6 +6,7 @@
 
 use crate::announcements::Source;
 use crate::core::Core;
+use bn_admission::{Demand, DemandSum, ReceivedDemand};
 use bn_directory::{Gateway, GatewaySelection};
 use bn_registry::{Condition, Record};
 use bn_wire::messages::envelope::Body;
@@ -69,6 +70,9 @@
     /// Gateways that callers are sent to, valid as long.
     selection: GatewaySelection,
     common_due: Duration,
+    /// Demand that gateways reported, and its sum, valid as long.
+    demand: DemandSum<SocketAddr>,
+    demand_sum: Demand,
 }
 
 impl Core {
@@ -122,6 +126,7 @@
         if now >= self.peers.common_due {
             self.peers.common_due = now + COMMON_TTL;
             self.peers.selection = self.directory.select(now);
+            self.peers.demand_sum = self.peers.demand.sum(now);
             let others = self.others();
             let all = others.iter().chain([&self.inbox]);
             self.peers.common = wire::News {
@@ -180,7 +185,17 @@
             (true, false) => self.subscribers.record_sent(inbox, self.registry.cursor()),
             (false, _) => {}
         }
+        let demand = poll.demand.as_ref().filter(|_| is_gateway);
+        if let Some(raw) = demand {
+            let ReceivedDemand { demand, invalid } = raw.clone().into();
+            metrics::counter!("demand_invalid_total").increment(invalid);
+            self.peers.demand.record(now, inbox, demand);
+        }
         let base = self.base_update();
+        // The coordinators that send a gateway its registrations also send it the demand.
+        let demand_sum = demand
+            .filter(|_| !poll.brief)
+            .map(|_| (&self.peers.demand_sum).into());
         let gateways = match is_gateway && poll.named != self.peers.selection.checksum() {
             true => self.peers.selection.gateways(),
             false => &[],
@@ -197,6 +212,7 @@
             changed: changed.iter().map(Registration::from).collect(),
             cases: self.cases.updates_since(known_cases, is_gateway),
             cases_mark: self.cases.table.cursor(),
+            demand: demand_sum,
             ..base
         };
         self.net.send(inbox, Body::News(update));
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,7 +3,7 @@
 
 use bn_platform::header;
 use bn_quarantine::Digest;
-use bn_settle::{AccountId, Document, Kind, Route};
+use bn_settle::{AccountId, Document, Engine, Kind, Route};
 use hyper::body::Bytes;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -49,6 +49,8 @@
     pub(crate) answer_by: Duration,
     /// Priority of its account or route; 0 goes first.
     pub(crate) priority: u32,
+    /// Expected work in tokens: prompt and answer.
+    pub(crate) work: f64,
     /// Computed on first use: few requests ever need it.
     digest: OnceLock<Digest>,
 }
@@ -73,12 +75,15 @@
         }
         let service = route.pick_service(draw(route.total_weight()));
         let deadline = deadline(&parts.headers);
+        let engine = service.and_then(|s| document.services().get(s)?.engine);
+        let work = work(&parts.headers, engine);
         Ok(RequestContext {
             id: text(&parts.headers, header::ATTEMPT)
                 .unwrap_or_default()
                 .into(),
             service: service.cloned().unwrap_or_default(),
             account: account.map(|a| a.name.clone()),
+            work,
             priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
             route: route.clone(),
             version: document.version(),
@@ -135,6 +140,20 @@
     millis(headers, header::DEADLINE).unwrap_or(MAX_DEADLINE)
 }
 
+/// Expected tokens of a request: those of the prompt, and the caller's estimate of the answer. A
+/// request that reports none counts as one of the usual length.
+fn work(headers: &HeaderMap, engine: Option<Engine>) -> f64 {
+    let usual = engine.unwrap_or_default();
+    let usage = text(headers, header::TOKENS).and_then(bn_platform::parse_token_usage);
+    let hint = text(headers, header::LENGTH_HINT).and_then(|t| t.trim().parse::<u32>().ok());
+    let (prompt, max_output) = match usage {
+        Some(usage) => (f64::from(usage.prompt), f64::from(usage.max_output)),
+        None => (usual.mean_prompt, f64::INFINITY),
+    };
+    let output = hint.map_or(usual.mean_answer, f64::from).min(max_output);
+    (prompt + output).max(1.0)
+}
+
 fn host(parts: &Parts) -> Option<&str> {
     parts
         .uri
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -7,6 +7,7 @@
 use crate::shared::Shared;
 use crate::sources::{Sources, UpdateRange};
 use crate::suspects::Report;
+use crate::urgency;
 use bn_backpressure::GatewaySet;
 use bn_directory::{GatewaySelection, SelectedGateway};
 use bn_net::{Net, UsageReporter};
@@ -23,6 +24,9 @@
 
 /// Time over which the request rate is averaged: some seconds, so that noise is not reported.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
+/// Minimum interval between two reports of the work of accounts to one coordinator: below the age at
+/// which coordinators forget them.
+const ACCOUNTS_INTERVAL: Duration = Duration::from_millis(1_400);
 /// Slowdown of a sound backend server, and of one whose slowdown is not known.
 const BASELINE_SLOWDOWN: u32 = 100;
 /// Requests per second below which a gateway counts as receiving none.
@@ -62,6 +66,8 @@
     reported_ready: bool,
     registrations: IndexMap<String, Record>,
     rate: RequestRate,
+    /// When the work of accounts was last reported, by coordinator.
+    accounts_sent: IndexMap<SocketAddr, Duration>,
     usage: UsageReporter,
     /// Maximum inbox length since the last usage event.
     max_inbox: usize,
@@ -87,6 +93,7 @@
             reported_ready: false,
             registrations: IndexMap::new(),
             rate: RequestRate::default(),
+            accounts_sent: IndexMap::new(),
             usage: UsageReporter::default(),
             max_inbox: 0,
             pending_trials: IndexMap::new(),
@@ -176,6 +183,7 @@
             let lost = json!({ "coordinator": inbox, "version": version });
             self.shared.lines.put("coordinator_lost", lost);
         }
+        let with_accounts = self.accounts_due(inbox);
         let request = wire::NewsAsk {
             callers: self.callers.to_string(),
             domain: self.domain.clone(),
@@ -188,16 +196,29 @@
             rate: self.rate.update(self.shared.now(), self.shared.accepted()),
             named: self.shared.state().selection.checksum(),
             brief: poll.omit_registrations,
+            demand: urgency::demand(&self.shared, with_accounts),
             ..wire::NewsAsk::default()
         };
         self.net.send(inbox, Body::NewsAsk(request));
     }
 
+    /// Whether the work of accounts is reported to a coordinator with this poll: with every second
+    /// one, since it changes slowly and takes most of the message.
+    fn accounts_due(&mut self, inbox: SocketAddr) -> bool {
+        let now = self.shared.now();
+        let sent_at = self.accounts_sent.entry(inbox).or_default();
+        let due = now >= *sent_at + ACCOUNTS_INTERVAL;
+        if due {
+            *sent_at = now;
+        }
+        due
+    }
+
     fn on_message(&mut self, envelope: Envelope) {
         let Ok(inbox) = envelope.inbox.parse::<SocketAddr>() else {
             return;
         };
-        let update = match envelope.body {
+        let mut update = match envelope.body {
             Some(Body::News(update)) => update,
             Some(Body::TrialAnswer(answer)) => return self.on_trial_answer(&answer),
             _ => return,
@@ -218,6 +239,9 @@
             let fields = json!({ "coordinator": inbox, "version": update.version });
             self.shared.lines.put("coordinator_regained", fields);
         }
+        if let Some(demand) = update.demand.take() {
+            urgency::merge_demand(&self.shared, demand);
+        }
         let members = update.coordinators.iter().filter_map(|a| a.parse().ok());
         self.sources.set_members(&members.collect::<Vec<_>>());
         self.adopt_document(inbox, &update);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -108,7 +108,7 @@
         return Err(Unavailable::Full);
     }
     let reservation = try_reserve(shared, &mut state, ctx, tried, false)?;
-    urgency::record_start(&mut state, ctx);
+    urgency::record_start(&mut state, now, ctx);
     if let Some(queue) = state.queues.get_mut(&ctx.service) {
         queue.record_start(now);
     }
@@ -308,18 +308,16 @@
         let now = self.shared.now();
         let service = &self.ctx.service;
         let mut state = self.shared.state();
-        let due = urgency::due(&state, now, service);
-        let first = match due {
-            Some(id) => Some(id),
-            None => state.queues.get(service)?.start_order().first().copied(),
+        let (first, ignore_reserve) = match urgency::first(&state, now, service) {
+            Some((first, due)) => (first, due),
+            None => (*state.queues.get(service)?.start_order().first()?, false),
         };
-        if first != Some(self.id) {
+        if first != self.id {
             return None;
         }
-        let ignore_reserve = due.is_some();
         let reservation =
             try_reserve(self.shared, &mut state, self.ctx, tried, ignore_reserve).ok()?;
-        urgency::record_start(&mut state, self.ctx);
+        urgency::record_start(&mut state, now, self.ctx);
         if let Some(queue) = state.queues.get_mut(service) {
             queue.start(now, self.id);
         }
--- a/crates/gateway/src/urgency.rs
+++ b/crates/gateway/src/urgency.rs
@@ -4,10 +4,14 @@
 use crate::context::RequestContext;
 use crate::placement;
 use crate::shared::{Inner, Shared, State};
-use bn_admission::{Admission, LoadLimits, Priority, Rank, RetryInput, ServiceLoad, WaitInput};
+use bn_admission::{
+    Admission, Demand, LevelDemand, LoadLimits, Priority, Rank, ReceivedDemand, RetryInput,
+    ServiceLoad, WaitInput,
+};
 use bn_limit::{Queue, QueuedRequest};
 use bn_route::{FillController, Fleet, fill_limit_for};
 use bn_settle::Document;
+use bn_wire::messages as wire;
 use indexmap::IndexSet;
 use serde_json::json;
 use std::time::Duration;
@@ -68,6 +72,8 @@
     now: Duration,
     rank: Rank,
     load: ServiceLoad,
+    /// Part of the slots that its account may not use now.
+    margin: f64,
     /// This gateway has no request in flight: its fill limit is out of date.
     idle: bool,
     ignore_reserve: bool,
@@ -83,7 +89,8 @@
                 let Limits {
                     now, rank, load, ..
                 } = *self;
-                self.admission.max_load(now, rank, limits, load)
+                self.admission
+                    .max_load(now, rank, limits, load, self.margin)
             }
         }
     }
@@ -99,7 +106,8 @@
     /// Load over slots up to which each backend server of the unit is filled by this request.
     pub(crate) fn fill_limit(&self, unit: &str, fill_limit: f64) -> f64 {
         let limits = load_limits(fill_limit);
-        let reserves = self.admission.reserve(self.now, self.rank, self.load) > 0.0;
+        let reserve = self.admission.reserve(self.now, self.rank, self.load);
+        let reserves = reserve + self.margin > 0.0;
         if !self.ignore_reserve && !reserves {
             return fill_limit_for(self.rank.late, fill_limit);
         }
@@ -129,9 +137,13 @@
     ignore_reserve: bool,
 ) -> Option<Limits<'a>> {
     let admission = state.admissions.get(&ctx.service)?;
+    let queue = state.queues.get(&ctx.service);
+    let waiting = queue.is_some_and(|q| q.waiting_with(has_priority(ctx.priority)) > 0);
+    let decisions = &admission.decisions;
     Some(Limits {
+        margin: decisions.account_margin(now, ctx.priority, account(ctx), waiting),
         fleet: &state.fleet,
-        admission: &admission.decisions,
+        admission: decisions,
         now,
         rank: rank(ctx, now),
         load: state.service_load(&ctx.service),
@@ -173,7 +185,11 @@
         return;
     };
     if !ctx.is_retry {
-        admission.decisions.record_arrival(now, ctx.priority);
+        let decisions = &mut admission.decisions;
+        decisions.record_arrival(now, ctx.priority);
+        decisions
+            .usage
+            .record_arrival(now, ctx.priority, account(ctx));
     }
     if now < admission.event_due {
         return;
@@ -195,6 +211,13 @@
         .into_iter()
         .map(|(priority, rate)| (priority, rate, reserve(priority)))
         .collect();
+    let source = match decisions.view.is_fresh(now) {
+        true => "view",
+        false => "local",
+    };
+    let rates: Vec<f64> = (levels.iter())
+        .map(|(priority, ..)| decisions.rate(now, priority.saturating_add(1), load))
+        .collect();
     let tail = decisions.first_events.tail().map(|t| t.as_millis() as u64);
     let units = state.fleet.units_of(&ctx.service).into_iter();
     let loads: Vec<f64> = units.map(|u| state.fleet.mean_load(now, u)).collect();
@@ -213,33 +236,110 @@
         })
         .collect();
     let fields = json!({
-        "service": ctx.service, "levels": levels, "loads": loads, "gateways": load.gateways,
-        "slots": load.slots, "first_event_tail_ms": tail, "source": "local",
+        "service": ctx.service, "levels": levels, "rates_up_to": rates, "loads": loads, "gateways": load.gateways,
+        "slots": load.slots, "first_event_tail_ms": tail, "source": source,
         "waiting": state.queues.get(&ctx.service).map_or(0, Queue::len),
     });
     drop(state);
     shared.lines.put("admission", fields);
 }
 
-/// Counts a start.
-pub(crate) fn record_start(state: &mut State, ctx: &RequestContext) {
-    if let Some(admission) = state.admissions.get_mut(&ctx.service) {
-        admission.decisions.record_start(ctx.priority);
-    }
+/// Counts a start and its work. Called before the request leaves the queue.
+pub(crate) fn record_start(state: &mut State, now: Duration, ctx: &RequestContext) {
+    let State {
+        admissions, queues, ..
+    } = state;
+    let Some(admission) = admissions.get_mut(&ctx.service) else {
+        return;
+    };
+    let decisions = &mut admission.decisions;
+    decisions.record_start(ctx.priority);
+    let queue = queues.get(&ctx.service);
+    let waiting = queue.map_or_else(Vec::new, |q| q.waiting_accounts(has_priority(ctx.priority)));
+    decisions.record_work(now, ctx.priority, account(ctx), ctx.work, &waiting);
 }
 
-/// The queued request whose turn it is by the floor of its priority, regardless of the reserve.
-pub(crate) fn due(state: &State, now: Duration, service: &str) -> Option<u64> {
-    let admission = state.admissions.get(service)?;
+fn account(ctx: &RequestContext) -> &str {
+    ctx.account.as_deref().unwrap_or_default()
+}
+
+/// Whether a position in the queue belongs to a priority.
+fn has_priority(priority: Priority) -> impl Fn(u32) -> bool {
+    move |position| Rank::from_queue_priority(position).priority == priority
+}
+
+/// The queued request whose turn it is, if the service differs in priority, and whether it has its
+/// turn by the floor of its priority, regardless of the reserve.
+pub(crate) fn first(state: &State, now: Duration, service: &str) -> Option<(u64, bool)> {
+    let decisions = &state.admissions.get(service)?.decisions;
     let queue = state.queues.get(service)?;
+    let order = |position: u32, account: &str| {
+        let priority = Rank::from_queue_priority(position).priority;
+        decisions.account_order(now, priority, account)
+    };
     let waiting: IndexSet<Priority> = queue
         .waiting_priorities()
         .into_iter()
         .map(|p| Rank::from_queue_priority(p).priority)
         .collect();
     let waiting: Vec<Priority> = waiting.into_iter().collect();
-    let due = admission.decisions.due(now, &waiting)?;
-    queue.first_with(|p| Rank::from_queue_priority(p).priority == due)
+    let due = decisions.due(now, &waiting);
+    let first = match due {
+        Some(priority) => queue.first_by(has_priority(priority), order),
+        None => queue.first_by(|_| true, order),
+    };
+    Some((first?, due.is_some()))
+}
+
+/// What this gateway reports of the demand on services that differ in priority; `None` if there is
+/// no such service.
+pub(crate) fn demand(shared: &Shared, with_accounts: bool) -> Option<wire::Demand> {
+    let now = shared.now();
+    let mut state = shared.state();
+    let State {
+        admissions, queues, ..
+    } = &mut *state;
+    if admissions.is_empty() {
+        return None;
+    }
+    let mut demand = Demand {
+        gateways: 1,
+        ..Demand::default()
+    };
+    for (service, admission) in admissions {
+        let decisions = &mut admission.decisions;
+        decisions.usage.evict_idle(now);
+        let queue = queues.get(service);
+        for (priority, rate) in decisions.local_rates(now) {
+            let waiting = queue.map_or(0, |q| q.waiting_with(has_priority(priority)));
+            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+            if rate > 0.0 || waiting > 0 {
+                let level = LevelDemand { rate, waiting };
+                demand.levels.insert((service.clone(), priority), level);
+            }
+        }
+        if !with_accounts {
+            continue;
+        }
+        decisions.usage.record_report(now);
+        for ((priority, account), rate) in decisions.usage.rates(now) {
+            let key = (service.clone(), *priority, account.clone());
+            demand.accounts.insert(key, rate);
+        }
+    }
+    demand.truncate_accounts();
+    Some((&demand).into())
+}
+
+/// Takes the sum of the demand at all gateways from a coordinator.
+pub(crate) fn merge_demand(shared: &Shared, raw: wire::Demand) {
+    let now = shared.now();
+    let ReceivedDemand { demand, invalid } = raw.into();
+    metrics::counter!("demand_invalid_total").increment(invalid);
+    for (service, admission) in &mut shared.state().admissions {
+        let Admission { view, usage, .. } = &mut admission.decisions;
+        view.update(now, service, &demand, |p, a| usage.reported(now, p, a));
+    }
 }
 
 /// Longest wait of a request that can still be in time; `min` is that of other services.
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -133,21 +133,18 @@
         queues.map(|(_, q)| q.waiting.len()).sum()
     }
 
+    /// Number of waiting requests with these priorities.
+    pub fn waiting_with(&self, matches: impl Fn(u32) -> bool) -> usize {
+        let queues = self.queues.iter().filter(|((p, _), _)| matches(*p));
+        queues.map(|(_, q)| q.waiting.len()).sum()
+    }
+
     /// Priorities of which requests are waiting.
     pub fn waiting_priorities(&self) -> IndexSet<u32> {
         let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
         waiting.map(|((p, _), _)| *p).collect()
     }
 
-    /// The first request in the start order among those with these priorities.
-    pub fn first_with(&self, matches: impl Fn(u32) -> bool) -> Option<u64> {
-        let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
-        let first = waiting
-            .filter(|((p, _), _)| matches(*p))
-            .min_by(|((pa, _), a), ((pb, _), b)| pb.cmp(pa).then(a.served.total_cmp(&b.served)));
-        first.and_then(|(_, q)| q.waiting.front().map(|r| r.id))
-    }
-
     /// Ids in the order in which to try them while the earlier ones find no capacity: by priority,
     /// then by least service relative to share.
     pub fn start_order(&self) -> Vec<u64> {
@@ -163,6 +160,28 @@
             .collect()
     }
 
+    /// The first request of the highest priority, of the account for which `order` is lowest.
+    pub fn first_by(
+        &self,
+        matches: impl Fn(u32) -> bool,
+        order: impl Fn(u32, &str) -> f64,
+    ) -> Option<u64> {
+        let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
+        let waiting = waiting.filter(|((p, _), _)| matches(*p));
+        let highest = waiting.clone().map(|((p, _), _)| *p).max()?;
+        let of_highest = waiting.filter(|((p, _), _)| *p == highest);
+        let first = of_highest
+            .min_by(|((_, a), _), ((_, b), _)| order(highest, a).total_cmp(&order(highest, b)));
+        first.and_then(|(_, q)| q.waiting.front().map(|r| r.id))
+    }
+
+    /// Accounts that have requests waiting with these priorities.
+    pub fn waiting_accounts(&self, matches: impl Fn(u32) -> bool) -> Vec<AccountId> {
+        let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
+        let waiting = waiting.filter(|((p, _), _)| matches(*p));
+        waiting.map(|((_, account), _)| account.clone()).collect()
+    }
+
     /// Dequeues a request that has started, and counts it as service to its account.
     pub fn start(&mut self, now: Duration, id: u64) {
         let found = self
