Gateway: read the demand before the state is locked for a poll

The poll's expression locks the state for the checksum of the selection up to its end; reading the demand inside it locked the state again and blocked the gateway for good. It is read before now.

A process test waits until both gateways use the sum that coordinators send (source "view" in the admission line).

--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -379,3 +379,26 @@
     expect_that!(retry_after.unwrap_or(0.0), gt(1.0));
     expect_that!((retry.status(), retry.text().as_str()), eq((200, "whole")));
 }
+
+/// Guards against reports of demand that get lost on their way through the coordinators: a gateway
+/// would go on with its own figures without any error.
+#[googletest::test]
+fn gateways_learn_the_demand_at_all_gateways_from_coordinators() {
+    let fleet = Fleet::start(46);
+    let backend = Backend::start("a", succeed);
+    fleet.announce(&backend, "plain", "ready", 1);
+
+    // The open route and the account differ in priority.
+    fleet.wait("demand", |fleet| {
+        for gateway in [4, 5] {
+            let head = request_head("GET", "/look/1", "id", "");
+            fleet::call(fleet.callers(gateway), &head, "");
+        }
+        fleet.send(4, "POST", "/file/1", "id");
+        let known = |id| {
+            let line = fleet.last_line(id, "admission");
+            line.contains("\"source\":\"view\"") && line.contains("\"priority\":2")
+        };
+        known("g4") && known("g5")
+    });
+}
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -184,6 +184,8 @@
             self.shared.lines.put("coordinator_lost", lost);
         }
         let with_accounts = self.accounts_due(inbox);
+        // The expression below holds the state locked up to its end.
+        let demand = urgency::demand(&self.shared, with_accounts);
         let request = wire::NewsAsk {
             callers: self.callers.to_string(),
             domain: self.domain.clone(),
@@ -196,7 +198,7 @@
             rate: self.rate.update(self.shared.now(), self.shared.accepted()),
             named: self.shared.state().selection.checksum(),
             brief: poll.omit_registrations,
-            demand: urgency::demand(&self.shared, with_accounts),
+            demand,
             ..wire::NewsAsk::default()
         };
         self.net.send(inbox, Body::NewsAsk(request));
