--- a/crates/admission/src/usage.rs
+++ b/crates/admission/src/usage.rs
@@ -7,8 +7,11 @@
 
 /// Time constant by which work is forgotten: bursts last some seconds.
 const MEMORY: Duration = Duration::from_secs(4);
-/// Work below this fraction of a request's is forgotten.
-const MIN_WORK: f64 = 0.1;
+/// Work is reported for this time after an account's last start that others waited for: messages
+/// list no accounts soon after a burst.
+const REPORTED_FOR: Duration = Duration::from_secs(8);
+/// Arrivals below which an account without recent work is forgotten.
+const MIN_ARRIVALS: f64 = 0.05;
 /// Maximum number of accounts that a report lists.
 pub(crate) const MAX_REPORTED: usize = 8;
 
@@ -18,6 +21,8 @@
     work: f64,
     arrivals: f64,
     updated: Duration,
+    /// Last start that others waited for.
+    started: Option<Duration>,
     /// Tokens per second in the last report to a coordinator.
     reported: f64,
     /// Starts of other accounts since its last one while it waited.
@@ -25,6 +30,10 @@
 }
 
 impl Account {
+    fn is_recent(&self, now: Duration) -> bool {
+        self.started.is_some_and(|at| now < at + REPORTED_FOR)
+    }
+
     fn decay(&mut self, now: Duration) {
         let fade = fade(now, self.updated);
         self.work *= fade;
@@ -70,6 +79,7 @@
         let entry = self.accounts.entry(key).or_default();
         entry.decay(now);
         entry.work += work;
+        entry.started = Some(now);
         entry.passed = 0;
     }
 
@@ -83,9 +93,9 @@
 
     /// Tokens per second of all accounts with recent work.
     pub fn rates(&self, now: Duration) -> impl Iterator<Item = (&(Priority, AccountId), f64)> {
+        let recent = self.accounts.iter().filter(move |(_, a)| a.is_recent(now));
         let rate = move |a: &Account| a.work * fade(now, a.updated) / MEMORY.as_secs_f64();
-        let all = self.accounts.iter().map(move |(key, a)| (key, rate(a)));
-        all.filter(|(_, rate)| *rate > 0.0)
+        recent.map(move |(key, a)| (key, rate(a)))
     }
 
     /// Whether it is an account's turn regardless of the work that it got: an account whose demand
@@ -121,6 +131,6 @@
     /// Forgets accounts without recent requests.
     pub fn evict_idle(&mut self, now: Duration) {
         self.accounts
-            .retain(|_, a| (a.arrivals + a.work) * fade(now, a.updated) > MIN_WORK);
+            .retain(|_, a| a.is_recent(now) || a.arrivals * fade(now, a.updated) > MIN_ARRIVALS);
     }
 }
--- a/crates/admission/tests/demand.rs
+++ b/crates/admission/tests/demand.rs
@@ -199,6 +199,18 @@
     expect_that!(reserve, eq(0.0));
 }
 
+// Messages would list the accounts of a burst for half a minute after it.
+#[gtest]
+fn work_is_not_reported_for_long_after_a_burst() {
+    let mut admission = Admission::default();
+    let waiting = ["b".to_string()];
+    admission.record_work(ms(0), 2, "a", 3_000.0, &waiting);
+    expect_that!(admission.usage.rates(ms(7_000)).count(), eq(1));
+    expect_that!(admission.usage.rates(ms(8_000)).count(), eq(0));
+    admission.usage.evict_idle(ms(8_000));
+    expect_that!(admission.usage.rate(ms(8_000), 2, "a"), eq(0.0));
+}
+
 // An account with most of the demand would wait behind all others for good.
 #[gtest]
 fn an_account_that_was_passed_over_often_has_its_turn() {
