--- a/crates/admission/src/service.rs
+++ b/crates/admission/src/service.rs
@@ -140,7 +140,10 @@
         account: &str,
         waiting: bool,
     ) -> f64 {
-        if !waiting && !self.view.is_waiting(now, priority) {
+        // The work at this gateway alone doesn't show what an account got: one that reaches no other
+        // gateway would leave its slots here to accounts that get most of theirs elsewhere.
+        let known = self.view.is_fresh(now);
+        if !known || (!waiting && !self.view.is_waiting(now, priority)) {
             return 0.0;
         }
         let own = self.usage.rates(now);
--- a/crates/admission/tests/demand.rs
+++ b/crates/admission/tests/demand.rs
@@ -178,6 +178,10 @@
     admission.record_work(ms(0), 2, "b", 1_000.0, &waiting);
     let order = |admission: &Admission, account| admission.account_order(ms(10), 2, account);
     expect_that!(order(&admission, "a"), gt(order(&admission, "b")));
+    // Nothing is known of other gateways.
+    expect_that!(admission.account_margin(ms(10), 2, "a", true), eq(0.0));
+    let nothing = level(2, 1.0, 0);
+    admission.view.update(ms(10), "s", &nothing, |_, _| 0.0);
     expect_that!(admission.account_margin(ms(10), 2, "a", true), gt(0.0));
     expect_that!(admission.account_margin(ms(10), 2, "b", true), eq(0.0));
     expect_that!(admission.account_margin(ms(10), 2, "a", false), eq(0.0));
