Admission by urgency: smaller margin of accounts, measured in the model

A margin of 0.05 also held back the account that reaches one gateway. With 0.03 the served shares of an account at one gateway and one at all differ by 0.08 at 6 gateways and 0.09 at 40 (0.12 and 0.14 before); the test's tolerance is 0.12, from 0.15. Tested: bn-admission, all pass.

--- a/crates/admission/src/service.rs
+++ b/crates/admission/src/service.rs
@@ -14,12 +14,12 @@
 
 /// Part of the slots by which the limit of an account is lowered per multiple of the mean work that
 /// it got beyond the mean, while requests of its priority wait. An account that reaches few
-/// gateways then gets slots there that others leave. In the model of 40 gateways, 0.02 leaves a
-/// difference of 0.17 between the served shares of an account at one gateway and one at all, 0.04
-/// one of 0.14; 0.08 serves the account at one gateway less, since its own limit falls, too.
-const ACCOUNT_MARGIN: f64 = 0.04;
+/// gateways then gets slots there that others leave. In the model of 40 gateways, the served shares
+/// of an account at one gateway and one at all differ by 0.27 without a margin, by 0.09 with this
+/// one, and by 0.22 with 0.05 for both figures: then the limit of the former falls, too.
+const ACCOUNT_MARGIN: f64 = 0.03;
 /// Maximum of this part.
-const MAX_ACCOUNT_MARGIN: f64 = 0.05;
+const MAX_ACCOUNT_MARGIN: f64 = 0.03;
 
 /// Fill limits of a unit for requests of the most urgent rank and for late ones, as the fill
 /// controller allows them.
--- a/crates/admission/tests/load.rs
+++ b/crates/admission/tests/load.rs
@@ -71,7 +71,7 @@
 }
 
 /// Largest difference of the shares served of an account at one gateway and of one at all.
-const ACCOUNT_TOLERANCE: f64 = 0.15;
+const ACCOUNT_TOLERANCE: f64 = 0.12;
 
 // An account must not get more or less for the number of gateways that it reaches.
 #[gtest]
