--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -2,7 +2,7 @@
 //! priority, bounded, and refused early if they cannot start in time.
 
 use crate::AccountId;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -94,6 +94,11 @@
 
     /// Expected wait of a request: the requests ahead of it, at the recent rate of starts.
     pub fn expected_wait(&self, request: &QueuedRequest) -> Duration {
+        Duration::from_secs_f64((self.ahead_of(request) * self.start_gap).min(3600.0))
+    }
+
+    /// Number of waiting requests that start before this one.
+    pub fn ahead_of(&self, request: &QueuedRequest) -> f64 {
         let ahead = |((priority, account), queue): (&(u32, AccountId), &AccountQueue)| {
             let waiting = queue.waiting.len() as f64;
             match priority.cmp(&request.priority) {
@@ -111,8 +116,33 @@
                 }
             }
         };
-        let before: f64 = self.queues.iter().map(ahead).sum();
-        Duration::from_secs_f64((before * self.start_gap).min(3600.0))
+        self.queues.iter().map(ahead).sum()
+    }
+
+    /// Recent number of starts per second; 0 if none is known.
+    pub fn start_rate(&self) -> f64 {
+        match self.start_gap > 0.0 {
+            true => 1.0 / self.start_gap,
+            false => 0.0,
+        }
+    }
+
+    /// Number of waiting requests of this or a higher priority.
+    pub fn waiting_at_least(&self, priority: u32) -> usize {
+        let queues = self.queues.iter().filter(|((p, _), _)| *p >= priority);
+        queues.map(|(_, q)| q.waiting.len()).sum()
+    }
+
+    /// Number of waiting requests with these priorities.
+    pub fn waiting_with(&self, matches: impl Fn(u32) -> bool) -> usize {
+        let queues = self.queues.iter().filter(|((p, _), _)| matches(*p));
+        queues.map(|(_, q)| q.waiting.len()).sum()
+    }
+
+    /// Priorities of which requests are waiting.
+    pub fn waiting_priorities(&self) -> IndexSet<u32> {
+        let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
+        waiting.map(|((p, _), _)| *p).collect()
     }
 
     /// Ids in the order in which to try them while the earlier ones find no capacity: by priority,
@@ -130,6 +160,28 @@
             .collect()
     }
 
+    /// The first request of the highest priority, of the account for which `order` is lowest.
+    pub fn first_by(
+        &self,
+        matches: impl Fn(u32) -> bool,
+        order: impl Fn(u32, &str) -> f64,
+    ) -> Option<u64> {
+        let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
+        let waiting = waiting.filter(|((p, _), _)| matches(*p));
+        let highest = waiting.clone().map(|((p, _), _)| *p).max()?;
+        let of_highest = waiting.filter(|((p, _), _)| *p == highest);
+        let first = of_highest
+            .min_by(|((_, a), _), ((_, b), _)| order(highest, a).total_cmp(&order(highest, b)));
+        first.and_then(|(_, q)| q.waiting.front().map(|r| r.id))
+    }
+
+    /// Accounts that have requests waiting with these priorities.
+    pub fn waiting_accounts(&self, matches: impl Fn(u32) -> bool) -> Vec<AccountId> {
+        let waiting = self.queues.iter().filter(|(_, q)| !q.waiting.is_empty());
+        let waiting = waiting.filter(|((p, _), _)| matches(*p));
+        waiting.map(|((_, account), _)| account.clone()).collect()
+    }
+
     /// Dequeues a request that has started, and counts it as service to its account.
     pub fn start(&mut self, now: Duration, id: u64) {
         let found = self
