Admission by urgency: by account first, then by route

And a deployment whose accounts differ was ranked although its routes do not ask for it.

Change: a service is ranked if its routes differ in priority. Its levels are the pairs of account and route priority in order, most urgent first; all other services keep the priority they had. Backend servers get the level as the request's priority.

Tested: bn-settle documents (6 passed).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -47,7 +47,8 @@
     pub(crate) is_retry: bool,
     /// When the final response must be sent: the caller's deadline or the route's timeout.
     pub(crate) answer_by: Duration,
-    /// Priority of its account or route; 0 goes first.
+    /// Level of urgency if its service's routes differ in priority, otherwise the priority of its
+    /// account or route; 0 goes first.
     pub(crate) priority: u32,
     /// Expected work in tokens: prompt and answer.
     pub(crate) work: f64,
@@ -84,7 +85,10 @@
             service: service.cloned().unwrap_or_default(),
             account: account.map(|a| a.name.clone()),
             work,
-            priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
+            priority: service
+                .and_then(|s| document.urgency_level(s, account, route))
+                .or(account.and_then(|a| a.priority))
+                .unwrap_or(route.priority),
             route: route.clone(),
             version: document.version(),
             arrived: now,
--- a/crates/gateway/src/urgency.rs
+++ b/crates/gateway/src/urgency.rs
@@ -30,7 +30,7 @@
     /// Keeps the admission state of services that still differ in priority, and starts that of new
     /// ones.
     pub(crate) fn adopt_priorities(&mut self, document: &Document) {
-        let ranked = document.ranked_services();
+        let ranked: IndexSet<_> = document.ranked_services().collect();
         self.admissions
             .retain(|service, _| ranked.contains(service));
         for service in ranked {
--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -1,7 +1,7 @@
 //! Types and look-ups of a document.
 
 use crate::{Result, check};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use std::time::Duration;
 
 /// Version of a document; the highest committed one is in force.
@@ -191,6 +191,23 @@
     pub priority: Option<u32>,
 }
 
+/// Order of requests of one service: the account's priority takes precedence, and requests of
+/// accounts with the same priority go by their routes'.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Urgency {
+    account: u32,
+    route: u32,
+}
+
+impl Urgency {
+    fn new(account: Option<&Account>, route: &Route) -> Urgency {
+        Urgency {
+            account: account.and_then(|a| a.priority).unwrap_or(route.priority),
+            route: route.priority,
+        }
+    }
+}
+
 /// A validated document.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Document {
@@ -203,8 +220,8 @@
     route_index: IndexMap<String, IndexMap<String, usize>>,
     /// Account positions by key.
     key_index: IndexMap<String, usize>,
-    /// Services whose requests differ in priority.
-    ranked: IndexSet<ServiceId>,
+    /// Levels of urgency, by service whose routes differ in priority.
+    levels: IndexMap<ServiceId, Vec<Urgency>>,
 }
 
 impl Document {
@@ -220,7 +237,7 @@
         check::routes(&routes, &services)?;
         let route_index = check::route_index(&routes)?;
         let key_index = check::key_index(&accounts)?;
-        let ranked = ranked_services(&routes, &accounts);
+        let levels = urgency_levels(&routes, &accounts);
         Ok(Document {
             version,
             routes,
@@ -229,7 +246,7 @@
             accounts,
             route_index,
             key_index,
-            ranked,
+            levels,
         })
     }
 
@@ -248,9 +265,22 @@
         &self.services
     }
 
-    /// Services whose requests differ in priority, by their routes or accounts.
-    pub fn ranked_services(&self) -> &IndexSet<ServiceId> {
-        &self.ranked
+    /// Services whose routes differ in priority.
+    pub fn ranked_services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.levels.keys()
+    }
+
+    /// Position of a request among the levels of its service, 0 the most urgent; `None` if the
+    /// service's routes all have one priority.
+    pub fn urgency_level(
+        &self,
+        service: &str,
+        account: Option<&Account>,
+        route: &Route,
+    ) -> Option<u32> {
+        let levels = self.levels.get(service)?;
+        let level = levels.binary_search(&Urgency::new(account, route)).ok()?;
+        u32::try_from(level).ok()
     }
 
     /// Size and time limits of requests.
@@ -289,22 +319,32 @@
     }
 }
 
-fn ranked_services(routes: &[Route], accounts: &[Account]) -> IndexSet<ServiceId> {
-    let mut priorities: IndexMap<&ServiceId, IndexSet<u32>> = IndexMap::new();
+/// The levels that requests of each service may have, most urgent first, if its routes differ in
+/// priority.
+fn urgency_levels(routes: &[Route], accounts: &[Account]) -> IndexMap<ServiceId, Vec<Urgency>> {
+    let mut by_service: IndexMap<&ServiceId, Vec<&Route>> = IndexMap::new();
     for route in routes {
-        // Requests without an account have the route's own priority.
-        let without_key = route.open || accounts.is_empty();
-        let by_account = accounts
-            .iter()
-            .map(|a| a.priority.unwrap_or(route.priority));
-        let of_route: Vec<u32> = by_account
-            .chain(without_key.then_some(route.priority))
-            .collect();
         for weighted in route.services.iter().filter(|s| s.weight > 0) {
-            let known = priorities.entry(&weighted.service).or_default();
-            known.extend(of_route.iter().copied());
+            by_service.entry(&weighted.service).or_default().push(route);
         }
     }
-    let ranked = priorities.into_iter().filter(|(_, p)| p.len() > 1);
-    ranked.map(|(service, _)| service.clone()).collect()
+    by_service.retain(|_, routes| {
+        let mut priorities = routes.iter().map(|r| r.priority);
+        let first = priorities.next();
+        priorities.any(|p| Some(p) != first)
+    });
+    let levels = |routes: Vec<&Route>| {
+        let without_account = routes.iter().map(|r| Urgency::new(None, r));
+        let with_account = routes
+            .iter()
+            .flat_map(|r| accounts.iter().map(|a| Urgency::new(Some(a), r)));
+        let mut levels: Vec<Urgency> = without_account.chain(with_account).collect();
+        levels.sort_unstable();
+        levels.dedup();
+        levels
+    };
+    let services = by_service.into_iter();
+    services
+        .map(|(s, routes)| (s.clone(), levels(routes)))
+        .collect()
 }
