route: leave out the backend servers of evacuated failure domains

The fleet holds the evacuated failure domains. Selection, the check at the moment of sending, mean load, peer load and the state of a stalled or throttled service count the remaining backend servers only. A registration with another failure domain replaces the earlier one, since it is now more than a preference. Slowdown keeps evacuated ranks, which take part in forward passes.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -49,6 +49,8 @@
 const DOWN: &str = "the group of backend servers is down";
 /// Why they are refused if the service has no backend server.
 const NO_SERVERS: &str = "no backend server";
+/// Why they are refused if all backend servers of the service are in evacuated failure domains.
+const EVACUATED: &str = "all backend servers are in evacuated failure domains";
 /// Why they are refused if no other problem is known.
 pub(crate) const FULL: &str = "all backend servers are full";
 /// Why they are refused if no backend server accepts a request in time, as all have directed.
@@ -90,6 +92,7 @@
         // It will be stalled for longer than any request may wait.
         Unavailable::Stalled => STALLED,
         Unavailable::Down => DOWN,
+        Unavailable::Evacuated => EVACUATED,
         Unavailable::Throttled(_) => THROTTLED,
         Unavailable::NoServers => NO_SERVERS,
     };
@@ -239,6 +242,9 @@
         if let Some(reservation) = entry.reserve_if_first(tried) {
             return Ok(reservation);
         }
+        if shared.state().fleet.is_evacuated(&ctx.service) {
+            return Err(refusal(shared, ctx, EVACUATED));
+        }
         if !accepts_late(ctx, start) && shared.state().fleet.is_stalled(&ctx.service) {
             return Err(refusal(shared, ctx, STALLED));
         }
@@ -321,17 +327,19 @@
 }
 
 /// Delay after which a refused caller should retry. A group stalls for some seconds, so its callers
-/// are given about the longest delay after which they still retry.
+/// are given about the longest delay after which they still retry; so are those of an evacuated
+/// service.
 pub(crate) fn retry_delay(shared: &Shared, ctx: &RequestContext) -> Duration {
     let now = shared.now();
     let remaining = ctx.remaining(now);
-    let (stalled, open_at) = {
+    let (absent, open_at) = {
         let fleet = &shared.state().fleet;
         let throttled = fleet.is_throttled(now, &ctx.service);
         let open_at = fleet.next_send_at(&ctx.service).filter(|_| throttled);
-        (fleet.is_stalled(&ctx.service), open_at)
+        let absent = fleet.is_stalled(&ctx.service) || fleet.is_evacuated(&ctx.service);
+        (absent, open_at)
     };
-    if stalled {
+    if absent {
         return latest_retry(remaining);
     }
     // Other gateways may serve it at once if only they send.
--- a/crates/route/src/backpressure.rs
+++ b/crates/route/src/backpressure.rs
@@ -73,8 +73,9 @@
     /// waited for a connection, another answer may have changed that.
     pub fn may_send(&mut self, now: Duration, picked: &Server) -> bool {
         let server = self.servers.get_mut(&picked.id);
-        let Some(server) = server.filter(|s| s.start_time == picked.start_time && !s.leaving)
-        else {
+        let evacuated = &self.evacuated;
+        let current = |s: &&mut Server| s.start_time == picked.start_time && !s.leaving;
+        let Some(server) = server.filter(|s| current(s) && !evacuated.contains(&s.domain)) else {
             return false;
         };
         if server.backpressure.changes() == picked.backpressure.changes() {
@@ -127,9 +128,4 @@
             .filter_map(|s| s.backpressure.next_send_at())
             .min()
     }
-
-    fn accepting(&self, service: &str) -> impl Iterator<Item = &Server> {
-        let servers = self.servers.values();
-        servers.filter(move |s| s.service == service && !s.leaving)
-    }
 }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -41,6 +41,8 @@
 pub enum Unavailable {
     /// The service has none, or all were tried or are leaving.
     NoServers,
+    /// All are in evacuated failure domains.
+    Evacuated,
     /// All are full.
     Full,
     /// The group is stalled, and the next probe is not due yet.
@@ -81,6 +83,8 @@
     pub(crate) gateways: GatewaySet,
     /// Backend servers whose limit the coordinators may not know, and when it was last reported.
     pub(crate) pending_limits: IndexMap<ServerId, Option<Duration>>,
+    /// Failure domains whose backend servers get no requests.
+    pub(crate) evacuated: IndexSet<String>,
 }
 
 impl Fleet {
@@ -94,6 +98,7 @@
             peers: 0,
             gateways: GatewaySet::default(),
             pending_limits: IndexMap::new(),
+            evacuated: IndexSet::new(),
         }
     }
 
@@ -106,6 +111,7 @@
                 known.slowdown = server.slowdown;
                 known.unit = server.unit;
                 known.slots = server.slots;
+                known.domain = server.domain;
             }
             None => {
                 self.servers.insert(server.id.clone(), server);
@@ -134,10 +140,13 @@
         args: &PickArgs<'_>,
         mut random: impl FnMut() -> f64,
     ) -> Result<&Server, Unavailable> {
-        let eligible = |s: &&Server| !s.leaving && !args.tried.contains(&s.id);
-        let candidates: Vec<&Server> = self.in_service(args.service).filter(eligible).collect();
+        let untried = |s: &&Server| !args.tried.contains(&s.id);
+        let candidates: Vec<&Server> = self.accepting(args.service).filter(untried).collect();
         if candidates.is_empty() {
-            return Err(Unavailable::NoServers);
+            return Err(match self.is_evacuated(args.service) {
+                true => Unavailable::Evacuated,
+                false => Unavailable::NoServers,
+            });
         }
         let not_stalled = |s: &&Server| {
             self.stalled
@@ -223,12 +232,12 @@
         units.into_iter().map(unit_load).collect()
     }
 
-    /// Units of a service.
+    /// Units of a service with backend servers that accept work.
     pub fn units_of(&self, service: &str) -> IndexSet<&str> {
-        self.in_service(service).map(|s| s.unit.as_str()).collect()
+        self.accepting(service).map(|s| s.unit.as_str()).collect()
     }
 
-    fn in_service<'a, 'b>(
+    pub(crate) fn in_service<'a, 'b>(
         &'a self,
         service: &'b str,
     ) -> impl Iterator<Item = &'a Server> + use<'a, 'b> {
@@ -237,15 +246,15 @@
 
     /// Mean load over slots of a unit's backend servers that accept work.
     pub fn mean_load(&self, now: Duration, unit: &str) -> f64 {
-        let accepting = |s: &&Server| s.unit == unit && !s.leaving;
+        let accepting = |s: &&Server| s.unit == unit && self.accepts(s);
         let members: Vec<&Server> = self.servers.values().filter(accepting).collect();
         let peer_load = self.peer_load(now, &members);
         let loads = members.iter().map(|s| s.load(now, peer_load) / s.slots());
         loads.sum::<f64>() / members.len().max(1) as f64
     }
 
-    /// Slowdown of a unit's slowest backend server that accepts work, 1 if all are sound: each pass
-    /// of a group takes as long as the slowest rank needs.
+    /// Slowdown of a unit's slowest backend server that is not leaving, 1 if all are sound: each pass
+    /// of a group takes as long as the slowest rank needs. Evacuated ranks take part in passes.
     pub fn max_slowdown(&self, unit: &str) -> f64 {
         let accepting = |s: &&Server| s.unit == unit && !s.leaving;
         let slowdowns = self.servers.values().filter(accepting).map(|s| s.slowdown);
@@ -323,7 +332,7 @@
 
     /// Whether all of a service is known to be stalled.
     pub fn is_stalled(&self, service: &str) -> bool {
-        let mut accepting = self.in_service(service).filter(|s| !s.leaving).peekable();
+        let mut accepting = self.accepting(service).peekable();
         accepting.peek().is_some() && accepting.all(|s| self.stalled.contains_key(&s.unit))
     }
 
@@ -333,7 +342,7 @@
             let stall = self.stalled.get(&s.unit);
             stall.is_some_and(|stall| now >= stall.since + DOWN_AFTER)
         };
-        let mut accepting = self.in_service(service).filter(|s| !s.leaving).peekable();
+        let mut accepting = self.accepting(service).peekable();
         accepting.peek().is_some() && accepting.all(long)
     }
 
@@ -355,8 +364,13 @@
         let total = f64::from(report.running + report.waiting);
         server.peer_requests = (total - f64::from(server.in_flight)).max(0.0);
         server.reported_at = now;
+        // Its load only falls while it is evacuated, which says nothing of the others in its unit.
+        if self.evacuated.contains(&server.domain) {
+            return;
+        }
         let (peers, unit) = (server.peer_requests / server.slots(), server.unit.clone());
-        let members: Vec<&Server> = self.servers.values().filter(|s| s.unit == unit).collect();
+        let counted = |s: &&Server| s.unit == unit && !self.evacuated.contains(&s.domain);
+        let members: Vec<&Server> = self.servers.values().filter(counted).collect();
         let before = self.peer_load(now, &members);
         let mean = before + PEER_LOAD_WEIGHT * (peers - before);
         self.peer_loads.insert(unit, (mean, now));
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod backpressure;
+mod evacuation;
 mod fill_controller;
 mod fleet;
 mod health;
