coordinator, gateway: orders to evacuate a failure domain

Calls for evacuations were answered with 404. Any coordinator now accepts an order, the leader appends it, and the receiver answers once it is in force in its own log. Gateways get changes by push and poll, accept their first document together with the evacuations, and refuse requests of a service that is evacuated entirely at once. The page /v1/evacuations and the command evacuations list, start and end them; explain shows the events beside a request.

--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -9,12 +9,14 @@
 /// Includes state changes within this time before the request's first line, in ms.
 const LOOKBACK_MS: u64 = 5_000;
 /// Events that report a change of state on which requests depend.
-const STATE_EVENTS: [&str; 12] = [
+const STATE_EVENTS: [&str; 14] = [
     "document_in_force",
     "backend_server",
     "backend_server_asked",
     "backend_server_limit",
     "backend_server_out",
+    "evacuation_committed",
+    "evacuations_in_force",
     "coordinator_lost",
     "coordinator_regained",
     "started",
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod check;
 pub(crate) mod ctl;
 pub(crate) mod demo;
+pub(crate) mod evacuations;
 pub(crate) mod explain;
 pub(crate) mod fake;
 pub(crate) mod limits;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -41,6 +41,8 @@
     Quarantine(cmd::quarantine::Args),
     /// List the backend servers that declare a limit.
     Limits(cmd::limits::Args),
+    /// List the evacuated failure domains, or start or end an evacuation.
+    Evacuations(cmd::evacuations::Args),
     /// List the coordinators that replicate the log.
     Members(cmd::members::Args),
     /// Send one request of each kind through a running system.
@@ -74,6 +76,7 @@
         Command::Losses(args) => cmd::losses::run(&args),
         Command::Quarantine(args) => cmd::quarantine::run(&args),
         Command::Limits(args) => cmd::limits::run(&args),
+        Command::Evacuations(args) => cmd::evacuations::run(&args),
         Command::Members(args) => cmd::members::run(&args),
         Command::Demo(args) => cmd::demo::run(&args),
         Command::Bench(args) => cmd::bench::run(&args),
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -1,16 +1,18 @@
 //! The thread that owns the log, the committed document and the registrations.
 
-use crate::document::{VersionedDocument, decode};
+use crate::document::{Command, VersionedDocument, decode, decode_state};
 use crate::durable::{initial_members, restored};
 use crate::events::{Event, EventReceiver, EventSender, event_queue};
 use crate::subscribers::Subscribers;
 use crate::supervise::{CoreArgs, supervise};
 use crate::{
-    CallsSnafu, ListenSnafu, Result, cases, groups, http, proposals, pushes, reads, relays, updates,
+    CallsSnafu, ListenSnafu, Result, cases, evacuations, groups, http, proposals, pushes, reads,
+    relays, updates,
 };
 use bn_conf::{Coordinator as Conf, Settings};
 use bn_directory::Directory;
 use bn_engine::EngineClient;
+use bn_evacuation::Evacuations;
 use bn_net::{Net, UsageReporter};
 use bn_quorum::{
     Entry, Membership, Message, Output, Payload, Replica, ReplicaConfig, Role, Timing,
@@ -50,6 +52,9 @@
     pub(crate) quorum: Replica,
     pub(crate) store: Store,
     pub(crate) committed: VersionedDocument,
+    /// Committed evacuations; independent of the document's version.
+    pub(crate) evacuations: Evacuations,
+    pub(crate) orders: evacuations::Orders,
     pub(crate) applied: u64,
     pub(crate) logged_bytes: usize,
     pub(crate) registry: Registry,
@@ -138,10 +143,11 @@
             }),
         );
         let restored = restored(loaded)?;
-        let (committed, applied) = match &restored.snapshot {
-            Some(s) => (decode(&s.state)?, s.index),
-            None => (VersionedDocument::default(), 0),
+        let (committed, evacuations) = match &restored.snapshot {
+            Some(s) => decode_state(&s.state)?,
+            None => Default::default(),
         };
+        let applied = restored.snapshot.as_ref().map_or(0, |s| s.index);
         let config = ReplicaConfig {
             id: inbox.ip().to_string(),
             identity,
@@ -164,6 +170,8 @@
             quorum,
             store,
             committed,
+            evacuations,
+            orders: evacuations::Orders::new(start.elapsed()),
             applied,
             logged_bytes: 0,
             registry: Registry::default(),
@@ -191,6 +199,8 @@
         self.directory = before.directory;
         self.cases.inherit(self.now(), before.cases);
         self.seeds = before.seeds;
+        // The event loop stood still while the disk failed.
+        self.orders.stall = before.orders.stall;
         self.coordinators = before.coordinators;
     }
 
@@ -202,6 +212,7 @@
                 self.directory.resume(self.now());
             }
             last_iteration = self.now();
+            self.orders.stall.on_iteration(last_iteration);
             for event in std::iter::from_fn(|| receiver.next_urgent()).take(COMMIT_BATCH) {
                 match event {
                     Event::Stop => return Ok(()),
@@ -217,6 +228,7 @@
             self.maintain_cases(now);
             self.answer_reads(now);
             self.advance_proposals(now);
+            self.advance_orders(now);
             self.update_membership(now);
             self.poll_peers(now);
             self.push_changes(now);
@@ -252,6 +264,11 @@
         self.start.elapsed()
     }
 
+    /// The time since this process started of an instant taken by another thread.
+    pub(crate) fn time_of(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.start)
+    }
+
     fn handle(&mut self, event: Event) {
         let now = self.now();
         match event {
@@ -262,6 +279,8 @@
                 self.on_propose(now, &document, compressed, reply)
             }
             Event::ReadDocument(reply) => self.on_read(now, reply),
+            Event::Evacuate(call) => self.on_evacuate(now, call),
+            Event::Evacuations(reply) => count_unwanted(reply.send(self.show_evacuations())),
             Event::Cases(reply) => count_unwanted(reply.send(self.show_cases())),
             Event::Limits(reply) => count_unwanted(reply.send(self.show_limits())),
             Event::Members(reply) => count_unwanted(reply.send(self.show_members())),
@@ -295,6 +314,7 @@
             Some(Body::News(update)) => self.on_update(now, inbox, envelope.incarnation, update),
             Some(Body::DocumentAsk(request)) => self.on_document_request(now, inbox, request),
             Some(Body::DocumentAnswer(answer)) => self.on_document_response(&answer),
+            Some(Body::EvacuationAsk(order)) => self.on_evacuation_request(order),
             Some(Body::ReadAsk(request)) => self.on_read_request(now, inbox, &request),
             Some(Body::ReadAnswer(answer)) => self.on_read_response(&answer),
             Some(Body::JoinAsk(request)) => self.on_join_request(inbox, &request),
@@ -310,12 +330,14 @@
     /// Writes to disk, then sends, then applies, until nothing is left to do. A message sent before
     /// the sync could acknowledge what a crash then loses.
     pub(crate) fn flush(&mut self) -> Result<()> {
-        let before = self.committed.version;
+        let (before, revision) = (self.committed.version, self.evacuations.revision);
         self.flush_all()?;
         // Once, with the newest: after a start the whole log is applied, and gateways would get
         // every document in it.
         if self.committed.version > before {
             self.push_document();
+        } else if self.evacuations.revision > revision {
+            self.push_evacuations();
         }
         Ok(())
     }
@@ -363,7 +385,8 @@
             Payload::Command(bytes) => {
                 self.logged_bytes += bytes.len();
                 match decode(&bytes) {
-                    Ok(committed) => self.adopt(committed),
+                    Ok(Command::Document(committed)) => self.adopt(committed),
+                    Ok(Command::Evacuation(order)) => self.apply_order(entry.index, &order),
                     // Every replica skips it alike.
                     Err(e) => log::error!("log entry {} skipped: {e}", entry.index),
                 }
--- a/crates/coordinator/src/durable.rs
+++ b/crates/coordinator/src/durable.rs
@@ -2,7 +2,7 @@
 //! replaces many documents.
 
 use crate::core::Core;
-use crate::document::{VersionedDocument, decode, encode};
+use crate::document::{VersionedDocument, decode_state, encode, encode_state};
 use crate::{DecodeSnafu, Result};
 use bn_quorum::{Entry, Member, Output, Restored};
 use bn_store::LoadedState;
@@ -26,7 +26,9 @@
         if let Some(snapshot) = &out.snapshot {
             self.store.replace_snapshot(&snapshot.into(), Vec::new())?;
             self.applied = snapshot.index;
-            self.adopt(decode(&snapshot.state)?);
+            let (committed, evacuations) = decode_state(&snapshot.state)?;
+            self.adopt(committed);
+            self.adopt_evacuations(evacuations);
         }
         if out.hard.is_none() && out.truncate_from.is_none() && out.append.is_empty() {
             return Ok(());
@@ -48,7 +50,7 @@
         if self.logged_bytes < limit {
             return Ok(());
         }
-        let state = encode(&self.committed);
+        let state = encode_state(&self.committed, &self.evacuations);
         if let Some(snapshot) = self
             .quorum
             .compact_keeping(self.applied, state, KEPT_ENTRIES)
--- a/crates/coordinator/src/events.rs
+++ b/crates/coordinator/src/events.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+use crate::evacuations::EvacuationCall;
 use crate::relays::GroupId;
 
 /// Capacity of the urgent queue: responses of all engines of some groups at once.
@@ -37,6 +38,10 @@
     Propose(Box<Document>, Vec<u8>, oneshot::Sender<bool>),
     /// An operator reads the document in force; answered with `None` if that is uncertain.
     ReadDocument(oneshot::Sender<Option<Vec<u8>>>),
+    /// An operator orders the start or end of an evacuation.
+    Evacuate(EvacuationCall),
+    /// An operator requests the evacuations; answered as JSON.
+    Evacuations(oneshot::Sender<String>),
     /// An operator requests the refused requests; answered as JSON.
     Cases(oneshot::Sender<String>),
     /// An operator requests the members of the log; answered as JSON.
--- a/crates/coordinator/src/http.rs
+++ b/crates/coordinator/src/http.rs
@@ -1,14 +1,17 @@
 //! HTTP server of the coordinator: parses calls, passes them to the core and waits for its answer.
 
+use crate::evacuations::EvacuationCall;
 use crate::events::{Event, EventSender};
 use bn_directory::ANSWER_TTL;
 use bn_platform::call::{self, Call};
 use bn_serve::{Body, BodyError, ConnectionLimits, read_body, text};
 use hyper::body::Incoming;
+use hyper::header::{ALLOW, HeaderValue};
 use hyper::{Request, Response};
 use serde_json::json;
 use std::io;
 use std::net::TcpListener;
+use std::time::Instant;
 use tokio::sync::oneshot;
 
 /// Largest accepted body: an operator's document has some hundred KB.
@@ -24,6 +27,7 @@
 }
 
 async fn answer(events: &EventSender, request: Request<Incoming>) -> Response<Body> {
+    let received = Instant::now();
     let uri = request.uri();
     let parsed = call::parse(
         request.method().as_str(),
@@ -33,9 +37,20 @@
     let Some(parsed) = parsed else {
         return error_response(404, "there is no such call");
     };
+    if parsed == Call::UnsupportedMethod {
+        let mut refused = error_response(405, "use POST or DELETE");
+        let methods = HeaderValue::from_static("POST, DELETE");
+        refused.headers_mut().insert(ALLOW, methods);
+        return refused;
+    }
+    let is_order = matches!(parsed, Call::Evacuate { .. } | Call::EndEvacuation { .. });
+    let limit = if is_order { 0 } else { MAX_BODY_BYTES };
     let timeout = ConnectionLimits::default().body_timeout;
-    let body = match read_body(request.into_body(), MAX_BODY_BYTES, timeout).await {
+    let body = match read_body(request.into_body(), limit, timeout).await {
         Ok(body) => body,
+        Err(BodyError::TooLarge) if is_order => {
+            return error_response(400, "an order has no body");
+        }
         Err(BodyError::TooLarge) => return error_response(413, "the body is too large"),
         Err(BodyError::TimedOut) => return error_response(408, "the body came too slowly"),
         Err(BodyError::Broken) => return error_response(400, "the body broke off"),
@@ -48,6 +63,10 @@
             let left = query(events, |reply| Event::Leave(id, reply)).await;
             ok_or_busy(left.is_some())
         }
+        Call::Evacuate { domain } => evacuate(events, domain, true, received).await,
+        Call::EndEvacuation { domain } => evacuate(events, domain, false, received).await,
+        // Answered above, before the body is read.
+        Call::UnsupportedMethod => error_response(405, "use POST or DELETE"),
         Call::PutDocument => propose(events, body.to_vec()).await,
         Call::GetDocument => match query(events, Event::ReadDocument).await.flatten() {
             Some(compressed) => match bn_wire::decompress(&compressed) {
@@ -108,6 +127,31 @@
     }
 }
 
+/// An order is never refused once it may have been accepted: without an answer from the log, its
+/// outcome is open.
+async fn evacuate(
+    events: &EventSender,
+    domain: String,
+    evacuated: bool,
+    received: Instant,
+) -> Response<Body> {
+    if !bn_evacuation::is_valid_name(&domain) {
+        return error_response(400, "that is no name of a failure domain");
+    }
+    let order = |reply| {
+        Event::Evacuate(EvacuationCall {
+            domain,
+            evacuated,
+            received,
+            reply,
+        })
+    };
+    match query(events, order).await {
+        Some(true) => text(200, JSON, "{}"),
+        _ => error_response(503, "not known to be in force: send it again"),
+    }
+}
+
 /// Sends an event to the core and waits for the answer; `None` if the core is overloaded or gone.
 async fn query<T>(
     events: &EventSender,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,6 +11,7 @@
 mod durable;
 mod engine_calls;
 mod engine_requests;
+mod evacuations;
 mod events;
 mod groups;
 mod http;
@@ -25,9 +26,13 @@
 mod updates;
 
 pub use self::core::start;
+pub use self::document::{
+    Command, VersionedDocument, decode, decode_state, encode, encode_order, encode_state,
+};
 pub use self::engine_calls::{CallPath, call_path};
+pub use self::evacuations::EvacuationCall;
 pub use self::events::{Event, EventReceiver, EventSender, event_queue};
-pub use self::pages::{LIMITS, MEMBERS, QUARANTINE, pages};
+pub use self::pages::{EVACUATIONS, LIMITS, MEMBERS, QUARANTINE, pages};
 pub use self::relays::{
     GroupId, PendingRequest, Relays, RequestKind, batch_size, batches, reports_counts,
 };
--- a/crates/coordinator/src/updates.rs
+++ b/crates/coordinator/src/updates.rs
@@ -88,6 +88,7 @@
     pub(crate) fn push_document(&mut self) {
         let update = wire::News {
             document: self.committed.document.clone(),
+            evacuations: Some((&self.evacuations).into()),
             cases: self.cases.updates_since(0, true),
             ..self.base_update()
         };
@@ -171,6 +172,9 @@
             true => self.committed.document.clone(),
             false => Vec::new(),
         };
+        let known = poll.evacuations == Some(self.evacuations.revision);
+        let evacuations =
+            (is_gateway && (!known || !document.is_empty())).then(|| (&self.evacuations).into());
         let changed = match poll.brief {
             true => Vec::new(),
             false => self.registry.changed_since(cursor),
@@ -187,6 +191,7 @@
         };
         let update = wire::News {
             document,
+            evacuations,
             named: gateways.iter().map(Into::into).collect(),
             mark: if poll.brief {
                 0
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -42,8 +42,8 @@
     Head(Box<Head>),
     /// No backend server was reached: no byte was sent.
     NotSent(&'static str),
-    /// Directives received after the backend server was picked forbid it now: no byte was sent.
-    Withheld,
+    /// What was received after the backend server was picked forbids it now: no byte was sent.
+    Withheld(&'static str),
     /// The backend server says that it did not run it.
     NotRun(NotRunReason),
     /// At least one byte was sent, and the connection broke before a response.
@@ -102,8 +102,8 @@
     let now = shared.now();
     // The slot was reserved before the waits for the leader's answer and the connection; meanwhile,
     // other requests may have received directives of this backend server.
-    if !shared.state().fleet.may_send(now, &reservation.server) {
-        return Outcome::Withheld;
+    if let Some(why) = withheld(shared, now, &reservation.server) {
+        return Outcome::Withheld(why);
     }
     let request = request(now, ctx, &reservation.server, last_event);
     let sent = connection.sender.try_send_request(request).await;
@@ -118,6 +118,18 @@
     }
 }
 
+/// Why a request must not be sent to the backend server that was picked for it, if so.
+fn withheld(shared: &Shared, now: Duration, picked: &Server) -> Option<&'static str> {
+    let fleet = &mut shared.state().fleet;
+    if fleet.may_send(now, picked) {
+        return None;
+    }
+    Some(match fleet.is_domain_evacuated(&picked.domain) {
+        true => "its failure domain is evacuated",
+        false => "as the backend server asks",
+    })
+}
+
 fn classify(
     shared: &Shared,
     ctx: &RequestContext,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -86,11 +86,11 @@
                     return Err(attempts.final_refusal(later));
                 }
             }
-            Outcome::Withheld => {
+            Outcome::Withheld(why) => {
                 attempts.may_have_run = may_have_run_before;
                 attempts.tried.pop();
                 metrics::counter!("requests_withheld_total").increment(1);
-                log_failure(shared, ctx, &id, "withheld", "as the backend server asks");
+                log_failure(shared, ctx, &id, "withheld", why);
             }
             Outcome::NotRun(reason) => {
                 attempts.may_have_run = may_have_run_before;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -9,6 +9,7 @@
 use crate::suspects::Report;
 use bn_backpressure::GatewaySet;
 use bn_directory::{GatewaySelection, SelectedGateway};
+use bn_evacuation::Evacuations;
 use bn_net::{Net, UsageReporter};
 use bn_quarantine::{CaseUpdate, Digest};
 use bn_registry::{Condition, Record};
@@ -61,6 +62,8 @@
     /// Last readiness reported to coordinators: whether callers may be sent here.
     reported_ready: bool,
     registrations: IndexMap<String, Record>,
+    /// Evacuations in force here; none until they are known.
+    evacuations: Option<Evacuations>,
     rate: RequestRate,
     usage: UsageReporter,
     /// Maximum inbox length since the last usage event.
@@ -86,6 +89,7 @@
             sources: Sources::new(seeds, rand::random_range(0..1 << 16)),
             reported_ready: false,
             registrations: IndexMap::new(),
+            evacuations: None,
             rate: RequestRate::default(),
             usage: UsageReporter::default(),
             max_inbox: 0,
@@ -188,6 +192,7 @@
             rate: self.rate.update(self.shared.now(), self.shared.accepted()),
             named: self.shared.state().selection.checksum(),
             brief: poll.omit_registrations,
+            evacuations: self.evacuations.as_ref().map(|e| e.revision),
             ..wire::NewsAsk::default()
         };
         self.net.send(inbox, Body::NewsAsk(request));
@@ -220,6 +225,7 @@
         }
         let members = update.coordinators.iter().filter_map(|a| a.parse().ok());
         self.sources.set_members(&members.collect::<Vec<_>>());
+        self.adopt_evacuations(inbox, &update);
         self.adopt_document(inbox, &update);
         self.update_selection(update.named);
         for raw in update.changed {
@@ -243,6 +249,35 @@
         state.fleet.peers = state.gateway_count - 1;
     }
 
+    /// Applies later evacuations. A document without them comes from a coordinator of an earlier
+    /// version, whose log contains none.
+    fn adopt_evacuations(&mut self, inbox: SocketAddr, update: &wire::News) {
+        let received = match &update.evacuations {
+            Some(raw) => raw.clone(),
+            None if !update.document.is_empty() => wire::Evacuations::default(),
+            None => return,
+        };
+        let received = match Evacuations::try_from(received) {
+            Ok(received) => received,
+            Err(e) => return log::error!("invalid evacuations from {inbox}: {e}"),
+        };
+        let known = self.evacuations.as_ref();
+        if known.is_some_and(|known| received.revision <= known.revision) {
+            return;
+        }
+        let domains: Vec<_> = received.domains.keys().collect();
+        let fields = json!({
+            "revision": received.revision, "domains": domains, "coordinator": inbox,
+        });
+        self.shared.lines.put("evacuations_in_force", fields);
+        metrics::gauge!("evacuated_domains").set(received.domains.len() as f64);
+        let domains = received.domains.keys().cloned().collect();
+        self.shared.state().fleet.set_evacuated(domains);
+        self.evacuations = Some(received);
+        // Queued requests whose service has no other backend servers are refused at once.
+        self.shared.capacity_freed.notify_waiters();
+    }
+
     /// Applies a newer document. A gateway that has just started accepts its first one only from a
     /// coordinator that knows the settled configuration: others hold what was on their disks, which
     /// may be any number of versions old, and routes and keys removed since then would be served
@@ -252,6 +287,9 @@
         if update.document.is_empty() || update.version <= in_force {
             return;
         }
+        if self.evacuations.is_none() {
+            return;
+        }
         if in_force == 0 && !update.current {
             let fields = json!({ "version": update.version, "coordinator": inbox });
             return self.shared.lines.put("document_not_taken", fields);
