evacuation: a leader keeps no orders that are void, a stopped coordinator proposes none

The set of appended ids grew with every order of a term. The leader now drops orders that an order it applied has made void, and forgets their ids. Whether a caller still waits is decided by the time after the sync of the log, which may take longer than the call. The gauge evacuated_domains is set at the start too.

Tested: cargo test -p bn-evacuation -p bn-route -p bn-platform -p bn-coordinator -p bn-gateway -p buckthornnotch: all passed, among them a coordinator stopped by SIGSTOP with an order in its socket.

--- a/crates/cli/tests/evacuation.rs
+++ b/crates/cli/tests/evacuation.rs
@@ -11,6 +11,7 @@
 use fleet::scripts::{succeed, succeed_slowly};
 use fleet::{Backend, Fleet};
 use googletest::prelude::*;
+use nix::sys::signal::Signal::{SIGCONT, SIGSTOP};
 use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -173,3 +174,26 @@
     expect_that!(listed.matches("since").count(), eq(1));
     expect_that!(listed, contains_substring("Zone_x.1-b"));
 }
+
+/// Guards against an order that waited in the socket of a stopped coordinator and takes effect when
+/// the process continues, after its end was acknowledged elsewhere.
+#[googletest::test]
+fn an_order_that_reached_a_stopped_coordinator_is_not_proposed_later() {
+    let fleet = Fleet::start(53);
+    fleet.signal("c3", SIGSTOP);
+    let control = fleet.control(3);
+    let head = format!("POST {BASE}evacuate/d9 HTTP/1.1\r\nhost: x");
+    let caller = thread::spawn(move || fleet::call(control, &head, "").map_or(0, |m| m.status()));
+    let acknowledged = |f: &Fleet, method| (1..=2).any(|n| order(f, n, method, "d9", "") == 200);
+    fleet.wait("the start", |f| acknowledged(f, "POST"));
+    fleet.wait("the end", |f| acknowledged(f, "DELETE"));
+    // The length of the stop, so that it counts as a stall.
+    thread::sleep(Duration::from_millis(500));
+
+    fleet.signal("c3", SIGCONT);
+    let status = caller.join().unwrap();
+    let listed = command(&fleet, 1, &[]);
+
+    expect_that!(status, eq(503));
+    expect_that!(listed, contains_substring("\"evacuations\":[]"));
+}
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -157,7 +157,7 @@
         };
         let start = args.start;
         let quorum = Replica::new(config, restored, start.elapsed());
-        Ok(Core {
+        let core = Core {
             role: quorum.role(),
             current: false,
             voting: None,
@@ -190,7 +190,9 @@
             relays: Default::default(),
             events: args.events.clone(),
             usage: UsageReporter::default(),
-        })
+        };
+        core.report_evacuated();
+        Ok(core)
     }
 
     /// Takes over from the previous core what is not on disk.
@@ -228,7 +230,7 @@
             self.maintain_cases(now);
             self.answer_reads(now);
             self.advance_proposals(now);
-            self.advance_orders(now);
+            self.advance_orders();
             self.update_membership(now);
             self.poll_peers(now);
             self.push_changes(now);
--- a/crates/coordinator/src/evacuations.rs
+++ b/crates/coordinator/src/evacuations.rs
@@ -3,11 +3,12 @@
 
 use crate::core::{Core, count_unwanted};
 use crate::document::encode_order;
-use bn_evacuation::{Evacuations, Expiry, Order, OrderId, PendingOrders, StallGuard};
+use bn_evacuation::{
+    AppendedOrders, Applied, Evacuations, Expiry, Order, PendingOrders, StallGuard,
+};
 use bn_quorum::Role;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire};
-use indexmap::IndexSet;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -29,9 +30,7 @@
 #[derive(Default)]
 pub(crate) struct Orders {
     pending: PendingOrders<oneshot::Sender<bool>>,
-    /// Proposals that this leader appended in `term`.
-    appended: IndexSet<OrderId>,
-    term: u64,
+    appended: AppendedOrders,
     pub(crate) stall: StallGuard,
 }
 
@@ -62,7 +61,9 @@
 
     /// Gives up on orders whose callers no longer wait, and submits the next one to the leader. A
     /// submitted order may still take effect, so a failure promises nothing.
-    pub(crate) fn advance_orders(&mut self, now: Duration) {
+    pub(crate) fn advance_orders(&mut self) {
+        // Read here: a slow sync may have taken longer than the callers wait.
+        let now = self.now();
         if self.orders.pending.is_empty() {
             return;
         }
@@ -114,16 +115,12 @@
         if !self.quorum.voters_identified() {
             return;
         }
-        let term = self.quorum.term();
-        if self.orders.term != term {
-            self.orders.term = term;
-            self.orders.appended.clear();
-        }
-        if !self.orders.appended.insert(order.id) {
+        let (term, revision) = (self.quorum.term(), self.evacuations.revision);
+        if !self.orders.appended.admit(term, revision, order) {
             return;
         }
         if let Err(e) = self.quorum.propose(encode_order(order)) {
-            self.orders.appended.shift_remove(&order.id);
+            self.orders.appended.forget(order.id);
             log::info!("evacuation order not appended to the log: {e}");
         }
     }
@@ -131,7 +128,7 @@
     /// Applies a committed order.
     pub(crate) fn apply_order(&mut self, index: u64, order: &Order) {
         let applied = self.evacuations.apply(index, order);
-        let in_force = applied == bn_evacuation::Applied::InForce;
+        let in_force = applied == Applied::InForce;
         self.lines.put(
             "evacuation_committed",
             json!({
@@ -157,7 +154,7 @@
         self.report_evacuated();
     }
 
-    fn report_evacuated(&self) {
+    pub(crate) fn report_evacuated(&self) {
         metrics::gauge!("evacuated_domains").set(self.evacuations.domains.len() as f64);
     }
 
--- a/crates/evacuation/src/lib.rs
+++ b/crates/evacuation/src/lib.rs
@@ -1,11 +1,13 @@
 //! Evacuations of failure domains: the replicated state, the effect of an order on it, and the life
 //! of an order at the coordinator that received it. Plain values and the time; no I/O.
 
+mod appended;
 mod pending;
 mod stall;
 mod state;
 mod wire;
 
+pub use appended::AppendedOrders;
 pub use pending::{CALL_TIMEOUT, Expiry, PendingOrders};
 pub use stall::StallGuard;
 pub use state::{Applied, Evacuations, Order, is_valid_name};
--- a/crates/evacuation/tests/state.rs
+++ b/crates/evacuation/tests/state.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use bn_evacuation::{Applied, Evacuations, Order, StallGuard, is_valid_name};
+use bn_evacuation::{AppendedOrders, Applied, Evacuations, Order, StallGuard, is_valid_name};
 use bn_wire::messages as wire;
 use googletest::prelude::*;
 use std::time::Duration;
@@ -49,6 +49,18 @@
     expect_false!(state.advance_to(Evacuations::default()));
 }
 
+/// Guards against a log that grows with every repeat of an order.
+#[googletest::test]
+fn a_leader_appends_an_order_once_per_term_unless_it_is_void() {
+    let mut appended = AppendedOrders::default();
+    let order = order("d1", true, 4);
+
+    let results = [(1, 3), (1, 4), (2, 4), (2, 5)]
+        .map(|(term, revision)| appended.admit(term, revision, &order));
+
+    expect_that!(results, eq([true, false, true, false]));
+}
+
 #[googletest::test]
 fn names_have_up_to_64_letters_digits_and_three_signs() {
     let longest = "a".repeat(64);
