--- a/crates/cli/tests/evacuation.rs
+++ b/crates/cli/tests/evacuation.rs
@@ -197,3 +197,68 @@
     expect_that!(status, eq(503));
     expect_that!(listed, contains_substring("\"evacuations\":[]"));
 }
+
+/// A document so large that the log cannot keep many of them: a snapshot replaces them.
+fn large_document(version: u64) -> String {
+    let padding: String = (0..20_000)
+        .map(|_| format!("{:016x}", rand::random::<u64>()))
+        .collect();
+    let document = fleet::document().replace(": 7,", &format!(": {version},"));
+    document.replacen('{', &format!("{{\"noise\": \"{padding}\","), 1)
+}
+
+/// Guards against an evacuation that ends with a new document, or that is lost when a snapshot
+/// replaces its log entry and is all that a coordinator with an emptied disk gets.
+#[googletest::test]
+fn an_evacuation_outlives_documents_and_snapshots() {
+    let mut fleet = Fleet::start(54);
+    fleet.wait("the start", |f| order(f, 1, "POST", "d2", "") == 200);
+    for version in 8..=14 {
+        fleet.commit_document(&large_document(version));
+    }
+    let has_snapshot = |f: &Fleet, n| !f.last_line(&format!("c{n}"), "snapshot_taken").is_empty();
+    fleet.wait("snapshots", |f| (1..=3).all(|n| has_snapshot(f, n)));
+
+    for n in 1..=3 {
+        fleet.kill(&format!("c{n}"));
+    }
+    fleet.delete_data(1);
+    for n in 1..=3 {
+        fleet.run_coordinator(n, false);
+    }
+
+    let lists = |f: &Fleet, n| command(f, n, &[]).contains("\"domain\":\"d2\"");
+    fleet.wait("the evacuation", |f| (1..=3).all(|n| lists(f, n)));
+    expect_that!(
+        fleet.last_line("c1", "evacuations_loaded"),
+        contains_substring("d2")
+    );
+}
+
+/// Guards against orders for different failure domains that make each other void until operators
+/// give up.
+#[googletest::test]
+fn eight_orders_at_once_are_acknowledged_within_five_seconds() {
+    let fleet = Fleet::start(55);
+    let started = Instant::now();
+    let acknowledge = |domain: u8| {
+        let name = format!("d{domain}");
+        let coordinators = (0..).map(|attempt| (domain + attempt) % 3 + 1);
+        coordinators
+            .take(8)
+            .any(|n| order(&fleet, n, "POST", &name, "") == 200)
+    };
+
+    let acknowledged: Vec<bool> = thread::scope(|scope| {
+        let acknowledge = &acknowledge;
+        let callers: Vec<_> = (0..8)
+            .map(|n| scope.spawn(move || acknowledge(n)))
+            .collect();
+        callers.into_iter().map(|c| c.join().unwrap()).collect()
+    });
+    let took = started.elapsed();
+
+    expect_that!(acknowledged, eq(&vec![true; 8]));
+    expect_that!(took, lt(Duration::from_secs(5)));
+    expect_that!(command(&fleet, 1, &[]).matches("since").count(), eq(8));
+}
--- a/crates/evacuation/tests/schedules.rs
+++ b/crates/evacuation/tests/schedules.rs
@@ -19,6 +19,8 @@
 struct Coordinator {
     state: Evacuations,
     applied: usize,
+    /// It applies nothing before this time.
+    lags_until: Duration,
     pending: PendingOrders<u64>,
 }
 
@@ -120,6 +122,13 @@
 
     /// Applies committed entries at a coordinator, which may lag behind.
     fn apply(&mut self, n: usize) {
+        if self.rng.random_bool(0.005) {
+            let lag = Duration::from_millis(self.rng.random_range(0..1_500));
+            self.coordinators[n].lags_until = self.now + lag;
+        }
+        if self.now < self.coordinators[n].lags_until {
+            return;
+        }
         while self.coordinators[n].applied < self.log.len() && self.rng.random_bool(0.7) {
             let coordinator = &mut self.coordinators[n];
             let order = &self.log[coordinator.applied];
