--- a/crates/cli/tests/evacuation.rs
+++ b/crates/cli/tests/evacuation.rs
@@ -12,6 +12,8 @@
 use fleet::{Backend, Fleet};
 use googletest::prelude::*;
 use nix::sys::signal::Signal::{SIGCONT, SIGSTOP};
+use std::io::Write;
+use std::net::TcpStream;
 use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -198,6 +200,27 @@
     expect_that!(listed, contains_substring("\"evacuations\":[]"));
 }
 
+/// Guards against an order that is still proposed after its caller closed the connection: the caller
+/// may have had a later order acknowledged by another coordinator since.
+#[googletest::test]
+fn an_order_ends_with_the_connection_of_its_caller() {
+    let mut fleet = Fleet::start(56);
+    fleet.kill("c1");
+    fleet.kill("c2");
+    let mut caller = TcpStream::connect(fleet.control(3)).unwrap();
+    let order = format!("POST {BASE}evacuate/d7 HTTP/1.1\r\nhost: x\r\n\r\n");
+    caller.write_all(order.as_bytes()).unwrap();
+    fleet.wait("the order", |f| {
+        f.last_line("c3", "evacuation_proposed").contains("d7")
+    });
+
+    drop(caller);
+
+    let answered = |f: &Fleet| f.last_line("c3", "evacuation_answered");
+    fleet.wait("its end", |f| answered(f).contains("d7"));
+    expect_that!(answered(&fleet), contains_substring("disconnected"));
+}
+
 /// A document so large that the log cannot keep many of them: a snapshot replaces them.
 fn large_document(version: u64) -> String {
     let padding: String = (0..20_000)
