--- a/crates/cli/tests/evacuation.rs
+++ b/crates/cli/tests/evacuation.rs
@@ -221,6 +221,19 @@
     expect_that!(answered(&fleet), contains_substring("disconnected"));
 }
 
+/// Guards against a gateway that sends requests to an evacuated failure domain because the one
+/// coordinator that pushes changes to it is down: by their addresses, that is c2 for g4.
+#[googletest::test]
+fn a_gateway_without_its_assigned_coordinator_learns_of_evacuations() {
+    let mut fleet = Fleet::start(57);
+    fleet.kill("c2");
+
+    let acknowledged = |f: &Fleet| [1, 3].iter().any(|n| order(f, *n, "POST", "d2", "") == 200);
+    fleet.wait("the start", acknowledged);
+
+    wait_for_gateways(&fleet, "evacuations_in_force", "d2");
+}
+
 /// A document so large that the log cannot keep many of them: a snapshot replaces them.
 fn large_document(version: u64) -> String {
     let padding: String = (0..20_000)
