--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -10,6 +10,7 @@
 use crate::urgency;
 use bn_backpressure::GatewaySet;
 use bn_directory::{GatewaySelection, SelectedGateway};
+use bn_evacuation::Evacuations;
 use bn_net::{Net, UsageReporter};
 use bn_quarantine::{CaseUpdate, Digest};
 use bn_registry::{Condition, Record};
@@ -66,6 +67,8 @@
     /// Last readiness reported to coordinators: whether callers may be sent here.
     reported_ready: bool,
     registrations: IndexMap<String, Record>,
+    /// Evacuations in force here; none until they are known.
+    evacuations: Option<Evacuations>,
     rate: RequestRate,
     /// When the work of accounts was last reported, by coordinator.
     accounts_sent: IndexMap<SocketAddr, Duration>,
@@ -95,6 +98,7 @@
             sources: Sources::new(seeds, rand::random_range(0..1 << 16)),
             reported_ready: false,
             registrations: IndexMap::new(),
+            evacuations: None,
             rate: RequestRate::default(),
             accounts_sent: IndexMap::new(),
             usage: UsageReporter::default(),
@@ -204,6 +208,7 @@
             named: self.shared.state().selection.checksum(),
             brief: poll.omit_registrations,
             demand,
+            evacuations: self.evacuations.as_ref().map(|e| e.revision),
             ..wire::NewsAsk::default()
         };
         self.net.send(inbox, Body::NewsAsk(request));
@@ -251,6 +256,7 @@
         }
         let members = update.coordinators.iter().filter_map(|a| a.parse().ok());
         self.sources.set_members(&members.collect::<Vec<_>>());
+        self.adopt_evacuations(inbox, &update);
         self.adopt_document(inbox, &update);
         self.update_selection(update.named);
         for raw in update.changed {
@@ -274,6 +280,46 @@
         state.fleet.peers = state.gateway_count - 1;
     }
 
+    /// Applies later evacuations. A document without them comes from a coordinator of an earlier
+    /// version, whose log contains none.
+    fn adopt_evacuations(&mut self, inbox: SocketAddr, update: &wire::News) {
+        let received = match &update.evacuations {
+            Some(raw) => raw.clone(),
+            None if !update.document.is_empty() => wire::Evacuations::default(),
+            None => return,
+        };
+        let received = match Evacuations::try_from(received) {
+            Ok(received) => received,
+            Err(e) => return log::error!("invalid evacuations from {inbox}: {e}"),
+        };
+        let known = self.evacuations.as_ref();
+        if known.is_some_and(|known| received.revision <= known.revision) {
+            return;
+        }
+        let domains: Vec<_> = received.domains.keys().collect();
+        let fields = json!({
+            "revision": received.revision, "domains": domains, "coordinator": inbox,
+        });
+        self.shared.lines.put("evacuations_in_force", fields);
+        metrics::gauge!("evacuated_domains").set(received.domains.len() as f64);
+        let returned = known.into_iter().flat_map(|known| known.domains.keys());
+        let returned = returned.filter(|d| !received.domains.contains_key(*d));
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        state
+            .fleet
+            .set_evacuated(received.domains.keys().cloned().collect());
+        for domain in returned {
+            // Backend servers may have become cold while they got no requests.
+            state.fleet.assume_cold(now, domain, rand::random::<f64>);
+        }
+        drop(state);
+        feedback::log_cold_changes(&self.shared);
+        self.evacuations = Some(received);
+        // Queued requests whose service has no other backend servers are refused at once.
+        self.shared.capacity_freed.notify_waiters();
+    }
+
     /// Applies a newer document. A gateway that has just started accepts its first one only from a
     /// coordinator that knows the settled configuration: others hold what was on their disks, which
     /// may be any number of versions old, and routes and keys removed since then would be served
@@ -283,6 +329,9 @@
         if update.document.is_empty() || update.version <= in_force {
             return;
         }
+        if self.evacuations.is_none() {
+            return;
+        }
         if in_force == 0 && !update.current {
             let fields = json!({ "version": update.version, "coordinator": inbox });
             return self.shared.lines.put("document_not_taken", fields);
--- a/crates/route/src/backpressure.rs
+++ b/crates/route/src/backpressure.rs
@@ -84,8 +84,9 @@
     pub fn may_send(&mut self, now: Duration, picked: &Server) -> bool {
         self.record_connected(now, &picked.id);
         let server = self.servers.get_mut(&picked.id);
-        let Some(server) = server.filter(|s| s.start_time == picked.start_time && !s.leaving)
-        else {
+        let evacuated = &self.evacuated;
+        let current = |s: &&mut Server| s.start_time == picked.start_time && !s.leaving;
+        let Some(server) = server.filter(|s| current(s) && !evacuated.contains(&s.domain)) else {
             return false;
         };
         if server.backpressure.changes() == picked.backpressure.changes() {
@@ -138,9 +139,4 @@
             .filter_map(|s| s.backpressure.next_send_at())
             .min()
     }
-
-    fn accepting(&self, service: &str) -> impl Iterator<Item = &Server> {
-        let servers = self.servers.values();
-        servers.filter(move |s| s.service == service && !s.leaving)
-    }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod backpressure;
 mod cold;
+mod evacuation;
 mod fill_controller;
 mod fleet;
 mod health;
