Gateway: end slow readers, bound what is buffered for callers

Cause: nothing bounded what a gateway buffers for all callers together, and a caller that did not read kept its stream, its buffers and the work at the backend server until its deadline.

Change: BufferAccount keeps the buffered bytes and the last progress of each holder; a caller that takes nothing of waiting data for 2 s is ended: its connection is reset and the one to the backend server dropped. All holders together have 0.4 of memory_mb, a stream 64 KB. Above nine tenths of the bound new requests are refused as not run, with a retry-after time. Plain answers are handed to the connection in pieces, so that progress is seen. The connections' own buffers are bounded: the client's read buffer (32 KB instead of 400 KB) and the kernel's send buffer for callers. Pauses between events that a slow caller causes no longer count as load of the backend server. Metrics gateway_buffered_bytes and slow_readers_ended_total, fields bytes and stalled_ms of stream_cut, event upload_cut.

--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -160,6 +160,11 @@
     }
 
     pub(crate) fn run_gateway(&mut self, n: u8) {
+        self.run_gateway_with_memory(n, 0);
+    }
+
+    /// Runs a gateway with a limit on its memory in MB; 0: no limit.
+    pub(crate) fn run_gateway_with_memory(&mut self, n: u8, memory_mb: u32) {
         let settings = serde_json::json!({
             "id": format!("g{n}"), "domain": "d1", "inbox": self.addr(n, 0).to_string(),
             "operators": self.addr(n, 1).to_string(), "log": { "level": "info", "json": true },
@@ -167,7 +172,7 @@
                 "callers": self.addr(n, 4).to_string(), "readiness": self.addr(n, 5).to_string(),
                 "directory": self.addr(n, 6).to_string(),
                 "seeds": self.seeds(), "grace_s": 4, "retry_ratio": 0.2, "retry_slack": 200,
-                "retry_window_s": 10,
+                "retry_window_s": 10, "memory_mb": memory_mb,
             },
         });
         self.run(&format!("g{n}"), &settings);
@@ -205,6 +210,11 @@
         line.unwrap_or_default().to_string()
     }
 
+    /// Process id of a running process.
+    pub(crate) fn process_id(&self, id: &str) -> u32 {
+        self.children[id].id()
+    }
+
     pub(crate) fn kill(&mut self, id: &str) {
         if let Some(mut child) = self.children.remove(id) {
             let _ = child.kill();
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,14 +1,16 @@
 //! A caller's request as the gateway handles it: what was sent, what may be done with it and until
 //! when.
 
+use crate::holding::Holding;
 use bn_platform::header;
 use bn_quarantine::Digest;
+use bn_serve::Abort;
 use bn_settle::{AccountId, Document, Kind, Route};
 use hyper::body::Bytes;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Uri};
-use std::sync::OnceLock;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 /// A caller that names no deadline waits at most for the route's timeout; this is the maximum
@@ -35,6 +37,10 @@
     /// Headers for backend servers, without those that the gateway sets itself.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Counts the body as buffered.
+    pub(crate) body_held: Option<Arc<Holding>>,
+    /// Aborts the caller's connection.
+    pub(crate) abort: Abort,
     pub(crate) account: Option<AccountId>,
     pub(crate) route: Route,
     pub(crate) service: String,
@@ -90,6 +96,8 @@
             method: parts.method,
             uri: parts.uri,
             body: Bytes::new(),
+            body_held: None,
+            abort: parts.extensions.get::<Abort>().cloned().unwrap_or_default(),
             digest: OnceLock::new(),
         })
     }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,16 +1,19 @@
 //! Handles callers' requests: accepts them, has them served and responds.
 
 use crate::answer::Refusal;
+use crate::buffers::Phase;
 use crate::context::{Denial, RequestContext};
 use crate::dispatch::{self, Attempts};
+use crate::holding::{Holding, ReceiveError};
 use crate::shared::{InFlightGuard, Shared};
-use crate::{context, placement, plain, stream};
+use crate::{context, holding, placement, plain, stream};
 use bn_directory::ANSWER_TTL;
 use bn_platform::call::{self, Call};
-use bn_serve::{Body, BodyError, read_body, text};
+use bn_serve::{Body, BodyError, text};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use serde_json::json;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// One in this many ordinary successes is logged; everything else always is.
@@ -19,6 +22,9 @@
 /// Fraction of the caller's wait for which it is held until a configuration is known.
 const DOCUMENT_WAIT_FRACTION: f64 = 0.33;
 
+/// Why a request is refused while callers that do not read use up the buffers.
+const NO_MEMORY: &str = "no memory for more requests";
+
 /// Whether this success is logged.
 pub(crate) fn is_sampled() -> bool {
     rand::random::<u32>().is_multiple_of(SUCCESS_LOG_SAMPLING)
@@ -48,10 +54,24 @@
         return refuse(&shared, &ctx, &stopping);
     }
     let max_bytes = document.map_or(0, |d| d.limits().body_bytes);
-    match read_body(body, max_bytes, ctx.remaining(now)).await {
-        Ok(body) => ctx.body = body,
-        Err(error) => return refuse(&shared, &ctx, &body_refusal(error)),
+    if let Some(after) = shared.buffers.refuse_until(now) {
+        return refuse(&shared, &ctx, &Refusal::retryable(NO_MEMORY, after));
+    }
+    let body_held = Holding::new(&shared, Phase::Receiving, &ctx);
+    let received = holding::receive(&body_held, body, max_bytes);
+    match tokio::time::timeout(ctx.remaining(now), received).await {
+        Ok(Ok(body)) => ctx.body = body,
+        Ok(Err(ReceiveError::Body(error))) => {
+            return refuse(&shared, &ctx, &body_refusal(error));
+        }
+        Ok(Err(ReceiveError::NoMemory)) => {
+            let after = shared.buffers.retry_after(shared.now());
+            return refuse(&shared, &ctx, &Refusal::retryable(NO_MEMORY, after));
+        }
+        Err(_) => return refuse(&shared, &ctx, &body_refusal(BodyError::TimedOut)),
     }
+    body_held.set_phase(Phase::Held);
+    ctx.body_held = Some(Arc::new(body_held));
     ctx.is_retry = shared.is_retry(&ctx.route.name, ctx.deadline);
     shared.count_request(&ctx.service);
     let result = match ctx.streams() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod answer;
 mod attempt;
+mod buffers;
 mod cases;
 mod context;
 mod dispatch;
 mod events;
 mod feedback;
 mod frontend;
+mod holding;
 mod link;
 mod placement;
 mod plain;
@@ -22,6 +24,7 @@
 mod stream;
 mod suspects;
 
+pub use buffers::{BufferAccount, HolderId, MAX_STALL, Phase, Stalled};
 pub use events::Splitter;
 pub use sources::{PollState, Receipt, Sources, UpdateRange};
 pub use start::{Handle, start};
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -3,18 +3,23 @@
 
 use crate::answer::Refusal;
 use crate::attempt::{self, Head};
+use crate::buffers::{Phase, Stalled};
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
+use crate::holding::{HeldBody, Holding};
 use crate::shared::Shared;
 use crate::suspects::{self, Run};
 use bn_platform::header;
+use bn_route::ServerId;
 use bn_serve::Body;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Bytes;
+use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::http::response::Parts;
-use std::convert::Infallible;
+use serde_json::json;
 
+/// Reason in the log of a caller that was ended since it made no progress.
+pub(crate) const SLOW_READER: &str = "slow reader";
 /// Maximum size of a plain response body.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
@@ -22,6 +27,8 @@
 pub(crate) struct CompleteAnswer {
     parts: Parts,
     body: Bytes,
+    holding: Holding,
+    server: ServerId,
 }
 
 /// Serves a request whose response is read completely.
@@ -30,16 +37,17 @@
     ctx: &RequestContext,
     attempts: &mut Attempts,
 ) -> Result<Response<Body>, Refusal> {
+    let respond = |answer| response(shared, ctx, answer);
     let mut failed_answer: Option<CompleteAnswer> = None;
     loop {
         let head = match dispatch::dispatch(shared, ctx, attempts, None).await {
             Ok(head) => head,
             // A backend server's own error says more than the gateway's.
-            Err(refusal) => return failed_answer.map(response).ok_or(refusal),
+            Err(refusal) => return failed_answer.map(respond).ok_or(refusal),
         };
         let id = head.reservation.server.id.clone();
         let run = Run::at(&head.reservation.server);
-        let answer = match collect(shared, head).await {
+        let answer = match collect(shared, ctx, head).await {
             Ok(answer) => answer,
             Err(error) => {
                 if error == CollectError::Incomplete {
@@ -51,7 +59,7 @@
                     continue;
                 }
                 let lost = Refusal::unknown(502, "the answer broke off");
-                return failed_answer.map(response).ok_or(lost);
+                return failed_answer.map(respond).ok_or(lost);
             }
         };
         let failed = answer.parts.status.is_server_error();
@@ -59,13 +67,13 @@
             let now = shared.now();
             shared.state().fleet.record_success(now, &id);
             suspects::on_complete(shared, ctx);
-            return Ok(response(answer));
+            return Ok(respond(answer));
         }
         let status = answer.parts.status.as_str().to_string();
         dispatch::log_failure(shared, ctx, &id, "failed", &status);
         dispatch::record_failure(shared, &id, false);
         if !dispatch::take_retry(shared, ctx, attempts) {
-            return Ok(response(answer));
+            return Ok(respond(answer));
         }
         failed_answer = Some(answer);
     }
@@ -83,6 +91,7 @@
 /// Reads the complete response of a backend server.
 pub(crate) async fn collect(
     shared: &Shared,
+    ctx: &RequestContext,
     head: Box<Head>,
 ) -> Result<CompleteAnswer, CollectError> {
     let Head {
@@ -93,22 +102,76 @@
     let (parts, body) = response.into_parts();
     let signed = parts.headers.contains_key(header::SIGNATURE);
     let idle_timeout = attempt::keep_alive_timeout(&parts.headers);
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = body.map_err(|_| CollectError::Incomplete)?.to_bytes();
+    let holding = Holding::new(shared, Phase::Held, ctx);
+    let body = read(&holding, body).await?;
+    let server = reservation.server.id.clone();
     shared.pool.put_back(shared.now(), connection, idle_timeout);
     drop(reservation);
     match signed || !parts.status.is_success() {
-        true => Ok(CompleteAnswer { parts, body }),
+        true => Ok(CompleteAnswer {
+            parts,
+            body,
+            holding,
+            server,
+        }),
         false => Err(CollectError::Unsigned),
     }
 }
 
+/// Reads a body. The known length is counted before it is read: of several large answers, those
+/// that fit are read to their end, and the others wait.
+async fn read(holding: &Holding, mut body: Incoming) -> Result<Bytes, CollectError> {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > MAX_BODY_BYTES {
+        return Err(CollectError::Incomplete);
+    }
+    holding.add(announced, MAX_BODY_BYTES).await;
+    let mut counted = announced;
+    let mut bytes = Vec::with_capacity(announced);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| CollectError::Incomplete)?.into_data() else {
+            continue;
+        };
+        let length = bytes.len() + data.len();
+        if length > MAX_BODY_BYTES {
+            return Err(CollectError::Incomplete);
+        }
+        let more = length.saturating_sub(counted);
+        holding.add(more, MAX_BODY_BYTES).await;
+        counted += more;
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.into())
+}
+
 /// The response sent to the caller.
-pub(crate) fn response(answer: CompleteAnswer) -> Response<Body> {
-    let CompleteAnswer { mut parts, body } = answer;
+pub(crate) fn response(
+    shared: &Shared,
+    ctx: &RequestContext,
+    answer: CompleteAnswer,
+) -> Response<Body> {
+    let CompleteAnswer {
+        mut parts,
+        body,
+        holding,
+        server,
+    } = answer;
     strip_hop_by_hop(&mut parts.headers);
     parts.headers.remove("content-length");
     parts.headers.remove(header::LOAD);
-    let body = Full::new(body).map_err(|e: Infallible| match e {});
+    holding.set_phase(Phase::Sending);
+    let (lines, request) = (shared.lines.clone(), ctx.id.clone());
+    let on_ended = move |stalled: Stalled| {
+        let fields = json!({
+            "request": request, "server": server, "why": SLOW_READER,
+            "bytes": stalled.bytes, "stalled_ms": stalled.stalled.as_millis() as u64,
+        });
+        lines.put("stream_cut", fields);
+    };
+    let body = HeldBody {
+        rest: body,
+        holding,
+        on_ended: Box::new(on_ended),
+    };
     Response::from_parts(parts, body.boxed())
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by all requests of a gateway. It is locked only briefly, never across an await.
 
+use crate::holding::Buffers;
 use crate::suspects::Report;
 use bn_directory::GatewaySelection;
 use bn_limit::Queue;
@@ -34,6 +35,7 @@
     /// Notified when capacity may have become free.
     pub(crate) capacity_freed: Notify,
     pub(crate) allowance: RetryAllowance,
+    pub(crate) buffers: Buffers,
     /// Becomes true when a graceful stop starts.
     pub(crate) closing: watch::Sender<bool>,
     /// The stop has proceeded so far that no more requests are accepted.
@@ -92,6 +94,7 @@
     pub(crate) fn new(
         domain: &str,
         allowance: RetryAllowance,
+        memory_bytes: Option<u64>,
         lines: Lines,
         reports: mpsc::Sender<Report>,
     ) -> Shared {
@@ -115,6 +118,7 @@
             lines,
             capacity_freed: Notify::new(),
             allowance,
+            buffers: Buffers::new(memory_bytes),
             closing: watch::channel(false).0,
             stopped_accepting: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -2,7 +2,7 @@
 
 use crate::link::Link;
 use crate::shared::Shared;
-use crate::{ListenSnafu, Result, RuntimeSnafu, frontend};
+use crate::{ListenSnafu, Result, RuntimeSnafu, frontend, holding};
 use bn_conf::{Gateway as Conf, Settings};
 use bn_net::Net;
 use bn_route::RetryAllowance;
@@ -23,6 +23,10 @@
 /// A connection that is idle for longer is closed. Documents allow callers some tens of seconds (15
 /// by default); a request that crosses a close would have to be repeated.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Send buffer of a caller's connection. The kernel's own sizing gives megabytes to a caller that
+/// does not read. Twice the product of 100 Mbit/s and a round trip of 6 ms fits after the kernel has
+/// doubled the value for its own overhead.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Callers cache a directory response for two seconds and learn of the stop from the next one; no
 /// process exits before that.
 const MIN_STOP_TIME: Duration = Duration::from_millis(3_000);
@@ -67,7 +71,13 @@
         window: conf.retry_window,
     };
     let (reports, report_queue) = mpsc::channel(QUEUE_CAPACITY);
-    let shared = Shared::new(&settings.domain, allowance, lines, reports);
+    let shared = Shared::new(
+        &settings.domain,
+        allowance,
+        conf.memory_bytes,
+        lines,
+        reports,
+    );
     let (sender, inbox) = mpsc::channel(QUEUE_CAPACITY);
     let deliver = move |envelope| sender.try_send(envelope).is_ok();
     let net = Net::start(
@@ -97,6 +107,7 @@
     let serving = shared.clone();
     let thread = std::thread::spawn(move || {
         runtime.block_on(async move {
+            tokio::spawn(holding::watch(serving.clone()));
             tokio::spawn(link.run(inbox, report_queue));
             tokio::spawn(serve_pages(serving.clone(), ready, frontend::readiness));
             if let Some(directory) = directory {
@@ -117,6 +128,7 @@
 async fn serve_callers(shared: Shared, listener: TcpListener) {
     let limits = ConnectionLimits {
         header_timeout: IDLE_TIMEOUT,
+        send_buffer: Some(SEND_BUFFER_BYTES),
         ..ConnectionLimits::default()
     };
     let closing = shared.closing.subscribe();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,9 +4,11 @@
 
 use crate::answer::Refusal;
 use crate::attempt::Head;
+use crate::buffers::Phase;
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
 use crate::events::{MAX_EVENT_BYTES, Splitter};
+use crate::holding::Holding;
 use crate::plain;
 use crate::shared::{InFlightGuard, Shared};
 use crate::suspects::{self, Run};
@@ -23,11 +25,18 @@
 use serde_json::json;
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 
-/// Events buffered for a slow caller; beyond that, no more is read from the backend server.
+/// Bytes buffered for a slow caller, unless a single piece is larger; beyond that, no more is read
+/// from the backend server.
+const MAX_STREAM_BYTES: usize = 64 << 10;
+/// Queueing that takes longer was held back by the caller; otherwise it takes microseconds.
+const HELD_BACK_THRESHOLD: Duration = Duration::from_millis(1);
+/// Pieces buffered for a slow caller, with the same effect.
 const QUEUE_CAPACITY: usize = 16;
 
 type FrameResult = Result<Frame<Bytes>, io::Error>;
@@ -46,15 +55,17 @@
     };
     if !is_stream(&head) {
         let run = Run::at(&head.reservation.server);
-        let collected = plain::collect(shared, head);
+        let collected = plain::collect(shared, ctx, head);
         let answer = tokio::time::timeout(ctx.remaining(shared.now()), collected).await;
         let answer = answer.map_err(|_| attempts.timed_out())?;
-        return answer.map(plain::response).map_err(|error| {
-            if error == plain::CollectError::Incomplete {
-                suspects::on_run_lost(shared, ctx, &attempts, &run, false);
-            }
-            Refusal::unknown(502, "the answer broke off")
-        });
+        return answer
+            .map(|a| plain::response(shared, ctx, a))
+            .map_err(|error| {
+                if error == plain::CollectError::Incomplete {
+                    suspects::on_run_lost(shared, ctx, &attempts, &run, false);
+                }
+                Refusal::unknown(502, "the answer broke off")
+            });
     }
     let (parts, body, source) = split(*head);
     let now = shared.now();
@@ -63,6 +74,11 @@
         .fleet
         .record_success(now, &source.reservation.server.id);
     let (frames, receiver) = mpsc::channel(QUEUE_CAPACITY);
+    let holding = Arc::new(Holding::new(shared, Phase::Sending, ctx));
+    let receiver = FrameStream {
+        receiver,
+        holding: holding.clone(),
+    };
     let forwarder = EventForwarder {
         shared: shared.clone(),
         ctx: ctx.clone(),
@@ -70,6 +86,8 @@
         splitter: Splitter::default(),
         timing: Timing::default(),
         frames,
+        holding,
+        held_back: false,
     };
     tokio::spawn(async move {
         let _in_flight = in_flight;
@@ -104,22 +122,29 @@
     (parts, body, source)
 }
 
-fn response(mut parts: Parts, receiver: mpsc::Receiver<FrameResult>) -> Response<Body> {
+fn response(mut parts: Parts, frames: FrameStream) -> Response<Body> {
     strip_hop_by_hop(&mut parts.headers);
     parts.headers.remove("content-length");
     parts.headers.remove(header::LOAD);
-    let body = StreamBody::new(FrameStream(receiver));
+    let body = StreamBody::new(frames);
     Response::from_parts(parts, BodyExt::boxed(body))
 }
 
 /// The receiving end of the channel, as a body.
-struct FrameStream(mpsc::Receiver<FrameResult>);
+struct FrameStream {
+    receiver: mpsc::Receiver<FrameResult>,
+    holding: Arc<Holding>,
+}
 
 impl futures_core::Stream for FrameStream {
     type Item = FrameResult;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<FrameResult>> {
-        self.0.poll_recv(cx)
+        let polled = self.receiver.poll_recv(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            self.holding.release(frame.data_ref().map_or(0, Bytes::len));
+        }
+        polled
     }
 }
 
@@ -167,6 +192,10 @@
     splitter: Splitter,
     timing: Timing,
     frames: mpsc::Sender<FrameResult>,
+    /// What is buffered for the caller.
+    holding: Arc<Holding>,
+    /// Reading was last held back by the caller.
+    held_back: bool,
 }
 
 impl EventForwarder {
@@ -188,9 +217,14 @@
                 }
                 ReadEnd::CallerLeft => {
                     self.on_run_lost(&run, true);
-                    return self.log_event("caller_left", &id, "");
+                    return match self.holding.ended() {
+                        Some(_) => self.log_event("stream_cut", &id, plain::SLOW_READER),
+                        None => self.log_event("caller_left", &id, ""),
+                    };
                 }
                 ReadEnd::TimedOut => {
+                    drop(source);
+                    drop(body);
                     self.on_run_lost(&run, true);
                     self.log_event("stream_cut", &id, "deadline or timeout");
                     return self.abort().await;
@@ -241,10 +275,13 @@
             let now = self.shared.now();
             if let Some(pause) = self.timing.record_event(now, self.ctx.arrived) {
                 let max_pause = self.ctx.route.pause;
-                self.shared.record_pause(server, pause, max_pause);
+                // A pause that the caller caused says nothing about the backend server's load.
+                if !self.held_back {
+                    self.shared.record_pause(server, pause, max_pause);
+                }
             }
             let sent = tokio::select! {
-                sent = self.frames.send(Ok(Frame::data(events))) => sent,
+                sent = self.forward(events) => sent,
                 () = timeout.as_mut() => return ReadEnd::TimedOut,
             };
             if sent.is_err() {
@@ -253,6 +290,18 @@
         }
     }
 
+    /// Queues events for the caller once there is room, for this stream and over all.
+    async fn forward(&mut self, events: Bytes) -> Result<(), SendError<FrameResult>> {
+        let start = self.shared.now();
+        tokio::select! {
+            () = self.holding.add_events(events.len(), MAX_STREAM_BYTES) => {}
+            () = self.frames.closed() => {}
+        }
+        let sent = self.frames.send(Ok(Frame::data(events))).await;
+        self.held_back = self.shared.now() - start > HELD_BACK_THRESHOLD;
+        sent
+    }
+
     /// Resumes at another backend server after the last complete event.
     async fn resume(&mut self) -> Option<(Incoming, StreamSource)> {
         self.splitter.discard_partial();
@@ -294,10 +343,12 @@
             return;
         }
         let millis = |d: Duration| d.as_millis() as u64;
+        let ended = self.holding.ended();
         self.shared.lines.put(
             event,
             json!({
                 "request": self.ctx.id, "server": server, "why": why,
+                "bytes": ended.map(|e| e.bytes), "stalled_ms": ended.map(|e| millis(e.stalled)),
                 "last_event": self.splitter.last_id(), "in_time": in_time,
                 "after_ms": millis(self.shared.now() - self.ctx.arrived),
                 "first_ms": self.timing.first.map(millis),
--- a/crates/serve/src/client.rs
+++ b/crates/serve/src/client.rs
@@ -34,6 +34,10 @@
 /// network stack, regardless of how long the backend server works on a request.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Size of a connection's read buffer. The library's own limit is 400 KB, which is filled while
+/// nobody reads the answer, for each connection.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// Why a connection could not be opened.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -144,7 +148,10 @@
         .map_err(|_| Error::ConnectTimeout)?
         .context(RefusedSnafu)?;
     configure_socket(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.context(ProtocolSnafu)?;
     let task = tokio::spawn(async move {
         if let Err(e) = connection.await {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -14,15 +14,18 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::TcpListener;
-use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::sync::watch;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, watch};
 use tokio_rustls::TlsAcceptor;
+use tokio_rustls::server::TlsStream;
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -39,6 +42,8 @@
     pub body_timeout: Duration,
     /// Largest header section, in bytes.
     pub max_header_bytes: usize,
+    /// Size of the kernel's send buffer; `None` leaves it to the kernel.
+    pub send_buffer: Option<usize>,
 }
 
 impl Default for ConnectionLimits {
@@ -47,10 +52,23 @@
             header_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
             max_header_bytes: 16 * 1024,
+            send_buffer: None,
         }
     }
 }
 
+/// Aborts the connection that a request arrived on: it is reset, and data that was not delivered is
+/// discarded. In the extensions of each request.
+#[derive(Debug, Clone, Default)]
+pub struct Abort(Arc<Notify>);
+
+impl Abort {
+    /// Aborts the connection.
+    pub fn abort(&self) {
+        self.0.notify_one();
+    }
+}
+
 /// Why a request's body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyError {
@@ -120,15 +138,22 @@
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("failed to set TCP_NODELAY: {e}");
         }
+        let set = |size| SockRef::from(&stream).set_send_buffer_size(size);
+        if let Some(Err(e)) = limits.send_buffer.map(set) {
+            log::debug!("failed to set the send buffer: {e}");
+        }
         let (handle, tls, closing) = (handle.clone(), tls.clone(), closing.clone());
         tokio::spawn(async move {
             match tls {
-                None => serve_connection(stream, limits, closing, handle).await,
+                None => serve_connection(stream, limits, closing, handle, reset).await,
                 // Without a timeout, a peer that never completes its handshake would keep the
                 // connection open.
                 Some(tls) => {
                     match tokio::time::timeout(limits.header_timeout, tls.accept(stream)).await {
-                        Ok(Ok(stream)) => serve_connection(stream, limits, closing, handle).await,
+                        Ok(Ok(stream)) => {
+                            let reset = |s: &TlsStream<TcpStream>| reset(s.get_ref().0);
+                            serve_connection(stream, limits, closing, handle, reset).await;
+                        }
                         _ => metrics::counter!("http_handshake_errors").increment(1),
                     }
                 }
@@ -142,26 +167,35 @@
     limits: ConnectionLimits,
     mut closing: watch::Receiver<bool>,
     handle: F,
+    reset: impl Fn(&S),
 ) where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
-    let service = service_fn(|request| {
+    let abort = Abort::default();
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(abort.clone());
         let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let serving = http1::Builder::new()
+    let mut serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(8 * 1024))
         .serve_connection(TokioIo::new(stream), service);
-    let mut serving = pin!(serving);
-    let served = tokio::select! {
-        served = serving.as_mut() => served,
-        () = wait_until_true(&mut closing) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+    let mut shutting_down = false;
+    let served = loop {
+        tokio::select! {
+            served = &mut serving => break served,
+            () = wait_until_true(&mut closing), if !shutting_down => {
+                std::pin::Pin::new(&mut serving).graceful_shutdown();
+                shutting_down = true;
+            }
+            () = abort.0.notified() => {
+                reset(serving.into_parts().io.inner());
+                return;
+            }
         }
     };
     if served.is_err() {
@@ -169,6 +203,14 @@
     }
 }
 
+/// Makes the close of a connection reset it: after an ordinary close the kernel would keep the data
+/// for a peer that does not read.
+fn reset(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("failed to set a connection to be reset: {e}");
+    }
+}
+
 /// Waits until `closing` is true; waits forever if its sender was dropped.
 async fn wait_until_true(closing: &mut watch::Receiver<bool>) {
     if closing.wait_for(|c| *c).await.is_err() {
