--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -209,7 +209,6 @@
             brief: poll.omit_registrations,
             demand,
             evacuations: self.evacuations.as_ref().map(|e| e.revision),
-            ..wire::NewsAsk::default()
         };
         self.net.send(inbox, Body::NewsAsk(request));
     }
