route, gateway: a fill limit that keeps streams in time to their end

A stream is late if one of its 20 to 30 passes is too long. The limit by the 90th percentile of single pauses let nearly every stream meet such a pass under load.

Today's rule stays as it is, decides while the history is short or no stream can be in time, and gives the immediate decrease when a pass is longer than all known ones. The room line tells rule and in_time.

Tested: cargo test -p bn-route, all pass, with a simulated group that runs both rules side by side (tests/on_time.rs prints a table).

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -10,7 +10,9 @@
 use crate::context::RequestContext;
 use crate::shared::{Shared, State};
 use bn_limit::QueuedRequest;
-use bn_route::{FillController, PickArgs, ServerId, Unavailable, Unit, fill_limit_for};
+use bn_route::{
+    FillController, PickArgs, ServerId, Unavailable, Unit, UnitController, fill_limit_for,
+};
 use indexmap::IndexMap;
 use std::time::Duration;
 
@@ -127,7 +129,7 @@
     let fill_limit = |unit: &str| {
         let streams = || {
             find_controller(controllers, unit, service)
-                .map_or(FillController::INITIAL, FillController::fill_limit)
+                .map_or(FillController::INITIAL, UnitController::fill_limit)
         };
         let fill_limit = if ctx.streams() {
             streams()
@@ -148,9 +150,10 @@
         let controller =
             find_controller(&state.controllers, &server.unit, &server.service).cloned();
         let unit = server.unit.clone();
-        state
-            .controllers
-            .insert(unit, controller.unwrap_or_default());
+        state.controllers.insert(
+            unit,
+            controller.unwrap_or_else(|| UnitController::new(shared.fill_rule)),
+        );
     }
     state.fleet.record_sent(now, &server.id);
     Ok(Reservation::new(shared, server))
@@ -159,10 +162,10 @@
 /// Fill controller of a unit. What was learnt before a service's backend servers reported their
 /// groups applies to each group.
 fn find_controller<'a>(
-    controllers: &'a IndexMap<Unit, FillController>,
+    controllers: &'a IndexMap<Unit, UnitController>,
     unit: &str,
     service: &str,
-) -> Option<&'a FillController> {
+) -> Option<&'a UnitController> {
     controllers.get(unit).or_else(|| controllers.get(service))
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,8 @@
 use bn_limit::Queue;
 use bn_quarantine::{LossTracker, Table};
 use bn_route::{
-    FillController, Fleet, PauseBounds, RetryAllowance, RetryBudget, RetryDetector, Server, Unit,
+    FillRule, Fleet, PauseBounds, RetryAllowance, RetryBudget, RetryDetector, Server, Unit,
+    UnitController,
 };
 use bn_serve::client::Pool;
 use bn_settle::Document;
@@ -21,6 +22,8 @@
 const DOCUMENT_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Minimum interval between events on the fill limit: it changes several times a second.
 const FILL_EVENT_INTERVAL: Duration = Duration::from_secs(1);
+/// Events of a stream whose engine publishes no usual answer.
+const DEFAULT_EVENTS: f64 = 25.0;
 
 /// The state of one gateway. Cheap to clone.
 #[derive(Clone)]
@@ -34,6 +37,8 @@
     /// Notified when capacity may have become free.
     pub(crate) capacity_freed: Notify,
     pub(crate) allowance: RetryAllowance,
+    /// What admission to lock-step groups aims at.
+    pub(crate) fill_rule: FillRule,
     /// Becomes true when a graceful stop starts.
     pub(crate) closing: watch::Sender<bool>,
     /// The stop has proceeded so far that no more requests are accepted.
@@ -55,7 +60,7 @@
     /// Requests that wait for a slot, by service.
     pub(crate) queues: IndexMap<String, Queue>,
     /// Fill controllers of streaming services, by unit.
-    pub(crate) controllers: IndexMap<Unit, FillController>,
+    pub(crate) controllers: IndexMap<Unit, UnitController>,
     /// When the next event on the fill limit is due.
     fill_event_due: Duration,
     /// How long callers wait, by route.
@@ -92,6 +97,7 @@
     pub(crate) fn new(
         domain: &str,
         allowance: RetryAllowance,
+        fill_rule: FillRule,
         lines: Lines,
         reports: mpsc::Sender<Report>,
     ) -> Shared {
@@ -115,6 +121,7 @@
             lines,
             capacity_freed: Notify::new(),
             allowance,
+            fill_rule,
             closing: watch::channel(false).0,
             stopped_accepting: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
@@ -193,18 +200,26 @@
                 e.unloaded_pass().mul_f64(fleet.max_slowdown(unit))
             }),
         };
-        let update = controller.observe_pause(now, pause, bounds, || fleet.mean_load(now, unit));
+        let events = engine
+            .and_then(|e| e.mean_events())
+            .unwrap_or(DEFAULT_EVENTS);
+        let load = || fleet.mean_load(now, unit);
+        let update = controller.observe_pause(now, pause, bounds, events, load);
         let Some(update) = update else {
             return;
         };
         metrics::gauge!("service_room", "unit" => unit.clone()).set(update.fill_limit);
+        if let Some(in_time) = update.in_time {
+            metrics::gauge!("predicted_in_time", "unit" => unit.clone()).set(in_time);
+        }
         if now < *fill_event_due {
             return;
         }
         *fill_event_due = now + FILL_EVENT_INTERVAL;
         let fields = json!({
             "service": service, "unit": unit, "room": update.fill_limit, "load": update.load,
-            "pause": update.pause, "waiting": queues.get(service).map_or(0, Queue::len),
+            "pause": update.pause, "rule": controller.rule().name(), "in_time": update.in_time,
+            "waiting": queues.get(service).map_or(0, Queue::len),
         });
         self.lines.put("room", fields);
     }
@@ -214,7 +229,7 @@
     pub(crate) fn fill_and_queue(&self, service: &str) -> (Option<f64>, usize) {
         let state = self.state();
         let units = state.fleet.units_of(service).into_iter();
-        let limits = units.filter_map(|u| state.controllers.get(u).map(FillController::fill_limit));
+        let limits = units.filter_map(|u| state.controllers.get(u).map(UnitController::fill_limit));
         let limit = limits.reduce(f64::max);
         (limit, state.queues.get(service).map_or(0, Queue::len))
     }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -3,9 +3,9 @@
 use crate::link::Link;
 use crate::shared::Shared;
 use crate::{ListenSnafu, Result, RuntimeSnafu, frontend};
-use bn_conf::{Gateway as Conf, Settings};
+use bn_conf::{Admission, Gateway as Conf, Settings};
 use bn_net::Net;
-use bn_route::RetryAllowance;
+use bn_route::{FillRule, RetryAllowance};
 use bn_serve::{Body, ConnectionLimits};
 use bn_trace::Lines;
 use bn_wire::messages::Role;
@@ -67,7 +67,11 @@
         window: conf.retry_window,
     };
     let (reports, report_queue) = mpsc::channel(QUEUE_CAPACITY);
-    let shared = Shared::new(&settings.domain, allowance, lines, reports);
+    let rule = match conf.admission {
+        Admission::Pauses => FillRule::Pauses,
+        Admission::Streams => FillRule::Streams,
+    };
+    let shared = Shared::new(&settings.domain, allowance, rule, lines, reports);
     let (sender, inbox) = mpsc::channel(QUEUE_CAPACITY);
     let deliver = move |envelope| sender.try_send(envelope).is_ok();
     let net = Net::start(
--- a/crates/route/src/fill_controller.rs
+++ b/crates/route/src/fill_controller.rs
@@ -22,14 +22,14 @@
 const QUANTILE: f64 = 0.9;
 /// Fraction of the allowed pause that a pass may take. The rest is for requests admitted before
 /// their effect on pauses shows.
-const TARGET: f64 = 0.9;
+pub(crate) const TARGET: f64 = 0.9;
 /// If a pass takes longer than [`TARGET`] without load, for instance with a rank several times
 /// slower than usual, no stream can be in time. A pass may then take this multiple of that time:
 /// streams complete before their callers give up, and as many as possible get a late answer.
-const LATE_FACTOR: f64 = 1.5;
+pub(crate) const LATE_FACTOR: f64 = 1.5;
 /// Minimum growth of a pass that counts, as a fraction of the allowed pause: less than that is time
 /// for reading and the network.
-const MIN_GROWTH: f64 = 0.05;
+pub(crate) const MIN_GROWTH: f64 = 0.05;
 /// Pauses longer than this multiple of the limit indicate a stalled group, not its load; streams
 /// with such pauses outlast their callers.
 const STALL_RATIO: f64 = 2.5;
@@ -37,7 +37,7 @@
 /// shows one or two passes later. Decreases apply at once.
 const RAISE_RATE: f64 = 0.3;
 /// Minimum fill limit: a request per rank or two must always pass, or nothing can be measured.
-const MIN_FILL: f64 = 0.25;
+pub(crate) const MIN_FILL: f64 = 0.25;
 
 /// Fraction of the fill limit for requests that are already late. The rest is kept for those that
 /// can still be in time, which are worth several times as much to their callers: otherwise callers
@@ -46,7 +46,7 @@
 /// would hold a group near its limit, where every stream is late by some pause.
 const LATE_SHARE: f64 = 0.6;
 /// Maximum fill limit: the fraction of it for late requests is all slots.
-const MAX_FILL: f64 = 1.0 / LATE_SHARE;
+pub(crate) const MAX_FILL: f64 = 1.0 / LATE_SHARE;
 
 /// Load over slots up to which a request is placed if passes allow `fill_limit`. The fraction for
 /// late requests is taken of what passes allow, which may exceed the slots. A group that runs out
@@ -79,6 +79,8 @@
     pub load: f64,
     /// 90th percentile of the pauses, as a fraction of the allowed one.
     pub pause: f64,
+    /// Predicted share of streams in time to their end, if the rule predicts it.
+    pub in_time: Option<f64>,
 }
 
 /// Controls a unit's fill limit: the load over slots of a backend server that its passes allow.
@@ -152,6 +154,7 @@
             fill_limit: self.fill_limit,
             load,
             pause: high_pause,
+            in_time: None,
         })
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,24 +9,28 @@
 mod fleet;
 mod health;
 mod health_record;
+mod on_time_controller;
 mod prefix;
 mod retry_budget;
 mod retry_detector;
 mod retry_tokens;
 mod router;
 mod server;
+mod unit_controller;
 
 pub use backend::{Backend, Report};
 pub use fill_controller::{FillController, FillUpdate, PauseBounds, fill_limit_for};
 pub use fleet::{Fleet, PickArgs, Unavailable};
 pub use health::Health;
 pub use health_record::HealthRecord;
+pub use on_time_controller::OnTimeController;
 pub use prefix::PrefixIndex;
 pub use retry_budget::{RetryAllowance, RetryBudget};
 pub use retry_detector::RetryDetector;
 pub use retry_tokens::RetryTokens;
 pub use router::{Policy, Requirements, Router, least_reported, predicted};
 pub use server::{LoadReport, Server, ServerId, StartTime, Unit};
+pub use unit_controller::{FillRule, UnitController};
 
 /// Id of a backend server.
 pub type BackendId = String;
--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -86,6 +86,8 @@
 
 /// Upper bound of an unloaded pass; a second is far beyond any pause of a stream that is on time.
 const MAX_PASS_MS: f64 = 1_000.0;
+/// Upper bound of a stream's mean number of events; callers wait for no longer streams.
+const MAX_EVENTS: f64 = 500.0;
 
 /// Performance figures that an engine's operator publishes, for predictions.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -114,6 +116,12 @@
         let ms = f64::from(self.stride.max(1)) * self.step_ms;
         Duration::from_secs_f64(ms.clamp(0.0, MAX_PASS_MS) / 1000.0)
     }
+
+    /// Mean number of events of a stream; `None` if the operator publishes no mean answer.
+    pub fn mean_events(&self) -> Option<f64> {
+        let events = self.mean_answer / f64::from(self.stride.max(1));
+        (events > 0.0).then(|| events.clamp(1.0, MAX_EVENTS))
+    }
 }
 
 /// Placement of experts on the ranks of a lock-step group.
