--- a/crates/gateway/src/urgency.rs
+++ b/crates/gateway/src/urgency.rs
@@ -9,7 +9,7 @@
     ServiceLoad, WaitInput,
 };
 use bn_limit::{Queue, QueuedRequest};
-use bn_route::{FillController, Fleet, fill_limit_for};
+use bn_route::{FillController, Fleet, UnitController, fill_limit_for};
 use bn_settle::Document;
 use bn_wire::messages as wire;
 use indexmap::IndexSet;
@@ -157,7 +157,7 @@
     let limits = limits(state, now, ctx, false)?;
     let fill_limit = |unit: &str| match ctx.streams() {
         true => placement::find_controller(&state.controllers, unit, &ctx.service)
-            .map_or(FillController::INITIAL, FillController::fill_limit),
+            .map_or(FillController::INITIAL, UnitController::fill_limit),
         false => placement::PLAIN_FILL_LIMIT,
     };
     let units = state.fleet.units_of(&ctx.service).into_iter();
