Admission by urgency: leave cold backend servers out of the load

Cause: the mean load of a unit counted the free slots of cold backend servers, which get one request in 1.1 s from each sender. With a failure domain of three cold, the mean stays at two thirds while the warm ones are full: the reserve never binds, and less urgent requests take the last slots. The number of slots counted them, too.

Change: admission compares the load and the slots of backend servers that aren't cold, or of all if all are. The load that the fill controller uses is unchanged.

--- a/crates/gateway/src/urgency.rs
+++ b/crates/gateway/src/urgency.rs
@@ -38,10 +38,10 @@
         }
     }
 
-    fn service_load(&self, service: &str) -> ServiceLoad {
+    fn service_load(&self, now: Duration, service: &str) -> ServiceLoad {
         let named = u32::try_from(self.selection.gateways().len()).unwrap_or(u32::MAX);
         ServiceLoad {
-            slots: self.fleet.slots_of(service),
+            slots: self.fleet.slots_of(now, service),
             gateways: named.max(1),
         }
     }
@@ -111,7 +111,7 @@
         if !self.ignore_reserve && !reserves {
             return fill_limit_for(self.rank.late, fill_limit);
         }
-        let free = self.fleet.mean_load(self.now, unit) < self.max_load(fill_limit);
+        let free = self.fleet.usable_load(self.now, unit) < self.max_load(fill_limit);
         match (free, self.rank.late) {
             (true, _) => limits.in_time,
             // As many slots as late requests may use in any case.
@@ -146,7 +146,7 @@
         admission: decisions,
         now,
         rank: rank(ctx, now),
-        load: state.service_load(&ctx.service),
+        load: state.service_load(now, &ctx.service),
         idle: state.fleet.in_flight_of(&ctx.service) == 0,
         ignore_reserve,
     })
@@ -162,7 +162,7 @@
     };
     let units = state.fleet.units_of(&ctx.service).into_iter();
     let loads = units.map(|unit| {
-        let load = state.fleet.mean_load(now, unit);
+        let load = state.fleet.usable_load(now, unit);
         let max = limits.max_load(fill_limit(unit));
         (load - max, load, max)
     });
@@ -180,7 +180,7 @@
 pub(crate) fn record_arrival(shared: &Shared, ctx: &RequestContext) {
     let now = shared.now();
     let mut state = shared.state();
-    let load = state.service_load(&ctx.service);
+    let load = state.service_load(now, &ctx.service);
     let Some(admission) = state.admissions.get_mut(&ctx.service) else {
         return;
     };
@@ -220,7 +220,7 @@
         .collect();
     let tail = decisions.first_events.tail().map(|t| t.as_millis() as u64);
     let units = state.fleet.units_of(&ctx.service).into_iter();
-    let loads: Vec<f64> = units.map(|u| state.fleet.mean_load(now, u)).collect();
+    let loads: Vec<f64> = units.map(|u| state.fleet.usable_load(now, u)).collect();
     for (priority, rate, reserve) in &levels {
         let labels = [
             ("service", ctx.service.clone()),
@@ -374,7 +374,7 @@
         start_rate: queue.start_rate(),
         excess: least_loaded(state, now, ctx).map_or(0.0, |(excess, ..)| excess),
     };
-    let load = state.service_load(&ctx.service);
+    let load = state.service_load(now, &ctx.service);
     Some(admission.decisions.expected_wait(now, &input, load))
 }
 
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -244,9 +244,10 @@
         self.accepting(service).map(|s| s.unit.as_str()).collect()
     }
 
-    /// Slots of a service's backend servers that accept work.
-    pub fn slots_of(&self, service: &str) -> f64 {
-        self.accepting(service).map(Server::slots).sum()
+    /// Slots of a service's backend servers that accept work, without cold ones unless all are.
+    pub fn slots_of(&self, now: Duration, service: &str) -> f64 {
+        let accepting = without_cold(now, self.accepting(service).collect());
+        accepting.into_iter().map(Server::slots).sum()
     }
 
     /// Number of this gateway's requests in flight at a service's backend servers.
@@ -263,9 +264,22 @@
 
     /// Mean load over slots of a unit's backend servers that accept work.
     pub fn mean_load(&self, now: Duration, unit: &str) -> f64 {
+        self.mean_load_of(now, &self.accepting_in_unit(unit))
+    }
+
+    /// The same without cold backend servers, unless all are cold: hardly any of their free slots
+    /// can be used yet.
+    pub fn usable_load(&self, now: Duration, unit: &str) -> f64 {
+        self.mean_load_of(now, &without_cold(now, self.accepting_in_unit(unit)))
+    }
+
+    fn accepting_in_unit(&self, unit: &str) -> Vec<&Server> {
         let accepting = |s: &&Server| s.unit == unit && self.accepts(s);
-        let members: Vec<&Server> = self.servers.values().filter(accepting).collect();
-        let peer_load = self.peer_load(now, &members);
+        self.servers.values().filter(accepting).collect()
+    }
+
+    fn mean_load_of(&self, now: Duration, members: &[&Server]) -> f64 {
+        let peer_load = self.peer_load(now, members);
         let loads = members.iter().map(|s| s.load(now, peer_load) / s.slots());
         loads.sum::<f64>() / members.len().max(1) as f64
     }
@@ -408,6 +422,15 @@
     }
 }
 
+/// Leaves out cold backend servers, if there are others.
+fn without_cold(now: Duration, servers: Vec<&Server>) -> Vec<&Server> {
+    let is_warm = |s: &&Server| s.backpressure.cold(now).is_none();
+    match servers.iter().any(is_warm) {
+        true => servers.into_iter().filter(is_warm).collect(),
+        false => servers,
+    }
+}
+
 /// Leaves out those that may reject a request, if there are others: requests that may still be sent
 /// elsewhere find out whether a backend server accepts more after a backoff.
 fn without_backoff(candidates: Vec<&Server>) -> Vec<&Server> {
--- a/crates/route/tests/cold.rs
+++ b/crates/route/tests/cold.rs
@@ -196,3 +196,32 @@
     expect_that!(capacity(&fleet, NOW), eq(4));
     expect_that!(fleet.take_cold_changes().len(), eq(0));
 }
+
+/// Guards against counting the free slots of cold backend servers as capacity: less urgent requests
+/// would take the last slots of the warm ones.
+#[googletest::test]
+fn the_load_that_admission_compares_leaves_out_cold_servers() {
+    let mut fleet = fleet(NOW);
+    register(&mut fleet, NOW, "warm", 1, Some(0));
+    register(&mut fleet, NOW, "cold", 1, Some(3_000));
+    for _ in 0..4 {
+        fleet.record_sent(NOW, "warm");
+    }
+    let warm_again = NOW + COLD;
+
+    expect_that!(fleet.usable_load(NOW, "s"), eq(1.0));
+    expect_that!(fleet.slots_of(NOW, "s"), eq(4.0));
+    expect_that!(fleet.usable_load(warm_again, "s"), eq(0.5));
+    expect_that!(fleet.slots_of(warm_again, "s"), eq(8.0));
+}
+
+/// Guards against a service without capacity figures while all of its backend servers are cold.
+#[googletest::test]
+fn a_service_whose_servers_are_all_cold_has_their_slots() {
+    let mut fleet = fleet(NOW);
+    register(&mut fleet, NOW, "a", 1, Some(3_000));
+    fleet.record_sent(NOW, "a");
+
+    expect_that!(fleet.usable_load(NOW, "s"), eq(0.25));
+    expect_that!(fleet.slots_of(NOW, "s"), eq(4.0));
+}
