Document: at most ten levels of urgency

Cause: pairs of account and route priority may give more than ten levels. Queues and the header of backend servers tell ten apart: a request of level 11 had the queue position of level 10, so its waiting requests were not counted for its level and it had no turn by the floor of its priority.

Change: levels beyond the tenth count as the tenth.

--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -191,6 +191,9 @@
     pub priority: Option<u32>,
 }
 
+/// Last level of urgency: queues and backend servers tell ten apart.
+const LAST_LEVEL: u32 = 9;
+
 /// Order of requests of one service: the account's priority takes precedence, and requests of
 /// accounts with the same priority go by their routes'.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -271,7 +274,7 @@
     }
 
     /// Position of a request among the levels of its service, 0 the most urgent; `None` if the
-    /// service's routes all have one priority.
+    /// service's routes all have one priority. Levels beyond the tenth count as the tenth.
     pub fn urgency_level(
         &self,
         service: &str,
@@ -280,7 +283,7 @@
     ) -> Option<u32> {
         let levels = self.levels.get(service)?;
         let level = levels.binary_search(&Urgency::new(account, route)).ok()?;
-        u32::try_from(level).ok()
+        u32::try_from(level).ok().map(|level| level.min(LAST_LEVEL))
     }
 
     /// Size and time limits of requests.
--- a/crates/settle/tests/documents.rs
+++ b/crates/settle/tests/documents.rs
@@ -153,6 +153,22 @@
     );
 }
 
+// Queues, and backend servers, tell ten levels apart: requests of any further one would have no turn
+// by the floor of their priority.
+#[googletest::test]
+fn levels_beyond_the_tenth_count_as_the_tenth() {
+    let document = ranked_document(&[0, 1, 2], &[Some(0), Some(1), Some(2), Some(3), Some(4)]);
+    let level = |key: &str, path: &str| {
+        let route = document.route("h", path).unwrap();
+        document.urgency_level("s", document.account(key), route)
+    };
+
+    expect_that!(level("key0", "/0/"), some(eq(0)));
+    expect_that!(level("key2", "/2/"), some(eq(8)));
+    expect_that!(level("key3", "/0/"), some(eq(9)));
+    expect_that!(level("key4", "/2/"), some(eq(9)));
+}
+
 /// A document with a route and an account for each priority, all of service `s`.
 fn ranked_document(routes: &[u32], accounts: &[Option<u32>]) -> bn_settle::Document {
     let routes = routes.iter().enumerate().map(|(n, priority)| Route {
