Admission by urgency: less work per request, bounded state of a link

Cause: each request of any service, ranked or not, counted the slots of all backend servers before the service was known to be ranked. Each wake-up of a queued request summed the arrivals of all accounts twice per comparison of two waiting accounts. A gateway kept the time of the last report to each coordinator that it ever knew.

Change: slots are counted at most once a second for the log line; the order of an account is computed once, and the sum only for an account that was passed over three times; times of reports that no longer matter are dropped.

Tested: bn-admission (20 passed), bn-limit (9 passed); gateway by the compiler.

--- a/crates/admission/src/floors.rs
+++ b/crates/admission/src/floors.rs
@@ -8,7 +8,7 @@
 /// before their turn.
 const MIN_RELATIVE: f64 = 0.3;
 /// Bounds of the number of starts of which one goes to a waiting priority.
-const MIN_INTERVAL: f64 = 4.0;
+pub(crate) const MIN_INTERVAL: f64 = 4.0;
 const MAX_INTERVAL: f64 = 32.0;
 
 /// Counts the starts since each priority's last one.
--- a/crates/admission/src/usage.rs
+++ b/crates/admission/src/usage.rs
@@ -1,6 +1,6 @@
 //! Work that client accounts got while others of their priority had to wait.
 
-use crate::floors::start_interval;
+use crate::floors::{MIN_INTERVAL, start_interval};
 use crate::{AccountId, Priority};
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -104,12 +104,17 @@
         let Some(own) = self.accounts.get(&(priority, account.to_string())) else {
             return false;
         };
+        let passed = f64::from(own.passed) + 1.0;
+        // Decided without the sum over all accounts: a waiting request is looked at often.
+        if passed < MIN_INTERVAL {
+            return false;
+        }
         let of_priority = self.accounts.iter().filter(|((p, _), _)| *p == priority);
         let all: f64 = of_priority
             .map(|(_, a)| a.arrivals * fade(now, a.updated))
             .sum();
         let share = own.arrivals * fade(now, own.updated) / all.max(f64::MIN_POSITIVE);
-        f64::from(own.passed) + 1.0 >= start_interval(share)
+        passed >= start_interval(share)
     }
 
     /// Tokens per second that the sums of coordinators may contain of this gateway: since its last
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -217,10 +217,12 @@
     /// one, since it changes slowly and takes most of the message.
     fn accounts_due(&mut self, inbox: SocketAddr) -> bool {
         let now = self.shared.now();
-        let sent_at = self.accounts_sent.entry(inbox).or_default();
-        let due = now >= *sent_at + ACCOUNTS_INTERVAL;
+        // Addresses of former coordinators would otherwise stay.
+        self.accounts_sent
+            .retain(|_, sent_at| now < *sent_at + ACCOUNTS_INTERVAL);
+        let due = !self.accounts_sent.contains_key(&inbox);
         if due {
-            *sent_at = now;
+            self.accounts_sent.insert(inbox, now);
         }
         due
     }
--- a/crates/gateway/src/urgency.rs
+++ b/crates/gateway/src/urgency.rs
@@ -180,7 +180,6 @@
 pub(crate) fn record_arrival(shared: &Shared, ctx: &RequestContext) {
     let now = shared.now();
     let mut state = shared.state();
-    let load = state.service_load(now, &ctx.service);
     let Some(admission) = state.admissions.get_mut(&ctx.service) else {
         return;
     };
@@ -195,6 +194,10 @@
         return;
     }
     admission.event_due = now + EVENT_INTERVAL;
+    let load = state.service_load(now, &ctx.service);
+    let Some(admission) = state.admissions.get(&ctx.service) else {
+        return;
+    };
     let decisions = &admission.decisions;
     let reserve = |priority| {
         decisions.reserve(
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -170,8 +170,8 @@
         let waiting = waiting.filter(|((p, _), _)| matches(*p));
         let highest = waiting.clone().map(|((p, _), _)| *p).max()?;
         let of_highest = waiting.filter(|((p, _), _)| *p == highest);
-        let first = of_highest
-            .min_by(|((_, a), _), ((_, b), _)| order(highest, a).total_cmp(&order(highest, b)));
+        let ordered = of_highest.map(|((_, account), q)| (order(highest, account), q));
+        let first = ordered.min_by(|(a, _), (b, _)| a.total_cmp(b));
         first.and_then(|(_, q)| q.waiting.front().map(|r| r.id))
     }
 
