Admission by urgency: late requests without a reserve use the load of less urgent ones

Cause: a late request that nothing is reserved against (no recent first attempts of its priority are known here) was kept below the limit of late requests, 0.6 of the fill limit. Less urgent requests in time may use all of it, but wait behind the late one: up to its end, both waited while slots were free. The wait that was expected of it and the logged allowed_load went by the higher limit, as did the model.

Tested: by the compiler; the decision is in the gateway, whose admission has no test without a network.

--- a/crates/gateway/src/urgency.rs
+++ b/crates/gateway/src/urgency.rs
@@ -108,8 +108,10 @@
         let limits = load_limits(fill_limit);
         let reserve = self.admission.reserve(self.now, self.rank, self.load);
         let reserves = reserve + self.margin > 0.0;
-        if !self.ignore_reserve && !reserves {
-            return fill_limit_for(self.rank.late, fill_limit);
+        // Late requests go by the mean load even then: they may use what less urgent requests in
+        // time may, which wait behind them.
+        if !self.ignore_reserve && !self.rank.late && !reserves {
+            return limits.in_time;
         }
         let free = self.fleet.usable_load(self.now, unit) < self.max_load(fill_limit);
         match (free, self.rank.late) {
