coordinator: departures carry the time that is left of a cold period

Cause: departures pushed to gateways that subscribe elsewhere carried the time left as it was announced, not less the time that the coordinator held it, unlike all other registrations. The effect is small, since a departing backend server gets no requests.

Tested: by the compiler.

--- a/crates/coordinator/src/pushes.rs
+++ b/crates/coordinator/src/pushes.rs
@@ -70,7 +70,7 @@
     /// requests there.
     pub(crate) fn push_changes(&mut self, now: Duration) {
         let urgent = std::mem::take(&mut self.pushes.urgent);
-        self.push_departures();
+        self.push_departures(now);
         self.push_to_subscribers(now, urgent);
         self.push_to_coordinators(now, urgent);
         for waiter in std::mem::take(&mut self.pushes.waiters) {
@@ -83,12 +83,12 @@
 
     /// Pushes departures to gateways that subscribe to other coordinators. Those that subscribe
     /// here get them with all other changes.
-    fn push_departures(&mut self) {
+    fn push_departures(&mut self, now: Duration) {
         let ids = std::mem::take(&mut self.pushes.leaving);
         let leaving: Vec<Registration> = ids
             .iter()
             .filter_map(|id| self.registry.get(id))
-            .map(Registration::from)
+            .map(|r| self.registry.to_wire(now, r))
             .collect();
         if leaving.is_empty() {
             return;
