Admission, cold servers: names, comments, a shorter function

The log line and the gauges of admission move out of the counting of arrivals. Ranked service is the term of the glossary for services whose routes differ in priority.

--- a/crates/admission/src/arrivals.rs
+++ b/crates/admission/src/arrivals.rs
@@ -11,6 +11,7 @@
 /// Buckets of the long window, 5 s.
 const LONG: usize = 50;
 
+/// Arrivals of one priority in a ring of buckets.
 #[derive(Debug, Clone)]
 struct Counts {
     buckets: [u32; LONG],
--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -107,6 +107,7 @@
     }
 }
 
+/// Latest report of one gateway.
 #[derive(Debug, Clone, Default)]
 struct Report {
     at: Duration,
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,7 +2,8 @@
 //! how long it may wait, and when it should be retried after a refusal. The decisions do no I/O:
 //! they take inputs and the time.
 //!
-//! Services whose requests all have the same priority do not use this crate.
+//! Only ranked services use this crate, whose routes differ in priority. A request's priority here
+//! is its level of urgency in the document.
 
 mod arrivals;
 mod demand;
--- a/crates/admission/src/usage.rs
+++ b/crates/admission/src/usage.rs
@@ -7,8 +7,8 @@
 
 /// Time constant by which work is forgotten: bursts last some seconds.
 const MEMORY: Duration = Duration::from_secs(4);
-/// Work is reported for this time after an account's last start that others waited for: messages
-/// list no accounts soon after a burst.
+/// Work is reported for this time after an account's last start that others waited for, so that
+/// messages list no accounts once a burst is over.
 const REPORTED_FOR: Duration = Duration::from_secs(8);
 /// Arrivals below which an account without recent work is forgotten.
 const MIN_ARRIVALS: f64 = 0.05;
@@ -17,7 +17,7 @@
 
 #[derive(Debug, Clone, Default)]
 struct Account {
-    /// Tokens, and starts, decaying.
+    /// Tokens given lately, and first attempts that arrived lately; both decay.
     work: f64,
     arrivals: f64,
     updated: Duration,
@@ -53,7 +53,7 @@
 }
 
 impl Usage {
-    /// Counts a request of an account.
+    /// Counts a first attempt of an account.
     pub fn record_arrival(&mut self, now: Duration, priority: Priority, account: &str) {
         let key = (priority, account.to_string());
         let entry = self.accounts.entry(key).or_default();
--- a/crates/backpressure/src/cold.rs
+++ b/crates/backpressure/src/cold.rs
@@ -10,6 +10,7 @@
 const END_TOLERANCE: Duration = Duration::from_millis(250);
 /// An answer takes precedence over announcements for this long: they come every 1.2 s.
 const ANSWER_PRECEDENCE: Duration = Duration::from_secs(2);
+
 /// Where the end of a cold period is known from, from the least to the most reliable.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum ColdSource {
@@ -65,14 +66,14 @@
         let until = now.saturating_add(report.left);
         let later = until > held + END_TOLERANCE || (held == now && !report.left.is_zero());
         let earlier = until + END_TOLERANCE < held;
-        let answered = |at| now < at + ANSWER_PRECEDENCE;
+        let is_recent = |answered_at| now < answered_at + ANSWER_PRECEDENCE;
         let adopted = match report.source {
             ColdSource::Assumed => later,
             // An end that an answer has overridden since may be announced again.
             ColdSource::Announced if until.abs_diff(self.announced_until) < END_TOLERANCE => {
                 later && self.answered_at.is_none()
             }
-            ColdSource::Announced => later || (earlier && !self.answered_at.is_some_and(answered)),
+            ColdSource::Announced => later || (earlier && !self.answered_at.is_some_and(is_recent)),
             // Answers overtake each other: an earlier one may be from before the cold period.
             ColdSource::Answered => {
                 let newer = report.authentic && report.sent_at >= self.changed_at;
@@ -98,8 +99,9 @@
         self.bound.is_some() && now < self.until
     }
 
-    /// Recomputes the schedule after a change; `true` if that changes it. `first` discards the one
-    /// of an earlier cold period; `last_sent` is when a request was last sent.
+    /// Recomputes the schedule after a change; `true` if that changes it. `first` says that a cold
+    /// period begins: the schedule of an earlier one is discarded. `last_sent` is when a request was
+    /// last sent.
     pub(crate) fn reschedule(
         &mut self,
         now: Duration,
--- a/crates/gateway/src/urgency.rs
+++ b/crates/gateway/src/urgency.rs
@@ -1,5 +1,5 @@
-//! Applies [`bn_admission`] to services whose requests differ in priority. For all other services,
-//! the functions here change nothing.
+//! Applies [`bn_admission`] to ranked services: those whose routes differ in priority. For all other
+//! services, the functions here change nothing.
 
 use crate::context::RequestContext;
 use crate::placement;
@@ -13,7 +13,7 @@
 use bn_settle::Document;
 use bn_wire::messages as wire;
 use indexmap::IndexSet;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::time::Duration;
 
 /// Minimum interval between two log lines on one service.
@@ -27,8 +27,7 @@
 }
 
 impl State {
-    /// Keeps the admission state of services that still differ in priority, and starts that of new
-    /// ones.
+    /// Keeps the admission state of services that are still ranked, and starts that of new ones.
     pub(crate) fn adopt_priorities(&mut self, document: &Document) {
         let ranked: IndexSet<_> = document.ranked_services().collect();
         self.admissions
@@ -130,7 +129,7 @@
     }
 }
 
-/// The load limits of a request, if its service differs in priority. With `ignore_reserve` the
+/// The load limits of a request, if its service is ranked. With `ignore_reserve` the
 /// request has its turn by the floor of its priority.
 pub(crate) fn limits<'a>(
     state: &'a State,
@@ -196,57 +195,46 @@
         return;
     }
     admission.event_due = now + EVENT_INTERVAL;
-    let load = state.service_load(now, &ctx.service);
-    let Some(admission) = state.admissions.get(&ctx.service) else {
-        return;
-    };
-    let decisions = &admission.decisions;
-    let reserve = |priority| {
-        decisions.reserve(
-            now,
-            Rank {
-                priority,
-                late: false,
-            },
-            load,
-        )
-    };
-    let levels: Vec<_> = decisions
-        .local_rates(now)
-        .into_iter()
-        .map(|(priority, rate)| (priority, rate, reserve(priority)))
-        .collect();
+    let fields = event_fields(&state, now, &ctx.service);
+    drop(state);
+    if let Some(fields) = fields {
+        shared.lines.put("admission", fields);
+    }
+}
+
+/// Fields of the log line on a ranked service. Sets its gauges, too.
+fn event_fields(state: &State, now: Duration, service: &str) -> Option<Value> {
+    let decisions = &state.admissions.get(service)?.decisions;
+    let load = state.service_load(now, service);
+    let mut levels = Vec::new();
+    let mut rates_up_to = Vec::new();
+    for (priority, rate) in decisions.local_rates(now) {
+        let in_time = Rank {
+            priority,
+            late: false,
+        };
+        let reserve = decisions.reserve(now, in_time, load);
+        let labels = [
+            ("service", service.to_string()),
+            ("priority", priority.to_string()),
+        ];
+        metrics::gauge!("admission_rate", &labels).set(rate);
+        metrics::gauge!("admission_reserve", &labels).set(reserve);
+        levels.push(json!({ "priority": priority, "rate": rate, "reserve": reserve }));
+        rates_up_to.push(decisions.rate(now, priority.saturating_add(1), load));
+    }
     let source = match decisions.view.is_fresh(now) {
         true => "view",
         false => "local",
     };
-    let rates: Vec<f64> = (levels.iter())
-        .map(|(priority, ..)| decisions.rate(now, priority.saturating_add(1), load))
-        .collect();
-    let tail = decisions.first_events.tail().map(|t| t.as_millis() as u64);
-    let units = state.fleet.units_of(&ctx.service).into_iter();
+    let units = state.fleet.units_of(service).into_iter();
     let loads: Vec<f64> = units.map(|u| state.fleet.usable_load(now, u)).collect();
-    for (priority, rate, reserve) in &levels {
-        let labels = [
-            ("service", ctx.service.clone()),
-            ("priority", priority.to_string()),
-        ];
-        metrics::gauge!("admission_rate", &labels).set(*rate);
-        metrics::gauge!("admission_reserve", &labels).set(*reserve);
-    }
-    let levels: Vec<_> = levels
-        .into_iter()
-        .map(|(priority, rate, reserve)| {
-            json!({ "priority": priority, "rate": rate, "reserve": reserve })
-        })
-        .collect();
-    let fields = json!({
-        "service": ctx.service, "levels": levels, "rates_up_to": rates, "loads": loads, "gateways": load.gateways,
-        "slots": load.slots, "first_event_tail_ms": tail, "source": source,
-        "waiting": state.queues.get(&ctx.service).map_or(0, Queue::len),
-    });
-    drop(state);
-    shared.lines.put("admission", fields);
+    let tail = decisions.first_events.tail().map(|t| t.as_millis() as u64);
+    Some(json!({
+        "service": service, "levels": levels, "rates_up_to": rates_up_to, "loads": loads,
+        "gateways": load.gateways, "slots": load.slots, "first_event_tail_ms": tail,
+        "source": source, "waiting": state.queues.get(service).map_or(0, Queue::len),
+    }))
 }
 
 /// Counts a start and its work. Called before the request leaves the queue.
@@ -273,8 +261,8 @@
     move |position| Rank::from_queue_priority(position).priority == priority
 }
 
-/// The queued request whose turn it is, if the service differs in priority, and whether it has its
-/// turn by the floor of its priority, regardless of the reserve.
+/// The queued request whose turn it is, if the service is ranked, and whether it has its turn by the
+/// floor of its priority, regardless of the reserve.
 pub(crate) fn first(state: &State, now: Duration, service: &str) -> Option<(u64, bool)> {
     let decisions = &state.admissions.get(service)?.decisions;
     let queue = state.queues.get(service)?;
@@ -296,8 +284,7 @@
     Some((first?, due.is_some()))
 }
 
-/// What this gateway reports of the demand on services that differ in priority; `None` if there is
-/// no such service.
+/// What this gateway reports of the demand on ranked services; `None` if there is none.
 pub(crate) fn demand(shared: &Shared, with_accounts: bool) -> Option<wire::Demand> {
     let now = shared.now();
     let mut state = shared.state();
@@ -383,8 +370,8 @@
     Some(admission.decisions.expected_wait(now, &input, load))
 }
 
-/// Delay after which a refused caller should retry, if its service differs in priority. A caller
-/// retries only once: later refusals of it reserve no time.
+/// Delay after which a refused caller should retry, if its service is ranked. A caller retries only
+/// once: its later refusals reserve no time.
 pub(crate) fn retry_delay(
     shared: &Shared,
     ctx: &RequestContext,
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -160,7 +160,8 @@
             .collect()
     }
 
-    /// The first request of the highest priority, of the account for which `order` is lowest.
+    /// Id of the first request of the highest of these priorities, of the account for which `order`
+    /// is lowest.
     pub fn first_by(
         &self,
         matches: impl Fn(u32) -> bool,
