Document: levels of urgency from distinct priorities of accounts

The levels were sorted from all pairs of accounts and routes: with 10,000 accounts and 100 routes a million, at each gateway and coordinator for each document. Accounts have few different priorities.

--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -203,9 +203,10 @@
 }
 
 impl Urgency {
-    fn new(account: Option<&Account>, route: &Route) -> Urgency {
+    /// `account` is the account's priority, if there is an account and it names one.
+    fn new(account: Option<u32>, route: &Route) -> Urgency {
         Urgency {
-            account: account.and_then(|a| a.priority).unwrap_or(route.priority),
+            account: account.unwrap_or(route.priority),
             route: route.priority,
         }
     }
@@ -282,7 +283,8 @@
         route: &Route,
     ) -> Option<u32> {
         let levels = self.levels.get(service)?;
-        let level = levels.binary_search(&Urgency::new(account, route)).ok()?;
+        let urgency = Urgency::new(account.and_then(|a| a.priority), route);
+        let level = levels.binary_search(&urgency).ok()?;
         u32::try_from(level).ok().map(|level| level.min(LAST_LEVEL))
     }
 
@@ -336,12 +338,14 @@
         let first = priorities.next();
         priorities.any(|p| Some(p) != first)
     });
+    // Some thousand accounts have few different priorities. `None` is a caller without an account.
+    let mut priorities: Vec<Option<u32>> = accounts.iter().map(|a| a.priority).collect();
+    priorities.push(None);
+    priorities.sort_unstable();
+    priorities.dedup();
     let levels = |routes: Vec<&Route>| {
-        let without_account = routes.iter().map(|r| Urgency::new(None, r));
-        let with_account = routes
-            .iter()
-            .flat_map(|r| accounts.iter().map(|a| Urgency::new(Some(a), r)));
-        let mut levels: Vec<Urgency> = without_account.chain(with_account).collect();
+        let of_route = |r| priorities.iter().map(move |p| Urgency::new(*p, r));
+        let mut levels: Vec<Urgency> = routes.into_iter().flat_map(of_route).collect();
         levels.sort_unstable();
         levels.dedup();
         levels
