--- a/crates/admission/src/usage.rs
+++ b/crates/admission/src/usage.rs
@@ -1,14 +1,14 @@
 //! Work that client accounts got while others of their priority had to wait.
 
-use crate::floors::start_interval;
+use crate::floors::{MIN_INTERVAL, start_interval};
 use crate::{AccountId, Priority};
 use indexmap::IndexMap;
 use std::time::Duration;
 
 /// Time constant by which work is forgotten: bursts last some seconds.
 const MEMORY: Duration = Duration::from_secs(4);
-/// Work is reported for this time after an account's last start that others waited for: messages
-/// list no accounts soon after a burst.
+/// Work is reported for this time after an account's last start that others waited for, so that
+/// messages list no accounts once a burst is over.
 const REPORTED_FOR: Duration = Duration::from_secs(8);
 /// Arrivals below which an account without recent work is forgotten.
 const MIN_ARRIVALS: f64 = 0.05;
@@ -17,7 +17,7 @@
 
 #[derive(Debug, Clone, Default)]
 struct Account {
-    /// Tokens, and starts, decaying.
+    /// Tokens given lately, and first attempts that arrived lately; both decay.
     work: f64,
     arrivals: f64,
     updated: Duration,
@@ -53,7 +53,7 @@
 }
 
 impl Usage {
-    /// Counts a request of an account.
+    /// Counts a first attempt of an account.
     pub fn record_arrival(&mut self, now: Duration, priority: Priority, account: &str) {
         let key = (priority, account.to_string());
         let entry = self.accounts.entry(key).or_default();
@@ -104,12 +104,17 @@
         let Some(own) = self.accounts.get(&(priority, account.to_string())) else {
             return false;
         };
+        let passed = f64::from(own.passed) + 1.0;
+        // Decided without the sum over all accounts: a waiting request is looked at often.
+        if passed < MIN_INTERVAL {
+            return false;
+        }
         let of_priority = self.accounts.iter().filter(|((p, _), _)| *p == priority);
         let all: f64 = of_priority
             .map(|(_, a)| a.arrivals * fade(now, a.updated))
             .sum();
         let share = own.arrivals * fade(now, own.updated) / all.max(f64::MIN_POSITIVE);
-        f64::from(own.passed) + 1.0 >= start_interval(share)
+        passed >= start_interval(share)
     }
 
     /// Tokens per second that the sums of coordinators may contain of this gateway: since its last
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -160,7 +160,8 @@
             .collect()
     }
 
-    /// The first request of the highest priority, of the account for which `order` is lowest.
+    /// Id of the first request of the highest of these priorities, of the account for which `order`
+    /// is lowest.
     pub fn first_by(
         &self,
         matches: impl Fn(u32) -> bool,
@@ -170,8 +171,8 @@
         let waiting = waiting.filter(|((p, _), _)| matches(*p));
         let highest = waiting.clone().map(|((p, _), _)| *p).max()?;
         let of_highest = waiting.filter(|((p, _), _)| *p == highest);
-        let first = of_highest
-            .min_by(|((_, a), _), ((_, b), _)| order(highest, a).total_cmp(&order(highest, b)));
+        let ordered = of_highest.map(|((_, account), q)| (order(highest, account), q));
+        let first = ordered.min_by(|(a, _), (b, _)| a.total_cmp(b));
         first.and_then(|(_, q)| q.waiting.front().map(|r| r.id))
     }
 
