Gateway: a caller that reads a large event slowly is not ended

An event of up to 1 MB was one piece: it counted as taken, and its bytes as released, when the connection got it. A caller that read it for longer than 2 s was ended as soon as the next event waited, although it read all the time, and the event's memory was not counted meanwhile. The connection now takes 16 KB at a time, and the bytes are released with the last part.

--- a/crates/cli/tests/slow_readers.rs
+++ b/crates/cli/tests/slow_readers.rs
@@ -228,6 +228,43 @@
     expect_that!(fleet.last_line("g4", "stream_cut"), eq(""));
 }
 
+/// Guards against a caller that is ended although it reads a large event all the time: the event
+/// counted as taken when the connection got it, and the next one waited for longer than 2 s.
+#[googletest::test]
+fn a_caller_that_reads_large_events_slowly_gets_its_whole_stream() {
+    const LARGE_EVENT_BYTES: usize = 900 << 10;
+    // An event takes 4.5 s.
+    const READ_INTERVAL: Duration = Duration::from_millis(80);
+    let backend = Backend::start("a", |request, stream| {
+        if !request.start_line.contains("/draft/") {
+            return succeed(request, stream);
+        }
+        let data = "x".repeat(LARGE_EVENT_BYTES);
+        let events = (0..3).map(|n| format!("id: {n}\ndata: {data}\n\n"));
+        write_stream_head(request, stream)
+            && events
+                .into_iter()
+                .all(|e| write_text(stream, &format!("{:x}\r\n{e}\r\n", e.len())))
+            && write_text(stream, "0\r\n\r\n")
+    });
+    let fleet = start(74, MEMORY_MB, &backend);
+    let mut caller = send_request(fleet.callers(4), "/draft/large", "large-events");
+
+    let mut received = Vec::new();
+    let mut buffer = [0; 16 << 10];
+    while !received.ends_with(b"0\r\n\r\n") {
+        let length = caller.read(&mut buffer).unwrap_or(0);
+        assert!(length > 0, "cut after {} bytes", received.len());
+        received.extend_from_slice(&buffer[..length]);
+        // The pace itself is what is tested; one event at it is enough.
+        if received.len() < LARGE_EVENT_BYTES {
+            thread::sleep(READ_INTERVAL);
+        }
+    }
+
+    expect_that!(fleet.last_line("g4", "stream_cut"), eq(""));
+}
+
 /// Guards against memory that grows with every large answer that nobody reads, and against requests
 /// that wait for memory until their deadline instead of being refused at once.
 #[googletest::test]
--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -19,7 +19,7 @@
 /// Interval between two checks for slow readers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Bytes of an answer handed to the connection at a time, so that progress is seen.
-const PIECE_BYTES: usize = 16 << 10;
+pub(crate) const PIECE_BYTES: usize = 16 << 10;
 
 /// Buffered bytes of all requests.
 pub(crate) struct Buffers {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,7 +8,7 @@
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
 use crate::events::{MAX_EVENT_BYTES, Splitter};
-use crate::holding::Holding;
+use crate::holding::{Holding, PIECE_BYTES};
 use crate::plain;
 use crate::shared::{InFlightGuard, Shared};
 use crate::suspects::{self, Run};
@@ -26,7 +26,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::SendError;
@@ -78,6 +78,8 @@
     let holding = Arc::new(Holding::new(shared, Phase::Sending, ctx));
     let receiver = FrameStream {
         receiver,
+        rest: Bytes::new(),
+        queued_bytes: 0,
         holding: holding.clone(),
     };
     let forwarder = EventForwarder {
@@ -135,6 +137,10 @@
 /// The receiving end of the channel, as a body.
 struct FrameStream {
     receiver: mpsc::Receiver<FrameResult>,
+    /// What the connection has not taken yet of the events received last.
+    rest: Bytes,
+    /// Size of these events when they were received.
+    queued_bytes: usize,
     holding: Arc<Holding>,
 }
 
@@ -142,11 +148,29 @@
     type Item = FrameResult;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<FrameResult>> {
-        let polled = self.receiver.poll_recv(cx);
-        if let Poll::Ready(Some(Ok(frame))) = &polled {
-            self.holding.release(frame.data_ref().map_or(0, Bytes::len));
+        if self.rest.is_empty() {
+            let frame = match ready!(self.receiver.poll_recv(cx)) {
+                Some(Ok(frame)) => frame,
+                end => return Poll::Ready(end),
+            };
+            match frame.into_data() {
+                Ok(events) => self.rest = events,
+                Err(other) => return Poll::Ready(Some(Ok(other))),
+            }
+            self.queued_bytes = self.rest.len();
         }
-        polled
+        // A large event is handed over in pieces, so that a caller that reads it slowly is seen to
+        // make progress.
+        let length = self.rest.len().min(PIECE_BYTES);
+        let piece = self.rest.split_to(length);
+        // The pieces share one allocation, which is free only after the last one.
+        let freed = if self.rest.is_empty() {
+            self.queued_bytes
+        } else {
+            0
+        };
+        self.holding.release(freed);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 }
 
