Gateway: the time of a stop of the process is not a caller's stall

After the process was stopped for 2 s or more, the first check ended all callers that data was waiting for, before they could take any of it. A check that comes over 400 ms late now excludes that time.

--- a/crates/cli/tests/slow_readers.rs
+++ b/crates/cli/tests/slow_readers.rs
@@ -10,6 +10,7 @@
 use fleet::scripts::{response_head, succeed, write_text};
 use fleet::{Backend, Fleet, Message, request_head};
 use googletest::prelude::*;
+use nix::sys::signal::Signal::{SIGCONT, SIGSTOP};
 use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -265,6 +266,43 @@
     expect_that!(fleet.last_line("g4", "stream_cut"), eq(""));
 }
 
+/// Guards against callers that are ended when the gateway process continues after it was stopped,
+/// since the time of the stop counted as time without progress.
+#[googletest::test]
+fn a_stopped_gateway_ends_no_caller_when_it_continues() {
+    const EVENTS: usize = 300;
+    let backend = Backend::start("a", |request, stream| {
+        if !request.start_line.contains("/draft/") {
+            return succeed(request, stream);
+        }
+        write_stream_head(request, stream)
+            && (0..EVENTS).all(|n| write_text(stream, &event(n)))
+            && write_text(stream, "0\r\n\r\n")
+    });
+    let fleet = start(75, MEMORY_MB, &backend);
+    let mut caller = send_request(fleet.callers(4), "/draft/whole", "stopped");
+    let mut received = vec![0; 1 << 20];
+    caller.read_exact(&mut received).unwrap();
+    // Time in which all buffers fill up, so that data waits for the caller during the stop.
+    thread::sleep(MAX_STALL / 5);
+    fleet.signal("g4", SIGSTOP);
+    // The duration of the stop is what is tested.
+    thread::sleep(MAX_STALL * 3 / 2);
+    fleet.signal("g4", SIGCONT);
+    // Several checks of the gateway, so that the result does not depend on which comes first.
+    thread::sleep(MAX_STALL / 5);
+
+    let mut rest = Vec::new();
+    let mut buffer = [0; 16 << 10];
+    while !rest.ends_with(b"0\r\n\r\n") {
+        let length = caller.read(&mut buffer).unwrap_or(0);
+        assert!(length > 0, "cut after {} more bytes", rest.len());
+        rest.extend_from_slice(&buffer[..length]);
+    }
+
+    expect_that!(fleet.last_line("g4", "stream_cut"), eq(""));
+}
+
 /// Guards against memory that grows with every large answer that nobody reads, and against requests
 /// that wait for memory until their deadline instead of being refused at once.
 #[googletest::test]
--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Excludes a time in which the process stood still, and which ends now, from the times without
+    /// progress.
+    pub fn exclude_pause(&mut self, now: Duration, pause: Duration) {
+        for holder in self.holders.values_mut() {
+            holder.progress = (holder.progress + pause).min(now);
+        }
+    }
+
     /// Removes a holder with its bytes.
     pub fn close(&mut self, id: HolderId) {
         if let Some(holder) = self.holders.swap_remove(&id) {
--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -18,6 +18,9 @@
 
 /// Interval between two checks for slow readers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// A check that comes later than this shows that the process itself stood still, and its callers
+/// could not make progress.
+const MAX_CHECK_GAP: Duration = Duration::from_millis(400);
 /// Bytes of an answer handed to the connection at a time, so that progress is seen.
 pub(crate) const PIECE_BYTES: usize = 16 << 10;
 
@@ -91,9 +94,16 @@
 pub(crate) async fn watch(shared: Shared) {
     let mut timer = tokio::time::interval(CHECK_INTERVAL);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut last_check = shared.now();
     loop {
         timer.tick().await;
-        shared.buffers.end_stalled(shared.now(), &shared.lines);
+        let now = shared.now();
+        let gap = now.saturating_sub(last_check);
+        if gap > MAX_CHECK_GAP {
+            shared.buffers.books().account.exclude_pause(now, gap);
+        }
+        last_check = now;
+        shared.buffers.end_stalled(now, &shared.lines);
     }
 }
 
--- a/crates/gateway/tests/buffers.rs
+++ b/crates/gateway/tests/buffers.rs
@@ -116,3 +116,22 @@
     expect_that!(enough, is_empty());
     expect_that!(stalled_ids(&account, at(50)), eq(&vec![upload]));
 }
+
+/// Guards against the end of callers that read, after the gateway itself was stopped for longer
+/// than a caller may make no progress.
+#[gtest]
+fn a_pause_of_the_process_does_not_count_as_time_without_progress() {
+    let mut account = BufferAccount::new(None);
+    let before = sending(&mut account, at(0), 1_000);
+    let resumed = at(35);
+    let during = sending(&mut account, at(34), 1_000);
+
+    account.exclude_pause(resumed, at(30));
+    let at_once = stalled_ids(&account, resumed);
+    let later = stalled_ids(&account, at(50));
+    let last = stalled_ids(&account, at(55));
+
+    expect_that!(at_once, is_empty());
+    expect_that!(later, eq(&vec![before]));
+    expect_that!(last, unordered_elements_are![eq(&before), eq(&during)]);
+}
