Gateway: log each slow reader whose whole stream was received

The forwarder of a stream has ended once the backend server's stream is complete. A caller that then left up to 64 KB unread was ended without a stream_cut line, so that its request looked whole in the log. The end of the response body now writes the line, as for a plain answer.

--- a/crates/cli/tests/slow_readers.rs
+++ b/crates/cli/tests/slow_readers.rs
@@ -111,12 +111,17 @@
 
 /// Times without progress after which gateway 4 ended slow readers, from its log.
 fn stalls(fleet: &Fleet) -> Vec<Duration> {
+    let cuts = cuts(fleet).into_iter();
+    cuts.filter_map(|l| Some(Duration::from_millis(l["stalled_ms"].as_u64()?)))
+        .collect()
+}
+
+/// Log lines of the slow readers that gateway 4 ended.
+fn cuts(fleet: &Fleet) -> Vec<serde_json::Value> {
     let text = std::fs::read_to_string(fleet.log_path("g4")).unwrap();
     let lines = text.lines().filter_map(|l| serde_json::from_str(l).ok());
     let is_cut = |l: &serde_json::Value| l["event"] == "stream_cut" && l["why"] == "slow reader";
-    let cuts = lines.filter(is_cut);
-    cuts.filter_map(|l| Some(Duration::from_millis(l["stalled_ms"].as_u64()?)))
-        .collect()
+    lines.filter(is_cut).collect()
 }
 
 /// Guards against a gateway that runs out of memory, or serves the other callers worse, since 500
@@ -303,6 +308,51 @@
     expect_that!(fleet.last_line("g4", "stream_cut"), eq(""));
 }
 
+/// Guards against a caller that is ended without a line in the log since the gateway had already
+/// received its whole stream.
+#[googletest::test]
+fn each_slow_reader_is_logged() {
+    // From streams that fit into the sockets' buffers to one that the gateway cannot hold.
+    const SIZES: std::ops::Range<usize> = 4..40;
+    let backend = Backend::start("a", |request, stream| {
+        let Some((_, size)) = request.start_line.split_once("/draft/") else {
+            return succeed(request, stream);
+        };
+        let events: usize = size.split(' ').next().unwrap().parse().unwrap();
+        write_stream_head(request, stream)
+            && (0..events).all(|n| write_text(stream, &event(n)))
+            && write_text(stream, "0\r\n\r\n")
+    });
+    let fleet = start(76, MEMORY_MB, &backend);
+    let open = |size: usize| {
+        let path = format!("/draft/{size}");
+        let stream = send_request(fleet.callers(4), &path, &format!("slow-{size}"));
+        let socket = SockRef::from(&stream);
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+        (size, stream)
+    };
+    let callers: Vec<(usize, TcpStream)> = SIZES.map(open).collect();
+    let is_logged = |f: &Fleet, size: usize| {
+        let id = format!("slow-{size}");
+        cuts(f).iter().any(|l| l["request"] == id.as_str())
+    };
+    // All began to wait at about the same time.
+    fleet.wait("the end of the largest", |f| is_logged(f, SIZES.end - 1));
+
+    let was_cut = |mut stream: TcpStream| {
+        stream.set_read_timeout(Some(MAX_STALL / 10)).unwrap();
+        let ended = stream.read_to_end(&mut Vec::new());
+        ended.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset)
+    };
+    let cut: Vec<usize> = callers
+        .into_iter()
+        .filter_map(|(size, stream)| was_cut(stream).then_some(size))
+        .collect();
+
+    println!("cut, by number of events: {cut:?}");
+    fleet.wait("lines", |f| cut.iter().all(|size| is_logged(f, *size)));
+}
+
 /// Guards against memory that grows with every large answer that nobody reads, and against requests
 /// that wait for memory until their deadline instead of being refused at once.
 #[googletest::test]
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -12,6 +12,7 @@
 use bn_platform::header;
 use bn_route::ServerId;
 use bn_serve::Body;
+use bn_trace::Lines;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body as _, Bytes, Incoming};
@@ -161,13 +162,7 @@
     parts.headers.remove(header::LOAD);
     holding.set_phase(Phase::Sending);
     let (lines, request) = (shared.lines.clone(), ctx.id.clone());
-    let on_ended = move |stalled: Stalled| {
-        let fields = json!({
-            "request": request, "server": server, "why": SLOW_READER,
-            "bytes": stalled.bytes, "stalled_ms": stalled.stalled.as_millis() as u64,
-        });
-        lines.put("stream_cut", fields);
-    };
+    let on_ended = move |stalled: Stalled| log_slow_reader(&lines, &request, &server, stalled);
     let body = HeldBody {
         rest: body,
         holding,
@@ -175,3 +170,12 @@
     };
     Response::from_parts(parts, body.boxed())
 }
+
+/// Logs that a caller was ended although its answer was complete here.
+pub(crate) fn log_slow_reader(lines: &Lines, request: &str, server: &str, stalled: Stalled) {
+    let fields = json!({
+        "request": request, "server": server, "why": SLOW_READER,
+        "bytes": stalled.bytes, "stalled_ms": stalled.stalled.as_millis() as u64,
+    });
+    lines.put("stream_cut", fields);
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use crate::shared::{InFlightGuard, Shared};
 use crate::suspects::{self, Run};
 use bn_platform::header;
-use bn_route::Server;
+use bn_route::{Server, ServerId};
 use bn_serve::Body;
 use bn_settle::Route;
 use http_body_util::{BodyExt, StreamBody};
@@ -25,7 +25,7 @@
 use serde_json::json;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -76,11 +76,15 @@
     let placed_at = source.reservation.placed_at;
     let (frames, receiver) = mpsc::channel(QUEUE_CAPACITY);
     let holding = Arc::new(Holding::new(shared, Phase::Sending, ctx));
+    let whole_from = Arc::new(OnceLock::new());
     let receiver = FrameStream {
         receiver,
         rest: Bytes::new(),
         queued_bytes: 0,
         holding: holding.clone(),
+        shared: shared.clone(),
+        request: ctx.id.clone(),
+        whole_from: whole_from.clone(),
     };
     let forwarder = EventForwarder {
         shared: shared.clone(),
@@ -91,6 +95,7 @@
         placed_at,
         frames,
         holding,
+        whole_from,
         held_back: false,
     };
     tokio::spawn(async move {
@@ -142,6 +147,19 @@
     /// Size of these events when they were received.
     queued_bytes: usize,
     holding: Arc<Holding>,
+    shared: Shared,
+    request: String,
+    /// The backend server that the last event came from, once the whole stream was received.
+    whole_from: Arc<OnceLock<ServerId>>,
+}
+
+impl Drop for FrameStream {
+    fn drop(&mut self) {
+        // Until the whole stream is received, the forwarder logs its end.
+        if let (Some(stalled), Some(server)) = (self.holding.ended(), self.whole_from.get()) {
+            plain::log_slow_reader(&self.shared.lines, &self.request, server, stalled);
+        }
+    }
 }
 
 impl futures_core::Stream for FrameStream {
@@ -222,6 +240,8 @@
     frames: mpsc::Sender<FrameResult>,
     /// What is buffered for the caller.
     holding: Arc<Holding>,
+    /// Set when the whole stream was received.
+    whole_from: Arc<OnceLock<ServerId>>,
     /// Reading was last held back by the caller.
     held_back: bool,
 }
@@ -241,7 +261,9 @@
                         .put_back(now, source.connection, source.idle_timeout);
                     shared.state().fleet.record_success(now, &id);
                     suspects::on_complete(shared, &self.ctx);
-                    return self.log_event("stream_whole", &id, "");
+                    self.log_event("stream_whole", &id, "");
+                    self.whole_from.get_or_init(|| id);
+                    return;
                 }
                 ReadEnd::CallerLeft => {
                     self.on_run_lost(&run, true);
