--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/holding.rs
@@ -26,18 +26,18 @@
 
 /// Buffered bytes of all requests.
 pub(crate) struct Buffers {
-    books: Mutex<Books>,
+    state: Mutex<BuffersState>,
     /// Notified when memory may have become free.
     freed: Notify,
 }
 
-struct Books {
+struct BuffersState {
     account: BufferAccount,
-    enders: IndexMap<HolderId, Ender>,
+    callers: IndexMap<HolderId, Caller>,
 }
 
-/// Ends the connection of a holder's caller.
-struct Ender {
+/// The caller of a holder.
+struct Caller {
     request: String,
     abort: Abort,
     ended: Arc<OnceLock<Stalled>>,
@@ -46,47 +46,47 @@
 impl Buffers {
     pub(crate) fn new(memory_bytes: Option<u64>) -> Buffers {
         Buffers {
-            books: Mutex::new(Books {
+            state: Mutex::new(BuffersState {
                 account: BufferAccount::new(memory_bytes),
-                enders: IndexMap::new(),
+                callers: IndexMap::new(),
             }),
             freed: Notify::new(),
         }
     }
 
-    fn books(&self) -> MutexGuard<'_, Books> {
-        self.books.lock().unwrap_or_else(PoisonError::into_inner)
+    fn state(&self) -> MutexGuard<'_, BuffersState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// `None` if a new request is admitted, otherwise when it may come back.
     pub(crate) fn refuse_until(&self, now: Duration) -> Option<Duration> {
-        let books = self.books();
-        (!books.account.admits()).then(|| books.account.retry_after(now))
+        let state = self.state();
+        (!state.account.admits()).then(|| state.account.retry_after(now))
     }
 
     /// When a request that was refused for memory may come back.
     pub(crate) fn retry_after(&self, now: Duration) -> Duration {
-        self.books().account.retry_after(now)
+        self.state().account.retry_after(now)
     }
 
     fn end_stalled(&self, now: Duration, lines: &Lines) {
-        let books = self.books();
-        for stalled in books.account.stalled(now) {
-            let ender = books.enders.get(&stalled.id);
-            if let Some(ender) = ender.filter(|e| e.ended.set(stalled).is_ok()) {
+        let state = self.state();
+        for stalled in state.account.stalled(now) {
+            let caller = state.callers.get(&stalled.id);
+            if let Some(caller) = caller.filter(|c| c.ended.set(stalled).is_ok()) {
                 metrics::counter!("slow_readers_ended_total").increment(1);
-                ender.abort.abort();
+                caller.abort.abort();
                 // Its request is dropped with the connection; nobody else writes a line about it.
                 if stalled.phase == Phase::Receiving {
                     let fields = json!({
-                        "request": ender.request, "why": "no memory for a slow request body",
+                        "request": caller.request, "why": "no memory for a slow request body",
                         "bytes": stalled.bytes, "stalled_ms": stalled.stalled.as_millis() as u64,
                     });
                     lines.put("upload_cut", fields);
                 }
             }
         }
-        metrics::gauge!("gateway_buffered_bytes").set(books.account.total() as f64);
+        metrics::gauge!("gateway_buffered_bytes").set(state.account.total() as f64);
     }
 }
 
@@ -100,7 +100,7 @@
         let now = shared.now();
         let gap = now.saturating_sub(last_check);
         if gap > MAX_CHECK_GAP {
-            shared.buffers.books().account.exclude_pause(now, gap);
+            shared.buffers.state().account.exclude_pause(now, gap);
         }
         last_check = now;
         shared.buffers.end_stalled(now, &shared.lines);
@@ -116,15 +116,15 @@
 
 impl Holding {
     pub(crate) fn new(shared: &Shared, phase: Phase, ctx: &RequestContext) -> Holding {
-        let mut books = shared.buffers.books();
-        let id = books.account.open(shared.now(), phase);
+        let mut state = shared.buffers.state();
+        let id = state.account.open(shared.now(), phase);
         let ended = Arc::new(OnceLock::new());
-        let ender = Ender {
+        let caller = Caller {
             request: ctx.id.clone(),
             abort: ctx.abort.clone(),
             ended: ended.clone(),
         };
-        books.enders.insert(id, ender);
+        state.callers.insert(id, caller);
         Holding {
             shared: shared.clone(),
             id,
@@ -139,10 +139,10 @@
 
     /// Counts bytes if they fit.
     pub(crate) fn try_add(&self, bytes: usize) -> bool {
-        let mut books = self.shared.buffers.books();
-        let fits = books.account.fits(self.id, bytes as u64);
+        let mut state = self.shared.buffers.state();
+        let fits = state.account.fits(self.id, bytes as u64);
         if fits {
-            books.account.add(self.shared.now(), self.id, bytes as u64);
+            state.account.add(self.shared.now(), self.id, bytes as u64);
         }
         fits
     }
@@ -151,7 +151,7 @@
     pub(crate) async fn add(&self, bytes: usize, own_bound: usize) {
         loop {
             let freed = self.shared.buffers.freed.notified();
-            let held = self.shared.buffers.books().account.held(self.id) as usize;
+            let held = self.shared.buffers.state().account.held(self.id) as usize;
             if (held == 0 || held + bytes <= own_bound) && self.try_add(bytes) {
                 return;
             }
@@ -163,9 +163,9 @@
     /// caller that reads is not held back by those that don't.
     pub(crate) async fn add_events(&self, bytes: usize, own_bound: usize) {
         {
-            let mut books = self.shared.buffers.books();
-            if books.account.held(self.id) == 0 {
-                books.account.add(self.shared.now(), self.id, bytes as u64);
+            let mut state = self.shared.buffers.state();
+            if state.account.held(self.id) == 0 {
+                state.account.add(self.shared.now(), self.id, bytes as u64);
                 return;
             }
         }
@@ -174,9 +174,9 @@
 
     pub(crate) fn release(&self, bytes: usize) {
         let now = self.shared.now();
-        let mut books = self.shared.buffers.books();
-        books.account.release(now, self.id, bytes as u64);
-        drop(books);
+        let mut state = self.shared.buffers.state();
+        state.account.release(now, self.id, bytes as u64);
+        drop(state);
         self.shared.buffers.freed.notify_waiters();
     }
 
@@ -184,7 +184,7 @@
         let now = self.shared.now();
         self.shared
             .buffers
-            .books()
+            .state()
             .account
             .set_phase(now, self.id, phase);
     }
@@ -192,10 +192,10 @@
 
 impl Drop for Holding {
     fn drop(&mut self) {
-        let mut books = self.shared.buffers.books();
-        books.account.close(self.id);
-        books.enders.swap_remove(&self.id);
-        drop(books);
+        let mut state = self.shared.buffers.state();
+        state.account.close(self.id);
+        state.callers.swap_remove(&self.id);
+        drop(state);
         self.shared.buffers.freed.notify_waiters();
     }
 }
