--- a/crates/cli/tests/slow_readers.rs
+++ b/crates/cli/tests/slow_readers.rs
@@ -10,6 +10,7 @@
 use fleet::scripts::{response_head, succeed, write_text};
 use fleet::{Backend, Fleet, Message, request_head};
 use googletest::prelude::*;
+use nix::sys::signal::Signal::{SIGCONT, SIGSTOP};
 use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -110,12 +111,17 @@
 
 /// Times without progress after which gateway 4 ended slow readers, from its log.
 fn stalls(fleet: &Fleet) -> Vec<Duration> {
+    let cuts = cuts(fleet).into_iter();
+    cuts.filter_map(|l| Some(Duration::from_millis(l["stalled_ms"].as_u64()?)))
+        .collect()
+}
+
+/// Log lines of the slow readers that gateway 4 ended.
+fn cuts(fleet: &Fleet) -> Vec<serde_json::Value> {
     let text = std::fs::read_to_string(fleet.log_path("g4")).unwrap();
     let lines = text.lines().filter_map(|l| serde_json::from_str(l).ok());
     let is_cut = |l: &serde_json::Value| l["event"] == "stream_cut" && l["why"] == "slow reader";
-    let cuts = lines.filter(is_cut);
-    cuts.filter_map(|l| Some(Duration::from_millis(l["stalled_ms"].as_u64()?)))
-        .collect()
+    lines.filter(is_cut).collect()
 }
 
 /// Guards against a gateway that runs out of memory, or serves the other callers worse, since 500
@@ -228,6 +234,125 @@
     expect_that!(fleet.last_line("g4", "stream_cut"), eq(""));
 }
 
+/// Guards against a caller that is ended although it reads a large event all the time: the event
+/// counted as taken when the connection got it, and the next one waited for longer than 2 s.
+#[googletest::test]
+fn a_caller_that_reads_large_events_slowly_gets_its_whole_stream() {
+    const LARGE_EVENT_BYTES: usize = 900 << 10;
+    // An event takes 4.5 s.
+    const READ_INTERVAL: Duration = Duration::from_millis(80);
+    let backend = Backend::start("a", |request, stream| {
+        if !request.start_line.contains("/draft/") {
+            return succeed(request, stream);
+        }
+        let data = "x".repeat(LARGE_EVENT_BYTES);
+        let events = (0..3).map(|n| format!("id: {n}\ndata: {data}\n\n"));
+        write_stream_head(request, stream)
+            && events
+                .into_iter()
+                .all(|e| write_text(stream, &format!("{:x}\r\n{e}\r\n", e.len())))
+            && write_text(stream, "0\r\n\r\n")
+    });
+    let fleet = start(74, MEMORY_MB, &backend);
+    let mut caller = send_request(fleet.callers(4), "/draft/large", "large-events");
+
+    let mut received = Vec::new();
+    let mut buffer = [0; 16 << 10];
+    while !received.ends_with(b"0\r\n\r\n") {
+        let length = caller.read(&mut buffer).unwrap_or(0);
+        assert!(length > 0, "cut after {} bytes", received.len());
+        received.extend_from_slice(&buffer[..length]);
+        // The pace itself is what is tested; one event at it is enough.
+        if received.len() < LARGE_EVENT_BYTES {
+            thread::sleep(READ_INTERVAL);
+        }
+    }
+
+    expect_that!(fleet.last_line("g4", "stream_cut"), eq(""));
+}
+
+/// Guards against callers that are ended when the gateway process continues after it was stopped,
+/// since the time of the stop counted as time without progress.
+#[googletest::test]
+fn a_stopped_gateway_ends_no_caller_when_it_continues() {
+    const EVENTS: usize = 300;
+    let backend = Backend::start("a", |request, stream| {
+        if !request.start_line.contains("/draft/") {
+            return succeed(request, stream);
+        }
+        write_stream_head(request, stream)
+            && (0..EVENTS).all(|n| write_text(stream, &event(n)))
+            && write_text(stream, "0\r\n\r\n")
+    });
+    let fleet = start(75, MEMORY_MB, &backend);
+    let mut caller = send_request(fleet.callers(4), "/draft/whole", "stopped");
+    let mut received = vec![0; 1 << 20];
+    caller.read_exact(&mut received).unwrap();
+    // Time in which all buffers fill up, so that data waits for the caller during the stop.
+    thread::sleep(MAX_STALL / 5);
+    fleet.signal("g4", SIGSTOP);
+    // The duration of the stop is what is tested.
+    thread::sleep(MAX_STALL * 3 / 2);
+    fleet.signal("g4", SIGCONT);
+    // Several checks of the gateway, so that the result does not depend on which comes first.
+    thread::sleep(MAX_STALL / 5);
+
+    let mut rest = Vec::new();
+    let mut buffer = [0; 16 << 10];
+    while !rest.ends_with(b"0\r\n\r\n") {
+        let length = caller.read(&mut buffer).unwrap_or(0);
+        assert!(length > 0, "cut after {} more bytes", rest.len());
+        rest.extend_from_slice(&buffer[..length]);
+    }
+
+    expect_that!(fleet.last_line("g4", "stream_cut"), eq(""));
+}
+
+/// Guards against a caller that is ended without a line in the log since the gateway had already
+/// received its whole stream.
+#[googletest::test]
+fn each_slow_reader_is_logged() {
+    // From streams that fit into the sockets' buffers to one that the gateway cannot hold.
+    const SIZES: std::ops::Range<usize> = 4..40;
+    let backend = Backend::start("a", |request, stream| {
+        let Some((_, size)) = request.start_line.split_once("/draft/") else {
+            return succeed(request, stream);
+        };
+        let events: usize = size.split(' ').next().unwrap().parse().unwrap();
+        write_stream_head(request, stream)
+            && (0..events).all(|n| write_text(stream, &event(n)))
+            && write_text(stream, "0\r\n\r\n")
+    });
+    let fleet = start(76, MEMORY_MB, &backend);
+    let open = |size: usize| {
+        let path = format!("/draft/{size}");
+        let stream = send_request(fleet.callers(4), &path, &format!("slow-{size}"));
+        let socket = SockRef::from(&stream);
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+        (size, stream)
+    };
+    let callers: Vec<(usize, TcpStream)> = SIZES.map(open).collect();
+    let is_logged = |f: &Fleet, size: usize| {
+        let id = format!("slow-{size}");
+        cuts(f).iter().any(|l| l["request"] == id.as_str())
+    };
+    // All began to wait at about the same time.
+    fleet.wait("the end of the largest", |f| is_logged(f, SIZES.end - 1));
+
+    let was_cut = |mut stream: TcpStream| {
+        stream.set_read_timeout(Some(MAX_STALL / 10)).unwrap();
+        let ended = stream.read_to_end(&mut Vec::new());
+        ended.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset)
+    };
+    let cut: Vec<usize> = callers
+        .into_iter()
+        .filter_map(|(size, stream)| was_cut(stream).then_some(size))
+        .collect();
+
+    println!("cut, by number of events: {cut:?}");
+    fleet.wait("lines", |f| cut.iter().all(|size| is_logged(f, *size)));
+}
+
 /// Guards against memory that grows with every large answer that nobody reads, and against requests
 /// that wait for memory until their deadline instead of being refused at once.
 #[googletest::test]
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,12 +8,12 @@
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
 use crate::events::{MAX_EVENT_BYTES, Splitter};
-use crate::holding::Holding;
+use crate::holding::{Holding, PIECE_BYTES};
 use crate::plain;
 use crate::shared::{InFlightGuard, Shared};
 use crate::suspects::{self, Run};
 use bn_platform::header;
-use bn_route::Server;
+use bn_route::{Server, ServerId};
 use bn_serve::Body;
 use bn_settle::Route;
 use http_body_util::{BodyExt, StreamBody};
@@ -25,8 +25,8 @@
 use serde_json::json;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::sync::{Arc, OnceLock};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::SendError;
@@ -76,9 +76,15 @@
     let placed_at = source.reservation.placed_at;
     let (frames, receiver) = mpsc::channel(QUEUE_CAPACITY);
     let holding = Arc::new(Holding::new(shared, Phase::Sending, ctx));
+    let whole_from = Arc::new(OnceLock::new());
     let receiver = FrameStream {
         receiver,
+        rest: Bytes::new(),
+        queued_bytes: 0,
         holding: holding.clone(),
+        shared: shared.clone(),
+        request: ctx.id.clone(),
+        whole_from: whole_from.clone(),
     };
     let forwarder = EventForwarder {
         shared: shared.clone(),
@@ -89,6 +95,7 @@
         placed_at,
         frames,
         holding,
+        whole_from,
         held_back: false,
     };
     tokio::spawn(async move {
@@ -135,18 +142,53 @@
 /// The receiving end of the channel, as a body.
 struct FrameStream {
     receiver: mpsc::Receiver<FrameResult>,
+    /// What the connection has not taken yet of the events received last.
+    rest: Bytes,
+    /// Size of these events when they were received.
+    queued_bytes: usize,
     holding: Arc<Holding>,
+    shared: Shared,
+    request: String,
+    /// The backend server that the last event came from, once the whole stream was received.
+    whole_from: Arc<OnceLock<ServerId>>,
+}
+
+impl Drop for FrameStream {
+    fn drop(&mut self) {
+        // Until the whole stream is received, the forwarder logs its end.
+        if let (Some(stalled), Some(server)) = (self.holding.ended(), self.whole_from.get()) {
+            plain::log_slow_reader(&self.shared.lines, &self.request, server, stalled);
+        }
+    }
 }
 
 impl futures_core::Stream for FrameStream {
     type Item = FrameResult;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<FrameResult>> {
-        let polled = self.receiver.poll_recv(cx);
-        if let Poll::Ready(Some(Ok(frame))) = &polled {
-            self.holding.release(frame.data_ref().map_or(0, Bytes::len));
+        if self.rest.is_empty() {
+            let frame = match ready!(self.receiver.poll_recv(cx)) {
+                Some(Ok(frame)) => frame,
+                end => return Poll::Ready(end),
+            };
+            match frame.into_data() {
+                Ok(events) => self.rest = events,
+                Err(other) => return Poll::Ready(Some(Ok(other))),
+            }
+            self.queued_bytes = self.rest.len();
         }
-        polled
+        // A large event is handed over in pieces, so that a caller that reads it slowly is seen to
+        // make progress.
+        let length = self.rest.len().min(PIECE_BYTES);
+        let piece = self.rest.split_to(length);
+        // The pieces share one allocation, which is free only after the last one.
+        let freed = if self.rest.is_empty() {
+            self.queued_bytes
+        } else {
+            0
+        };
+        self.holding.release(freed);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 }
 
@@ -198,6 +240,8 @@
     frames: mpsc::Sender<FrameResult>,
     /// What is buffered for the caller.
     holding: Arc<Holding>,
+    /// Set when the whole stream was received.
+    whole_from: Arc<OnceLock<ServerId>>,
     /// Reading was last held back by the caller.
     held_back: bool,
 }
@@ -217,7 +261,9 @@
                         .put_back(now, source.connection, source.idle_timeout);
                     shared.state().fleet.record_success(now, &id);
                     suspects::on_complete(shared, &self.ctx);
-                    return self.log_event("stream_whole", &id, "");
+                    self.log_event("stream_whole", &id, "");
+                    self.whole_from.get_or_init(|| id);
+                    return;
                 }
                 ReadEnd::CallerLeft => {
                     self.on_run_lost(&run, true);
