Tests: demand at all gateways is shared for routes that differ in priority

Change: its document gives the two routes different priorities; the check asks for the least urgent of the four levels from a coordinator's sum, as before for the route's.

--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -387,8 +387,11 @@
     let fleet = Fleet::start(46);
     let backend = Backend::start("a", succeed);
     fleet.announce(&backend, "plain", "ready", 1);
+    let look = "\"safe\", \"timeout-ms\": 1000, \"target-latency-ms\": 100, \"priority\": ";
+    let ranked = fleet::document().replace(&format!("{look}2"), &format!("{look}3"));
+    fleet.commit_document(&ranked.replace(": 7,", ": 8,"));
 
-    // The open route and the account differ in priority.
+    // Levels of the service: the account on both routes, then each route without an account.
     fleet.wait("demand", |fleet| {
         for gateway in [4, 5] {
             let head = request_head("GET", "/look/1", "id", "");
@@ -397,7 +400,7 @@
         fleet.send(4, "POST", "/file/1", "id");
         let known = |id| {
             let line = fleet.last_line(id, "admission");
-            line.contains("\"source\":\"view\"") && line.contains("\"priority\":2")
+            line.contains("\"source\":\"view\"") && line.contains("\"priority\":3")
         };
         known("g4") && known("g5")
     });
