backpressure: gateways that are no senders share a part of a cold server's bound

Change: of the bound two fifths go to the senders (half before), so two views without a common sender hold four fifths, and a fifth is shared by all gateways that are no senders, by the number of gateways that coordinators know, 64 at least: right after a common start they have heard from few. While the number is not known nothing is sent, as before.

Existing tests are unchanged; the schedules tell gateways the number.

--- a/crates/backpressure/src/cold.rs
+++ b/crates/backpressure/src/cold.rs
@@ -3,7 +3,7 @@
 
 use crate::ServerId;
 use crate::schedule::{JOIN_DELAY, Schedule};
-use crate::senders::{GatewaySet, WINDOW, window_interval};
+use crate::senders::{GatewaySet, WINDOW, non_sender_interval, window_interval};
 use std::time::Duration;
 
 /// Smaller moves of the end are the varying delay of the messages that carry it.
@@ -52,6 +52,8 @@
     announced_until: Duration,
     /// Set from the first cold period on.
     schedule: Option<Schedule>,
+    /// Whether the schedule is that of a sender.
+    is_sender: bool,
     /// Number of changes of the end.
     pub(crate) changes: u64,
 }
@@ -117,16 +119,24 @@
         if first {
             self.schedule = None;
         }
-        let earliest = match first {
-            // Requests sent before the cold period was known count, and so do those that this
-            // gateway may have sent before it was restarted.
-            true => now
-                .max(last_sent.map_or(Duration::ZERO, |at| at + WINDOW))
-                .max(set.listed_at + JOIN_DELAY),
-            false => now + JOIN_DELAY,
+        // Requests sent before the cold period was known count.
+        let free_at = now.max(last_sent.map_or(Duration::ZERO, |at| at + WINDOW));
+        let joined_at = set.listed_at + JOIN_DELAY;
+        let own_share = window_interval(bound, id, set).filter(|_| now >= joined_at);
+        let (interval, earliest) = match (own_share, non_sender_interval(bound, set)) {
+            (None, Some(interval)) => (Some(interval), free_at),
+            (Some(interval), _) if first => (Some(interval), free_at),
+            (Some(interval), _) => (Some(interval), now + JOIN_DELAY),
+            // A sender may have sent its share before it was restarted.
+            (None, None) => (window_interval(bound, id, set), free_at.max(joined_at)),
         };
-        let interval = window_interval(bound, id, set);
+        let becomes_sender = own_share.is_some() && !self.is_sender;
+        self.is_sender = own_share.is_some();
         let schedule = self.schedule.get_or_insert_default();
+        if becomes_sender {
+            // The previous sender may not have received the change yet.
+            schedule.interval = None;
+        }
         schedule.set_interval(earliest, interval, draw) || first
     }
 
--- a/crates/backpressure/src/senders.rs
+++ b/crates/backpressure/src/senders.rs
@@ -24,9 +24,15 @@
 /// Added to intervals, so that the requests of a span and the first one after it are more than the
 /// span apart.
 const MARGIN: Duration = Duration::from_millis(1);
-/// Part of the bound that is handed out. Two views of the list of gateways may have no sender in
-/// common, since a gateway that is cut off holds an earlier list.
-const HANDED_OUT: f64 = 0.5;
+/// Part of the bound that is handed out to the senders. Two views of the list of gateways may have
+/// no sender in common, since a gateway that is cut off holds an earlier list.
+const HANDED_OUT: f64 = 0.4;
+/// Part of the bound for all gateways that are no senders, among them those that have just started:
+/// after a common loss of power no gateway is a sender yet, and all backend servers are cold.
+const NON_SENDERS: f64 = 0.2;
+/// Fewest gateways that are assumed to share that part: right after a common start, coordinators
+/// have heard from few.
+const MIN_RUNNING: u32 = 64;
 
 /// Determines a gateway's share of limits.
 #[derive(Debug, Clone, Default)]
@@ -37,6 +43,8 @@
     pub gateways: Vec<SocketAddr>,
     /// When this gateway's own address came onto the list that it knows.
     pub listed_at: Duration,
+    /// Number of gateways that coordinators know, named or not; 0 if it is not known.
+    pub running: u32,
 }
 
 /// Interval between two requests of this gateway to a backend server that accepts `rate` per second
@@ -61,6 +69,14 @@
     sends.then(|| WINDOW / share + MARGIN)
 }
 
+/// Interval between two requests to a cold backend server of a gateway that is no sender; `None` if
+/// the number of gateways is not known.
+pub(crate) fn non_sender_interval(bound: f64, set: &GatewaySet) -> Option<Duration> {
+    let running = f64::from(set.running.max(MIN_RUNNING));
+    let window = WINDOW.mul_f64(running / (bound * NON_SENDERS).max(f64::MIN_POSITIVE));
+    (set.running > 0 && bound > 0.0).then(|| window + MARGIN)
+}
+
 /// Whether this gateway is one of the first `senders` in the order of a backend server.
 fn is_sender(senders: usize, id: &ServerId, set: &GatewaySet) -> bool {
     let Some(own) = set.own.filter(|own| set.gateways.contains(own)) else {
--- a/crates/backpressure/tests/cold.rs
+++ b/crates/backpressure/tests/cold.rs
@@ -147,6 +147,7 @@
                     gateway.down_until = self.now + absence;
                     gateway.state = Backpressure::default();
                     gateway.set.gateways.clear();
+                    gateway.set.running = 0;
                     (gateway.informed, gateway.knows_start) = (0, false);
                 }
             }
@@ -187,6 +188,7 @@
                     gateway.set.listed_at = now;
                 }
                 gateway.set.gateways.clone_from(&list);
+                gateway.set.running = u32::try_from(list.len()).unwrap();
                 let set = &gateway.set;
                 gateway.state.reschedule(now, &id(), set, draw);
             }
@@ -381,6 +383,29 @@
     );
 }
 
+/// Failure: after a common loss of power all backend servers are cold, no gateway is a sender yet,
+/// and all requests are refused.
+#[googletest::test]
+fn gateways_that_are_no_senders_share_a_part_of_the_bound() {
+    let started = GatewaySet {
+        listed_at: START,
+        running: 40,
+        ..set(0, 0..24)
+    };
+
+    let first = assuming(START, 44.0, &started, 0.0);
+    let last = assuming(START, 44.0, &started, 1.0);
+
+    // 64 gateways with one request each in 8 s are 8.8 requests in 1.1 s, a fifth of 44.
+    expect_that!(first.next_send_at(), some(eq(START)));
+    expect_that!(first.interval(), none());
+    let spread = Duration::from_millis(8_001);
+    expect_that!(
+        last.next_send_at(),
+        some(eq((START + spread).min(START + COLD)))
+    );
+}
+
 /// Failure: requests sent just before a cold period became known come on top of the bound.
 #[googletest::test]
 fn requests_from_before_a_report_count() {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -257,6 +257,7 @@
         }
         let members = update.coordinators.iter().filter_map(|a| a.parse().ok());
         self.sources.set_members(&members.collect::<Vec<_>>());
+        self.set_gateway_count(update.gateways);
         self.adopt_evacuations(inbox, &update);
         self.adopt_document(inbox, &update);
         self.update_selection(update.named);
@@ -276,9 +277,14 @@
         for start in update.ended {
             self.on_remote_termination(&start.into());
         }
+    }
+
+    fn set_gateway_count(&self, count: u32) {
+        let count = count.max(1);
         let mut state = self.shared.state();
-        state.gateway_count = update.gateways.max(1);
-        state.fleet.peers = state.gateway_count - 1;
+        state.gateway_count = count;
+        state.fleet.peers = count - 1;
+        state.fleet.set_running(count);
     }
 
     /// Applies later evacuations. A document without them comes from a coordinator of an earlier
--- a/crates/route/src/backpressure.rs
+++ b/crates/route/src/backpressure.rs
@@ -59,6 +59,11 @@
         changed
     }
 
+    /// Sets the number of gateways that coordinators know.
+    pub fn set_running(&mut self, running: u32) {
+        self.gateways.running = running;
+    }
+
     /// Sets the gateways that callers are sent to.
     pub fn set_gateways(
         &mut self,
@@ -71,6 +76,7 @@
             true => self.gateways.listed_at,
             false => now,
         };
+        gateways.running = self.gateways.running;
         self.gateways = gateways;
         for server in self.servers.values_mut() {
             server
