Admission: one word for the level of a request, units in names

What made a newcomer stumble: ServiceLoad holds slots and gateways and no load; MIN_INTERVAL and MAX_INTERVAL count starts, not time; SHORT, LONG, BAND and MEMORY have no unit; least_loaded returns three bare numbers; "level", "level of urgency" and "service whose routes differ in priority" all stand for the same two terms; the tests of bn-admission don't say which failure they guard against.

Renamed: ServiceCapacity, starts_per_turn, MIN_STARTS_PER_TURN, SHORT_BUCKETS, LONG_BUCKETS, BAND_WIDTH, DECAY_TIME, MIN_START_RATIO, MAX_DEMAND_AGE, and in the gateway update_ranked_services, local_demand, first_queued, report_admission. UnitLoad replaces the tuple. Only names, comments and test descriptions change.

Tests run: bn-admission, bn-limit, bn-settle, bn-gateway.

--- a/crates/admission/src/arrivals.rs
+++ b/crates/admission/src/arrivals.rs
@@ -6,15 +6,15 @@
 
 /// Width of a counting bucket.
 const BUCKET: Duration = Duration::from_millis(100);
-/// Buckets of the short window, 1 s: a burst doubles a rate within a second.
-const SHORT: usize = 10;
-/// Buckets of the long window, 5 s.
-const LONG: usize = 50;
+/// Number of buckets in the short window of 1 s: a burst doubles a rate within a second.
+const SHORT_BUCKETS: usize = 10;
+/// Number of buckets in the long window of 5 s.
+const LONG_BUCKETS: usize = 50;
 
 /// Arrivals of one priority in a ring of buckets.
 #[derive(Debug, Clone)]
 struct Counts {
-    buckets: [u32; LONG],
+    buckets: [u32; LONG_BUCKETS],
     /// Number of the newest bucket.
     newest: u64,
     /// Number of the first bucket: rates are taken over the time since then.
@@ -24,16 +24,16 @@
 impl Counts {
     fn new(bucket: u64) -> Counts {
         Counts {
-            buckets: [0; LONG],
+            buckets: [0; LONG_BUCKETS],
             newest: bucket,
             first: bucket,
         }
     }
 
     fn advance(&mut self, bucket: u64) {
-        let passed = bucket.saturating_sub(self.newest).min(LONG as u64);
+        let passed = bucket.saturating_sub(self.newest).min(LONG_BUCKETS as u64);
         for step in 1..=passed {
-            let index = (bucket - passed + step) % LONG as u64;
+            let index = (bucket - passed + step) % LONG_BUCKETS as u64;
             self.buckets[index as usize] = 0;
         }
         self.newest = self.newest.max(bucket);
@@ -42,13 +42,13 @@
     /// Number of arrivals in the last `window` buckets, and the seconds that these cover.
     fn sum(&self, bucket: u64, window: usize) -> (f64, f64) {
         let oldest = (bucket + 1).saturating_sub(window as u64).max(self.first);
-        let kept = (self.newest + 1).saturating_sub(LONG as u64);
+        let kept = (self.newest + 1).saturating_sub(LONG_BUCKETS as u64);
         let counted = oldest.max(kept)..=self.newest;
         let sum: u32 = counted
-            .map(|b| self.buckets[(b % LONG as u64) as usize])
+            .map(|b| self.buckets[(b % LONG_BUCKETS as u64) as usize])
             .sum();
         // A shorter time than the short window would show one arrival as a high rate.
-        let covered = ((bucket + 1).saturating_sub(oldest)).max(SHORT as u64);
+        let covered = ((bucket + 1).saturating_sub(oldest)).max(SHORT_BUCKETS as u64);
         (f64::from(sum), covered as f64 * BUCKET.as_secs_f64())
     }
 }
@@ -68,7 +68,7 @@
             .entry(priority)
             .or_insert_with(|| Counts::new(bucket));
         counts.advance(bucket);
-        counts.buckets[(bucket % LONG as u64) as usize] += 1;
+        counts.buckets[(bucket % LONG_BUCKETS as u64) as usize] += 1;
     }
 
     /// Requests per second of a priority: the mean of the last 5 s, or that of the last second less
@@ -78,8 +78,8 @@
         let Some(counts) = self.by_priority.get(&priority) else {
             return 0.0;
         };
-        let (long, long_s) = counts.sum(bucket(now), LONG);
-        let (short, short_s) = counts.sum(bucket(now), SHORT);
+        let (long, long_s) = counts.sum(bucket(now), LONG_BUCKETS);
+        let (short, short_s) = counts.sum(bucket(now), SHORT_BUCKETS);
         (long / long_s).max((short - short.sqrt()) / short_s)
     }
 
--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 /// Age from which a report or a sum no longer counts: two polls of one coordinator and a margin.
-pub const MAX_AGE: Duration = Duration::from_secs(2);
-/// Maximum number of services and priorities accepted in one report.
+pub const MAX_DEMAND_AGE: Duration = Duration::from_secs(2);
+/// Maximum number of pairs of service and priority accepted in one report.
 const MAX_LEVELS: usize = 64;
 
 /// First attempts of one priority.
@@ -28,7 +28,7 @@
     pub levels: IndexMap<(ServiceId, Priority), LevelDemand>,
     /// Tokens per second by service, priority and account.
     pub accounts: IndexMap<(ServiceId, Priority, AccountId), f64>,
-    /// Number of gateways that it covers.
+    /// Number of gateways whose demand is included.
     pub gateways: u32,
 }
 
@@ -145,7 +145,7 @@
 
     /// Sum over the gateways that reported lately. Gateways that stopped reporting are forgotten.
     pub fn sum(&mut self, now: Duration) -> Demand {
-        self.reports.retain(|_, r| now < r.at + MAX_AGE);
+        self.reports.retain(|_, r| now < r.at + MAX_DEMAND_AGE);
         let mut sum = Demand {
             gateways: u32::try_from(self.reports.len()).unwrap_or(u32::MAX),
             ..Demand::default()
@@ -156,7 +156,7 @@
                 total.rate += level.rate;
                 total.waiting = total.waiting.saturating_add(level.waiting);
             }
-            let fresh = now < report.accounts_at + MAX_AGE;
+            let fresh = now < report.accounts_at + MAX_DEMAND_AGE;
             for (key, rate) in report.accounts.iter().filter(|_| fresh) {
                 *sum.accounts.entry(key.clone()).or_default() += rate;
             }
--- a/crates/admission/src/floors.rs
+++ b/crates/admission/src/floors.rs
@@ -3,13 +3,12 @@
 use crate::Priority;
 use indexmap::IndexMap;
 
-/// Starts of a priority over its arrivals, relative to those of all requests, that the floor aims
-/// at. A priority below a quarter counts as starved; the margin covers requests that are refused
-/// before their turn.
-const MIN_RELATIVE: f64 = 0.3;
-/// Bounds of the number of starts of which one goes to a waiting priority.
-pub(crate) const MIN_INTERVAL: f64 = 4.0;
-const MAX_INTERVAL: f64 = 32.0;
+/// Minimum ratio of a priority's starts per arrival to the starts per arrival of all requests. Below
+/// 0.25 a priority counts as starved; the margin covers requests that are refused before their turn.
+const MIN_START_RATIO: f64 = 0.3;
+/// Bounds of [`starts_per_turn`].
+pub(crate) const MIN_STARTS_PER_TURN: f64 = 4.0;
+const MAX_STARTS_PER_TURN: f64 = 32.0;
 
 /// Counts the starts since each priority's last one.
 #[derive(Debug, Clone, Default)]
@@ -38,7 +37,7 @@
     pub fn due(&self, waiting: &[Priority], share: impl Fn(Priority) -> f64) -> Option<Priority> {
         let overdue = |p: &&Priority| {
             let skipped = self.skipped.get(*p).copied().unwrap_or(0);
-            f64::from(skipped) + 1.0 >= start_interval(share(**p))
+            f64::from(skipped) + 1.0 >= starts_per_turn(share(**p))
         };
         waiting.iter().filter(overdue).max().copied()
     }
@@ -46,11 +45,11 @@
 
 /// Number of starts of which one goes to a priority with this share of all arrivals. A constant
 /// would take more from urgent requests than a rare priority needs.
-pub(crate) fn start_interval(share: f64) -> f64 {
+pub(crate) fn starts_per_turn(share: f64) -> f64 {
     let share = if share.is_finite() {
         share.clamp(0.0, 1.0)
     } else {
         0.0
     };
-    (1.0 / (MIN_RELATIVE * share)).clamp(MIN_INTERVAL, MAX_INTERVAL)
+    (1.0 / (MIN_START_RATIO * share)).clamp(MIN_STARTS_PER_TURN, MAX_STARTS_PER_TURN)
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,8 +2,8 @@
 //! how long it may wait, and when it should be retried after a refusal. The decisions do no I/O:
 //! they take inputs and the time.
 //!
-//! Only ranked services use this crate, whose routes differ in priority. A request's priority here
-//! is its level of urgency in the document.
+//! This crate is used for ranked services only: those whose routes differ in priority. A
+//! [`Priority`] here is a request's level: its position in the service's order of urgency.
 
 mod arrivals;
 mod demand;
@@ -17,17 +17,17 @@
 mod view;
 
 pub use arrivals::Arrivals;
-pub use demand::{Demand, DemandSum, LevelDemand, MAX_AGE, ReceivedDemand};
+pub use demand::{Demand, DemandSum, LevelDemand, MAX_DEMAND_AGE, ReceivedDemand};
 pub use first_events::FirstEvents;
 pub use floors::Floors;
 pub use rank::Rank;
 pub use reserve::reserved_slots;
 pub use retries::{RetryInput, RetrySchedule};
-pub use service::{Admission, LoadLimits, ServiceLoad, WaitInput};
+pub use service::{Admission, LoadLimits, ServiceCapacity, WaitInput};
 pub use usage::Usage;
 pub use view::View;
 
-/// Priority of a request; 0 is the most urgent.
+/// Level of a request in its ranked service; 0 is the most urgent.
 pub type Priority = u32;
 /// Name of a service.
 pub type ServiceId = String;
--- a/crates/admission/src/rank.rs
+++ b/crates/admission/src/rank.rs
@@ -2,14 +2,14 @@
 
 use crate::Priority;
 
-/// Number of priorities that are told apart; less urgent ones count as the last.
+/// Number of priorities that queues distinguish; less urgent ones count as the last.
 const PRIORITIES: Priority = 10;
 
 /// Urgency of a request: its priority first, and within one priority requests that can still be in
 /// time before late ones. A retry is therefore never placed behind a less urgent newcomer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Rank {
-    /// Priority of its route or account.
+    /// Its level on a ranked service, otherwise the priority of its account or route.
     pub priority: Priority,
     /// It can no longer be in time.
     pub late: bool,
--- a/crates/admission/src/retries.rs
+++ b/crates/admission/src/retries.rs
@@ -9,9 +9,10 @@
 const MIN_DELAY: Duration = Duration::from_millis(900);
 /// Fraction of the delay by which it is spread.
 const SPREAD: f64 = 0.3;
-/// Part of the latest delay given to each priority if there is no capacity before.
-const BAND: f64 = 0.15;
-/// Number of these parts; less urgent priorities share the last one.
+/// Width of a band, as a fraction of the latest delay. If no capacity is expected before its band, a
+/// priority's retries are spread over it; bands of more urgent priorities come first.
+const BAND_WIDTH: f64 = 0.15;
+/// Number of bands, up to the latest delay; less urgent priorities share the last one.
 const BANDS: u32 = 3;
 /// Fraction of the starts that is assumed to be left for retries even if more urgent first attempts
 /// take all of them now.
@@ -49,11 +50,11 @@
         let latest = input.latest.as_secs_f64();
         let expected = MIN_DELAY.as_secs_f64().max((ahead as f64 + 1.0) / free);
         let delay = expected * (1.0 + SPREAD * random);
-        // The part of the latest delay for this priority, and where it starts.
+        // Where the band of this priority starts.
         let band = f64::from(input.priority.min(BANDS - 1));
-        let start = latest * (1.0 - BAND * (f64::from(BANDS) - band));
+        let start = latest * (1.0 - BAND_WIDTH * (f64::from(BANDS) - band));
         let delay = match expected > start {
-            true => start + BAND * latest * random,
+            true => start + BAND_WIDTH * latest * random,
             false => delay.min(latest),
         };
         let delay = Duration::from_secs_f64(delay);
--- a/crates/admission/src/service.rs
+++ b/crates/admission/src/service.rs
@@ -2,7 +2,7 @@
 
 use crate::arrivals::Arrivals;
 use crate::first_events::FirstEvents;
-use crate::floors::{Floors, start_interval};
+use crate::floors::{Floors, starts_per_turn};
 use crate::rank::Rank;
 use crate::reserve::{VIEW_LAG, reserved_slots};
 use crate::retries::RetrySchedule;
@@ -12,13 +12,13 @@
 use indexmap::IndexSet;
 use std::time::Duration;
 
-/// Part of the slots by which the limit of an account is lowered per multiple of the mean work that
-/// it got beyond the mean, while requests of its priority wait. An account that reaches few
-/// gateways then gets slots there that others leave. In the model of 40 gateways, the served shares
-/// of an account at one gateway and one at all differ by 0.27 without a margin, by 0.09 with this
-/// one, and by 0.22 with 0.05 for both figures: then the limit of the former falls, too.
+/// Fraction of the slots by which the limit of an account is lowered while requests of its priority
+/// wait, for each multiple of the accounts' mean work by which its own exceeds the mean. An account
+/// that reaches few gateways then finds free slots there. In the model of 40 gateways, the served
+/// shares of an account at one gateway and one at all differ by 0.27 without a margin, by 0.09 with
+/// this one, and by 0.22 if both constants are 0.05.
 const ACCOUNT_MARGIN: f64 = 0.03;
-/// Maximum of this part.
+/// Maximum of this fraction.
 const MAX_ACCOUNT_MARGIN: f64 = 0.03;
 
 /// Fill limits of a unit for requests of the most urgent rank and for late ones, as the fill
@@ -31,9 +31,9 @@
     pub late: f64,
 }
 
-/// What a service's gateways and backend servers have.
+/// Size of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ServiceLoad {
+pub struct ServiceCapacity {
     /// Slots of the usable backend servers.
     pub slots: f64,
     /// Number of gateways that callers are sent to.
@@ -93,9 +93,9 @@
 
     /// Rate at all gateways of first attempts of priorities below `below`: as coordinators report
     /// it, otherwise as if all gateways had as many as this one.
-    pub fn rate(&self, now: Duration, below: Priority, load: ServiceLoad) -> f64 {
+    pub fn rate(&self, now: Duration, below: Priority, capacity: ServiceCapacity) -> f64 {
         let local = self.local_rate(now, below);
-        let gateways = load.gateways.max(1);
+        let gateways = capacity.gateways.max(1);
         match self.view.rate(now, below, gateways) {
             Some(rate) => rate.max(local),
             None => local * f64::from(gateways),
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Part of the slots that an account may not use while others of its priority have to wait.
+    /// Fraction of the slots that an account may not use while others of its priority have to wait.
     /// `waiting` says whether some wait at this gateway.
     pub fn account_margin(
         &self,
@@ -160,9 +160,9 @@
     }
 
     /// Load over slots that is kept free for requests more urgent than this rank.
-    pub fn reserve(&self, now: Duration, rank: Rank, load: ServiceLoad) -> f64 {
-        let rate = self.rate(now, rank.reserve_below(), load);
-        reserved_slots(rate, VIEW_LAG, 0.0) / load.slots.max(1.0)
+    pub fn reserve(&self, now: Duration, rank: Rank, capacity: ServiceCapacity) -> f64 {
+        let rate = self.rate(now, rank.reserve_below(), capacity);
+        reserved_slots(rate, VIEW_LAG, 0.0) / capacity.slots.max(1.0)
     }
 
     /// Mean load over slots of a unit below which a request of this rank is placed. `margin` is
@@ -172,10 +172,10 @@
         now: Duration,
         rank: Rank,
         limits: LoadLimits,
-        load: ServiceLoad,
+        capacity: ServiceCapacity,
         margin: f64,
     ) -> f64 {
-        let reduced = limits.in_time - self.reserve(now, rank, load) - margin;
+        let reduced = limits.in_time - self.reserve(now, rank, capacity) - margin;
         // A large reserve must not stop less urgent requests while most slots are free.
         let reduced = reduced.max(limits.in_time / 2.0);
         match rank.late {
@@ -205,15 +205,20 @@
     /// Expected wait of a request: until the load has fallen to what its rank may use, and until
     /// the requests ahead of it have started. More urgent requests that arrive meanwhile take their
     /// part of the starts, but never more than the floor of its priority leaves.
-    pub fn expected_wait(&self, now: Duration, input: &WaitInput, load: ServiceLoad) -> Duration {
+    pub fn expected_wait(
+        &self,
+        now: Duration,
+        input: &WaitInput,
+        capacity: ServiceCapacity,
+    ) -> Duration {
         if input.start_rate <= 0.0 {
             return Duration::ZERO;
         }
-        let floor = input.start_rate / start_interval(self.share(now, input.rank.priority));
+        let floor = input.start_rate / starts_per_turn(self.share(now, input.rank.priority));
         let urgent = self.local_rate(now, input.rank.reserve_below());
         let free = (input.start_rate - urgent).max(floor);
         // Each gateway releases its part of the load above the limit.
-        let excess = input.excess.max(0.0) * load.slots / f64::from(load.gateways.max(1));
+        let excess = input.excess.max(0.0) * capacity.slots / f64::from(capacity.gateways.max(1));
         Duration::from_secs_f64(((excess + input.ahead) / free).min(3600.0))
     }
 }
--- a/crates/admission/src/usage.rs
+++ b/crates/admission/src/usage.rs
@@ -1,14 +1,14 @@
 //! Work that client accounts got while others of their priority had to wait.
 
-use crate::floors::{MIN_INTERVAL, start_interval};
+use crate::floors::{MIN_STARTS_PER_TURN, starts_per_turn};
 use crate::{AccountId, Priority};
 use indexmap::IndexMap;
 use std::time::Duration;
 
-/// Time constant by which work is forgotten: bursts last some seconds.
-const MEMORY: Duration = Duration::from_secs(4);
-/// Work is reported for this time after an account's last start that others waited for, so that
-/// messages list no accounts once a burst is over.
+/// Time constant of the decay of work and arrivals: bursts last some seconds.
+const DECAY_TIME: Duration = Duration::from_secs(4);
+/// An account is reported for this time after its last start while others waited, so that messages
+/// list no accounts once a burst is over.
 const REPORTED_FOR: Duration = Duration::from_secs(8);
 /// Arrivals below which an account without recent work is forgotten.
 const MIN_ARRIVALS: f64 = 0.05;
@@ -21,7 +21,7 @@
     work: f64,
     arrivals: f64,
     updated: Duration,
-    /// Last start that others waited for.
+    /// Last start while other accounts waited.
     started: Option<Duration>,
     /// Tokens per second in the last report to a coordinator.
     reported: f64,
@@ -43,7 +43,7 @@
 }
 
 fn fade(now: Duration, updated: Duration) -> f64 {
-    (-now.saturating_sub(updated).as_secs_f64() / MEMORY.as_secs_f64()).exp()
+    (-now.saturating_sub(updated).as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
 }
 
 /// Recent work of the accounts at one gateway, by priority.
@@ -87,14 +87,14 @@
     pub fn rate(&self, now: Duration, priority: Priority, account: &str) -> f64 {
         let found = self.accounts.get(&(priority, account.to_string()));
         found.map_or(0.0, |a| {
-            a.work * fade(now, a.updated) / MEMORY.as_secs_f64()
+            a.work * fade(now, a.updated) / DECAY_TIME.as_secs_f64()
         })
     }
 
     /// Tokens per second of all accounts with recent work.
     pub fn rates(&self, now: Duration) -> impl Iterator<Item = (&(Priority, AccountId), f64)> {
         let recent = self.accounts.iter().filter(move |(_, a)| a.is_recent(now));
-        let rate = move |a: &Account| a.work * fade(now, a.updated) / MEMORY.as_secs_f64();
+        let rate = move |a: &Account| a.work * fade(now, a.updated) / DECAY_TIME.as_secs_f64();
         recent.map(move |(key, a)| (key, rate(a)))
     }
 
@@ -106,7 +106,7 @@
         };
         let passed = f64::from(own.passed) + 1.0;
         // Decided without the sum over all accounts: a waiting request is looked at often.
-        if passed < MIN_INTERVAL {
+        if passed < MIN_STARTS_PER_TURN {
             return false;
         }
         let of_priority = self.accounts.iter().filter(|((p, _), _)| *p == priority);
@@ -114,11 +114,11 @@
             .map(|(_, a)| a.arrivals * fade(now, a.updated))
             .sum();
         let share = own.arrivals * fade(now, own.updated) / all.max(f64::MIN_POSITIVE);
-        passed >= start_interval(share)
+        passed >= starts_per_turn(share)
     }
 
-    /// Tokens per second that the sums of coordinators may contain of this gateway: since its last
-    /// report the rate may have changed.
+    /// Tokens per second of an account at this gateway that a coordinator's sum may include: the
+    /// last reported rate or the current one, whichever is higher.
     pub fn reported(&self, now: Duration, priority: Priority, account: &str) -> f64 {
         let found = self.accounts.get(&(priority, account.to_string()));
         let reported = found.map_or(0.0, |a| a.reported);
@@ -129,7 +129,7 @@
     pub fn record_report(&mut self, now: Duration) {
         for account in self.accounts.values_mut() {
             account.decay(now);
-            account.reported = account.work / MEMORY.as_secs_f64();
+            account.reported = account.work / DECAY_TIME.as_secs_f64();
         }
     }
 
--- a/crates/admission/src/view.rs
+++ b/crates/admission/src/view.rs
@@ -1,6 +1,6 @@
 //! A gateway's view of the demand on one service at all gateways.
 
-use crate::demand::{Demand, LevelDemand, MAX_AGE};
+use crate::demand::{Demand, LevelDemand, MAX_DEMAND_AGE};
 use crate::{AccountId, Priority};
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -46,9 +46,9 @@
             .collect();
     }
 
-    /// Whether it may be used.
+    /// Whether the last update is recent enough to be used.
     pub fn is_fresh(&self, now: Duration) -> bool {
-        self.received.is_some_and(|at| now < at + MAX_AGE)
+        self.received.is_some_and(|at| now < at + MAX_DEMAND_AGE)
     }
 
     /// Rate of first attempts of priorities below `below` at `gateways` gateways, scaled up from
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use bn_admission::{
-    Admission, FirstEvents, LoadLimits, Rank, RetryInput, RetrySchedule, ServiceLoad,
+    Admission, FirstEvents, LoadLimits, Rank, RetryInput, RetrySchedule, ServiceCapacity,
     reserved_slots,
 };
 use googletest::prelude::*;
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
 
-const LOAD: ServiceLoad = ServiceLoad {
+const CAPACITY: ServiceCapacity = ServiceCapacity {
     slots: 720.0,
     gateways: 40,
 };
@@ -47,23 +47,33 @@
     }
 }
 
+/// Guards against slots that stay empty although no more urgent requests arrive.
 #[gtest]
 fn nothing_is_reserved_where_no_more_urgent_requests_arrive() {
     let admission = with_rate(2, 10);
-    expect_that!(admission.reserve(ms(5_000), rank(2, false), LOAD), eq(0.0));
-    expect_that!(admission.reserve(ms(60_000), rank(3, false), LOAD), eq(0.0));
+    expect_that!(
+        admission.reserve(ms(5_000), rank(2, false), CAPACITY),
+        eq(0.0)
+    );
+    expect_that!(
+        admission.reserve(ms(60_000), rank(3, false), CAPACITY),
+        eq(0.0)
+    );
 }
 
+/// Guards against a reserve that is too small for the urgent requests that arrive while the view of
+/// the load lags, and against a rate that is not a number.
 #[gtest]
 fn the_reserve_is_the_arrivals_within_the_lag_and_two_deviations() {
     let admission = with_rate(0, 2);
-    let reserve = admission.reserve(ms(4_999), rank(1, false), LOAD) * LOAD.slots;
+    let reserve = admission.reserve(ms(4_999), rank(1, false), CAPACITY) * CAPACITY.slots;
     // 2 per second at each of 40 gateways.
     expect_that!(reserve, near(16.0 + 2.0 * 4.0, 0.01));
     expect_that!(reserved_slots(80.0, ms(200), 7.0), near(16.0 + 14.0, 0.01));
     expect_that!(reserved_slots(f64::NAN, ms(200), 0.0), eq(0.0));
 }
 
+/// Guards against a reserve that follows a burst only after the burst has ended.
 #[gtest]
 fn a_burst_shows_in_the_rate_within_a_second() {
     let mut admission = with_rate(0, 10);
@@ -73,18 +83,20 @@
     expect_that!(admission.local_rate(ms(5_999), 1), ge(20.0));
 }
 
-// A retry that queues behind newcomers of lower urgency would never be served in a burst.
+/// Guards against a retry that queues behind newcomers of lower urgency and is never served in a
+/// burst.
 #[gtest]
 fn a_retry_is_placed_before_less_urgent_newcomers_and_may_use_as_much_load() {
     let admission = with_rate(0, 2);
     let (retry, newcomer) = (rank(0, true), rank(1, false));
     expect_that!(retry.queue_priority(), gt(newcomer.queue_priority()));
-    let load = |rank| admission.max_load(ms(4_999), rank, LIMITS, LOAD, 0.0);
+    let load = |rank| admission.max_load(ms(4_999), rank, LIMITS, CAPACITY, 0.0);
     expect_that!(load(retry), ge(load(newcomer)));
     expect_that!(load(rank(5, true)), ge(LIMITS.late));
 }
 
-// Services of one priority use the same queue positions and limits as before there were ranks.
+/// Guards against services of one priority that are admitted differently from before there were
+/// ranks.
 #[gtest]
 fn requests_of_one_priority_keep_their_order_and_load() {
     let mut rng = SmallRng::seed_from_u64(7);
@@ -100,13 +112,13 @@
             in_time: rng.random_range(0.25..1.0),
             late: 0.1,
         };
-        let load = admission.max_load(ms(5_000), rank(priority, false), limits, LOAD, 0.0);
+        let load = admission.max_load(ms(5_000), rank(priority, false), limits, CAPACITY, 0.0);
         expect_that!(load, eq(limits.in_time));
         expect_that!(admission.due(ms(5_000), &[priority]), none());
     }
 }
 
-// While urgent requests take all capacity, a less urgent kind must still be served now and then.
+/// Guards against less urgent requests that are starved while urgent ones take all capacity.
 #[gtest]
 fn a_waiting_priority_has_its_turn_after_a_number_of_starts() {
     let mut admission = Admission::default();
@@ -124,6 +136,8 @@
     expect_that!(admission.due(now, &[0, 1]), none());
 }
 
+/// Guards against requests that wait so long that their first event is late, or are refused
+/// although they could still be in time.
 #[gtest]
 fn the_wait_is_what_the_first_event_leaves_of_the_target() {
     let mut events = FirstEvents::default();
@@ -137,7 +151,8 @@
     expect_that!(admission.max_wait(ms(400), ms(160)), eq(ms(160)));
 }
 
-// Requests refused together that retry together are refused together again.
+/// Guards against requests that are refused together, retry together and are refused together
+/// again, and against retry-after times that callers do not honour.
 #[gtest]
 fn retries_are_spread_and_never_later_than_callers_honour() {
     let mut rng = SmallRng::seed_from_u64(3);
@@ -152,6 +167,7 @@
     expect_that!(busiest.map(<[Duration]>::len).max().unwrap(), le(80));
 }
 
+/// Guards against an urgent request that is refused and comes back after the less urgent ones.
 #[gtest]
 fn more_urgent_requests_retry_earlier() {
     for waiting in [0, 5, 50] {
--- a/crates/admission/tests/demand.rs
+++ b/crates/admission/tests/demand.rs
@@ -3,13 +3,14 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use bn_admission::{
-    Admission, Demand, DemandSum, LevelDemand, MAX_AGE, Rank, ReceivedDemand, ServiceLoad,
+    Admission, Demand, DemandSum, LevelDemand, MAX_DEMAND_AGE, Rank, ReceivedDemand,
+    ServiceCapacity,
 };
 use bn_wire::messages as wire;
 use googletest::prelude::*;
 use std::time::Duration;
 
-const LOAD: ServiceLoad = ServiceLoad {
+const CAPACITY: ServiceCapacity = ServiceCapacity {
     slots: 720.0,
     gateways: 40,
 };
@@ -71,6 +72,7 @@
     expect_that!(received.demand.accounts, is_empty());
 }
 
+/// Guards against control messages that grow with the number of accounts.
 #[gtest]
 fn a_report_lists_no_more_than_eight_accounts() {
     let raw = wire::Demand {
@@ -90,6 +92,7 @@
     );
 }
 
+/// Guards against figures that are lost or assigned to another key on their way through a message.
 #[gtest]
 fn a_demand_is_the_same_after_its_message() {
     let mut demand = level(2, 7.5, 3);
@@ -98,7 +101,7 @@
     expect_that!(received, eq(&ReceivedDemand { demand, invalid: 0 }));
 }
 
-// The demand of a gateway that is gone must not be counted for good.
+/// Guards against the demand of a gateway that is gone being counted for good.
 #[gtest]
 fn gateways_that_stopped_reporting_leave_the_sum() {
     let mut sum = DemandSum::default();
@@ -106,8 +109,8 @@
     sum.record(ms(1_000), 2, level(0, 4.0, 1));
 
     let both = sum.sum(ms(1_500));
-    let one = sum.sum(MAX_AGE + ms(500));
-    let none = sum.sum(MAX_AGE + ms(1_000));
+    let one = sum.sum(MAX_DEMAND_AGE + ms(500));
+    let none = sum.sum(MAX_DEMAND_AGE + ms(1_000));
 
     let key = ("s".to_string(), 0);
     expect_that!(
@@ -122,6 +125,7 @@
     expect_true!(none.levels.is_empty());
 }
 
+/// Guards against accounts that leave the sum with every second poll, which omits them.
 #[gtest]
 fn accounts_are_kept_between_reports_that_omit_them() {
     let mut sum = DemandSum::default();
@@ -133,10 +137,11 @@
     sum.record(ms(800), 1, level(0, 1.0, 0));
     expect_that!(sum.sum(ms(900)).accounts.len(), eq(1));
     sum.record(ms(1_900), 1, level(0, 1.0, 0));
-    expect_that!(sum.sum(MAX_AGE).accounts, is_empty());
+    expect_that!(sum.sum(MAX_DEMAND_AGE).accounts, is_empty());
 }
 
-// A coordinator that has just started knows few gateways: its sum is a part of the demand.
+/// Guards against a reserve that is too small since a coordinator that has just started knows few
+/// gateways, or since its sum is old.
 #[gtest]
 fn the_rate_is_scaled_up_and_falls_back_to_local_figures() {
     let mut admission = Admission::default();
@@ -144,7 +149,7 @@
         admission.record_arrival(ms(n * 500), 0);
     }
     let now = ms(4_999);
-    expect_that!(admission.rate(now, 1, LOAD), near(2.0 * 40.0, 0.01));
+    expect_that!(admission.rate(now, 1, CAPACITY), near(2.0 * 40.0, 0.01));
     let sum = Demand {
         gateways: 10,
         ..level(0, 25.0, 0)
@@ -152,7 +157,7 @@
 
     admission.view.update(now, "s", &sum, |_, _| 0.0);
 
-    expect_that!(admission.rate(now, 1, LOAD), near(100.0, 0.01));
+    expect_that!(admission.rate(now, 1, CAPACITY), near(100.0, 0.01));
     expect_true!(admission.view.is_fresh(now));
     let narrower = Demand {
         gateways: 1,
@@ -161,15 +166,17 @@
     admission
         .view
         .update(now + ms(100), "s", &narrower, |_, _| 0.0);
-    expect_that!(admission.rate(now, 1, LOAD), near(100.0, 0.01));
-    let old = now + MAX_AGE;
+    expect_that!(admission.rate(now, 1, CAPACITY), near(100.0, 0.01));
+    let old = now + MAX_DEMAND_AGE;
     expect_false!(admission.view.is_fresh(old));
     expect_that!(
-        admission.rate(old, 1, LOAD),
+        admission.rate(old, 1, CAPACITY),
         near(admission.local_rate(old, 1) * 40.0, 0.01)
     );
 }
 
+/// Guards against an account that gets more than its share because only its work at one gateway
+/// counts.
 #[gtest]
 fn an_account_with_more_work_goes_later_and_leaves_a_margin_while_others_wait() {
     let mut admission = Admission::default();
@@ -198,12 +205,12 @@
             priority: 2,
             late: false,
         },
-        LOAD,
+        CAPACITY,
     );
     expect_that!(reserve, eq(0.0));
 }
 
-// Messages would list the accounts of a burst for half a minute after it.
+/// Guards against messages that list the accounts of a burst for half a minute after it.
 #[gtest]
 fn work_is_not_reported_for_long_after_a_burst() {
     let mut admission = Admission::default();
@@ -215,7 +222,7 @@
     expect_that!(admission.usage.rate(ms(8_000), 2, "a"), eq(0.0));
 }
 
-// An account with most of the demand would wait behind all others for good.
+/// Guards against an account with most of the demand that waits behind all others for good.
 #[gtest]
 fn an_account_that_was_passed_over_often_has_its_turn() {
     let mut admission = Admission::default();
--- a/crates/admission/tests/load.rs
+++ b/crates/admission/tests/load.rs
@@ -44,6 +44,8 @@
     counts.iter().map(|c| c.arrived).sum()
 }
 
+/// Guards against urgent requests that are late or refused in bursts of less urgent ones, less
+/// urgent ones that are starved, and fewer requests served than without ranks.
 #[gtest]
 fn urgent_requests_are_served_first_in_bursts() {
     for gateways in [6, 24, 40] {
@@ -73,7 +75,7 @@
 /// Largest difference of the shares served of an account at one gateway and of one at all.
 const ACCOUNT_TOLERANCE: f64 = 0.12;
 
-// An account must not get more or less for the number of gateways that it reaches.
+/// Guards against an account that gets more or less for the number of gateways that it reaches.
 #[gtest]
 fn an_account_at_one_gateway_is_served_as_one_at_all_gateways() {
     for gateways in [6, 40] {
--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -2,7 +2,8 @@
 //! others cause late and with an error.
 
 use bn_admission::{
-    Admission, Demand, DemandSum, LevelDemand, LoadLimits, Rank, RetryInput, ServiceLoad, WaitInput,
+    Admission, Demand, DemandSum, LevelDemand, LoadLimits, Rank, RetryInput, ServiceCapacity,
+    WaitInput,
 };
 use bn_limit::{Queue, QueuedRequest};
 use rand::rngs::SmallRng;
@@ -234,8 +235,8 @@
         view.update(now, "s", &sum, |p, account| usage.reported(now, p, account));
     }
 
-    fn service(&self) -> ServiceLoad {
-        ServiceLoad {
+    fn service(&self) -> ServiceCapacity {
+        ServiceCapacity {
             slots: SLOTS,
             gateways: self.gateways.len() as u32,
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -53,8 +53,7 @@
     pub(crate) is_retry: bool,
     /// When the final response must be sent: the caller's deadline or the route's timeout.
     pub(crate) answer_by: Duration,
-    /// Level of urgency if its service's routes differ in priority, otherwise the priority of its
-    /// account or route; 0 goes first.
+    /// Its level on a ranked service, otherwise the priority of its account or route; 0 goes first.
     pub(crate) priority: u32,
     /// Expected work in tokens: prompt and answer.
     pub(crate) work: f64,
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -194,7 +194,7 @@
         }
         let with_accounts = self.accounts_due(inbox);
         // The expression below holds the state locked up to its end.
-        let demand = urgency::demand(&self.shared, with_accounts);
+        let demand = urgency::local_demand(&self.shared, with_accounts);
         let request = wire::NewsAsk {
             callers: self.callers.to_string(),
             domain: self.domain.clone(),
@@ -349,7 +349,7 @@
                 let now = self.shared.now();
                 let mut state = self.shared.state();
                 state.fleet.set_cold_terms(now, terms, rand::random);
-                state.adopt_priorities(&document);
+                state.update_ranked_services(&document);
                 state.document = Some(std::sync::Arc::new(document));
                 drop(state);
                 feedback::log_cold_changes(&self.shared);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -300,8 +300,8 @@
         let now = shared.now();
         let enqueued = {
             let mut state = shared.state();
-            let rank_wait = urgency::expected_wait(&state, now, ctx, &request);
-            let in_time = rank_wait.is_none_or(|wait| now + wait <= request.deadline);
+            let expected = urgency::expected_wait(&state, now, ctx, &request);
+            let in_time = expected.is_none_or(|wait| now + wait <= request.deadline);
             let queue = state.queues.entry(ctx.service.clone()).or_default();
             in_time && queue.push(now, request, MAX_QUEUED).is_ok()
         };
@@ -317,7 +317,7 @@
         let now = self.shared.now();
         let service = &self.ctx.service;
         let mut state = self.shared.state();
-        let (first, ignore_reserve) = match urgency::first(&state, now, service) {
+        let (first, ignore_reserve) = match urgency::first_queued(&state, now, service) {
             Some((first, due)) => (first, due),
             None => (*state.queues.get(service)?.start_order().first()?, false),
         };
@@ -353,14 +353,14 @@
 pub(crate) fn retry_delay(shared: &Shared, ctx: &RequestContext) -> Duration {
     let now = shared.now();
     let remaining = ctx.remaining(now);
-    let (absent, open_at) = {
+    let (unavailable, open_at) = {
         let fleet = &shared.state().fleet;
         let throttled = fleet.is_throttled(now, &ctx.service);
         let open_at = fleet.next_send_at(&ctx.service).filter(|_| throttled);
-        let absent = fleet.is_stalled(&ctx.service) || fleet.is_evacuated(&ctx.service);
-        (absent, open_at)
+        let unavailable = fleet.is_stalled(&ctx.service) || fleet.is_evacuated(&ctx.service);
+        (unavailable, open_at)
     };
-    if absent {
+    if unavailable {
         return latest_retry(remaining);
     }
     let latest = remaining.mul_f64(RETRY_FRACTION);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -62,7 +62,7 @@
     pub(crate) retry_budgets: IndexMap<String, RetryBudget>,
     /// Requests that wait for a slot, by service.
     pub(crate) queues: IndexMap<String, Queue>,
-    /// Admission to services whose requests differ in priority.
+    /// Admission to ranked services.
     pub(crate) admissions: IndexMap<String, ServiceAdmission>,
     /// Fill controllers of streaming services, by unit.
     pub(crate) controllers: IndexMap<Unit, UnitController>,
--- a/crates/gateway/src/urgency.rs
+++ b/crates/gateway/src/urgency.rs
@@ -6,7 +6,7 @@
 use crate::shared::{Inner, Shared, State};
 use bn_admission::{
     Admission, Demand, LevelDemand, LoadLimits, Priority, Rank, ReceivedDemand, RetryInput,
-    ServiceLoad, WaitInput,
+    ServiceCapacity, WaitInput,
 };
 use bn_limit::{Queue, QueuedRequest};
 use bn_route::{FillController, Fleet, UnitController, fill_limit_for};
@@ -27,8 +27,8 @@
 }
 
 impl State {
-    /// Keeps the admission state of services that are still ranked, and starts that of new ones.
-    pub(crate) fn adopt_priorities(&mut self, document: &Document) {
+    /// Keeps the admission state of services that are still ranked, and creates that of new ones.
+    pub(crate) fn update_ranked_services(&mut self, document: &Document) {
         let ranked: IndexSet<_> = document.ranked_services().collect();
         self.admissions
             .retain(|service, _| ranked.contains(service));
@@ -37,9 +37,9 @@
         }
     }
 
-    fn service_load(&self, now: Duration, service: &str) -> ServiceLoad {
+    fn service_capacity(&self, now: Duration, service: &str) -> ServiceCapacity {
         let named = u32::try_from(self.selection.gateways().len()).unwrap_or(u32::MAX);
-        ServiceLoad {
+        ServiceCapacity {
             slots: self.fleet.slots_of(now, service),
             gateways: named.max(1),
         }
@@ -64,14 +64,14 @@
     }
 }
 
-/// Load limits for one request.
+/// Limits of the load at which one request of a ranked service is placed.
 pub(crate) struct Limits<'a> {
     fleet: &'a Fleet,
     admission: &'a Admission,
     now: Duration,
     rank: Rank,
-    load: ServiceLoad,
-    /// Part of the slots that its account may not use now.
+    capacity: ServiceCapacity,
+    /// Fraction of the slots that its account may not use now.
     margin: f64,
     /// This gateway has no request in flight: its fill limit is out of date.
     idle: bool,
@@ -86,10 +86,13 @@
             true => limits.in_time,
             false => {
                 let Limits {
-                    now, rank, load, ..
+                    now,
+                    rank,
+                    capacity,
+                    margin,
+                    ..
                 } = *self;
-                self.admission
-                    .max_load(now, rank, limits, load, self.margin)
+                self.admission.max_load(now, rank, limits, capacity, margin)
             }
         }
     }
@@ -105,17 +108,17 @@
     /// Load over slots up to which each backend server of the unit is filled by this request.
     pub(crate) fn fill_limit(&self, unit: &str, fill_limit: f64) -> f64 {
         let limits = load_limits(fill_limit);
-        let reserve = self.admission.reserve(self.now, self.rank, self.load);
+        let reserve = self.admission.reserve(self.now, self.rank, self.capacity);
         let reserves = reserve + self.margin > 0.0;
-        // Late requests go by the mean load even then: they may use what less urgent requests in
-        // time may, which wait behind them.
+        // The limit of late requests always applies to the mean load. They may use as much as less
+        // urgent requests in time, which wait behind them.
         if !self.ignore_reserve && !self.rank.late && !reserves {
             return limits.in_time;
         }
         let free = self.fleet.usable_load(self.now, unit) < self.max_load(fill_limit);
         match (free, self.rank.late) {
             (true, _) => limits.in_time,
-            // As many slots as late requests may use in any case.
+            // Late requests may use this load whatever is reserved.
             (false, true) => limits.late,
             (false, false) => 0.0,
         }
@@ -129,8 +132,8 @@
     }
 }
 
-/// The load limits of a request, if its service is ranked. With `ignore_reserve` the
-/// request has its turn by the floor of its priority.
+/// The load limits of a request, if its service is ranked. `ignore_reserve` is set for a request that
+/// has its turn by the floor of its priority.
 pub(crate) fn limits<'a>(
     state: &'a State,
     now: Duration,
@@ -147,14 +150,26 @@
         admission: decisions,
         now,
         rank: rank(ctx, now),
-        load: state.service_load(now, &ctx.service),
+        capacity: state.service_capacity(now, &ctx.service),
         idle: state.fleet.in_flight_of(&ctx.service) == 0,
         ignore_reserve,
     })
 }
 
-/// Excess of the least loaded unit over what a request may use, its mean load, and that limit.
-fn least_loaded(state: &State, now: Duration, ctx: &RequestContext) -> Option<(f64, f64, f64)> {
+/// Mean load over slots of a unit, and the load up to which a request may be placed there.
+struct UnitLoad {
+    load: f64,
+    max_load: f64,
+}
+
+impl UnitLoad {
+    fn excess(&self) -> f64 {
+        self.load - self.max_load
+    }
+}
+
+/// The unit of a request's service with the lowest excess over what the request may use.
+fn least_loaded(state: &State, now: Duration, ctx: &RequestContext) -> Option<UnitLoad> {
     let limits = limits(state, now, ctx, false)?;
     let fill_limit = |unit: &str| match ctx.streams() {
         true => placement::find_controller(&state.controllers, unit, &ctx.service)
@@ -162,19 +177,18 @@
         false => placement::PLAIN_FILL_LIMIT,
     };
     let units = state.fleet.units_of(&ctx.service).into_iter();
-    let loads = units.map(|unit| {
-        let load = state.fleet.usable_load(now, unit);
-        let max = limits.max_load(fill_limit(unit));
-        (load - max, load, max)
+    let loads = units.map(|unit| UnitLoad {
+        load: state.fleet.usable_load(now, unit),
+        max_load: limits.max_load(fill_limit(unit)),
     });
-    loads.min_by(|a, b| a.0.total_cmp(&b.0))
+    loads.min_by(|a, b| a.excess().total_cmp(&b.excess()))
 }
 
 /// Mean load of the service's least loaded unit, and the load that a request's rank may use.
 pub(crate) fn load_and_limit(shared: &Shared, ctx: &RequestContext) -> Option<(f64, f64)> {
     let now = shared.now();
     let state = shared.state();
-    least_loaded(&state, now, ctx).map(|(_, load, max)| (load, max))
+    least_loaded(&state, now, ctx).map(|unit| (unit.load, unit.max_load))
 }
 
 /// Counts an incoming request, and logs at intervals what the decisions are based on.
@@ -195,17 +209,17 @@
         return;
     }
     admission.event_due = now + EVENT_INTERVAL;
-    let fields = event_fields(&state, now, &ctx.service);
+    let fields = report_admission(&state, now, &ctx.service);
     drop(state);
     if let Some(fields) = fields {
         shared.lines.put("admission", fields);
     }
 }
 
-/// Fields of the log line on a ranked service. Sets its gauges, too.
-fn event_fields(state: &State, now: Duration, service: &str) -> Option<Value> {
+/// Sets the gauges of a ranked service, and returns the fields of its log line.
+fn report_admission(state: &State, now: Duration, service: &str) -> Option<Value> {
     let decisions = &state.admissions.get(service)?.decisions;
-    let load = state.service_load(now, service);
+    let capacity = state.service_capacity(now, service);
     let mut levels = Vec::new();
     let mut rates_up_to = Vec::new();
     for (priority, rate) in decisions.local_rates(now) {
@@ -213,7 +227,7 @@
             priority,
             late: false,
         };
-        let reserve = decisions.reserve(now, in_time, load);
+        let reserve = decisions.reserve(now, in_time, capacity);
         let labels = [
             ("service", service.to_string()),
             ("priority", priority.to_string()),
@@ -221,7 +235,7 @@
         metrics::gauge!("admission_rate", &labels).set(rate);
         metrics::gauge!("admission_reserve", &labels).set(reserve);
         levels.push(json!({ "priority": priority, "rate": rate, "reserve": reserve }));
-        rates_up_to.push(decisions.rate(now, priority.saturating_add(1), load));
+        rates_up_to.push(decisions.rate(now, priority.saturating_add(1), capacity));
     }
     let source = match decisions.view.is_fresh(now) {
         true => "view",
@@ -232,7 +246,7 @@
     let tail = decisions.first_events.tail().map(|t| t.as_millis() as u64);
     Some(json!({
         "service": service, "levels": levels, "rates_up_to": rates_up_to, "loads": loads,
-        "gateways": load.gateways, "slots": load.slots, "first_event_tail_ms": tail,
+        "gateways": capacity.gateways, "slots": capacity.slots, "first_event_tail_ms": tail,
         "source": source, "waiting": state.queues.get(service).map_or(0, Queue::len),
     }))
 }
@@ -256,14 +270,14 @@
     ctx.account.as_deref().unwrap_or_default()
 }
 
-/// Whether a position in the queue belongs to a priority.
+/// Returns whether a queue position belongs to a priority.
 fn has_priority(priority: Priority) -> impl Fn(u32) -> bool {
     move |position| Rank::from_queue_priority(position).priority == priority
 }
 
 /// The queued request whose turn it is, if the service is ranked, and whether it has its turn by the
 /// floor of its priority, regardless of the reserve.
-pub(crate) fn first(state: &State, now: Duration, service: &str) -> Option<(u64, bool)> {
+pub(crate) fn first_queued(state: &State, now: Duration, service: &str) -> Option<(u64, bool)> {
     let decisions = &state.admissions.get(service)?.decisions;
     let queue = state.queues.get(service)?;
     let order = |position: u32, account: &str| {
@@ -285,7 +299,7 @@
 }
 
 /// What this gateway reports of the demand on ranked services; `None` if there is none.
-pub(crate) fn demand(shared: &Shared, with_accounts: bool) -> Option<wire::Demand> {
+pub(crate) fn local_demand(shared: &Shared, with_accounts: bool) -> Option<wire::Demand> {
     let now = shared.now();
     let mut state = shared.state();
     let State {
@@ -364,10 +378,10 @@
         rank: rank(ctx, now),
         ahead: queue.ahead_of(request),
         start_rate: queue.start_rate(),
-        excess: least_loaded(state, now, ctx).map_or(0.0, |(excess, ..)| excess),
+        excess: least_loaded(state, now, ctx).map_or(0.0, |unit| unit.excess()),
     };
-    let load = state.service_load(now, &ctx.service);
-    Some(admission.decisions.expected_wait(now, &input, load))
+    let capacity = state.service_capacity(now, &ctx.service);
+    Some(admission.decisions.expected_wait(now, &input, capacity))
 }
 
 /// Delay after which a refused caller should retry, if its service is ranked. A caller retries only
--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -199,7 +199,7 @@
     pub priority: Option<u32>,
 }
 
-/// Last level of urgency: queues and backend servers tell ten apart.
+/// Last level: queues and backend servers distinguish ten.
 const LAST_LEVEL: u32 = 9;
 
 /// Order of requests of one service: the account's priority takes precedence, and requests of
@@ -232,7 +232,7 @@
     route_index: IndexMap<String, IndexMap<String, usize>>,
     /// Account positions by key.
     key_index: IndexMap<String, usize>,
-    /// Levels of urgency, by service whose routes differ in priority.
+    /// Levels of each ranked service, most urgent first.
     levels: IndexMap<ServiceId, Vec<Urgency>>,
 }
 
@@ -277,13 +277,13 @@
         &self.services
     }
 
-    /// Services whose routes differ in priority.
+    /// Ranked services: those whose routes differ in priority.
     pub fn ranked_services(&self) -> impl Iterator<Item = &ServiceId> {
         self.levels.keys()
     }
 
-    /// Position of a request among the levels of its service, 0 the most urgent; `None` if the
-    /// service's routes all have one priority. Levels beyond the tenth count as the tenth.
+    /// Level of a request, 0 the most urgent; `None` if its service is not ranked. Levels beyond the
+    /// tenth count as the tenth.
     pub fn urgency_level(
         &self,
         service: &str,
@@ -332,8 +332,7 @@
     }
 }
 
-/// The levels that requests of each service may have, most urgent first, if its routes differ in
-/// priority.
+/// The levels of each ranked service, most urgent first.
 fn urgency_levels(routes: &[Route], accounts: &[Account]) -> IndexMap<ServiceId, Vec<Urgency>> {
     let mut by_service: IndexMap<&ServiceId, Vec<&Route>> = IndexMap::new();
     for route in routes {
