Gateway: BufferUsage, BufferGuard and phases with plain names

What made a newcomer stumble: "account" is the fixed word for a client account and also named the counts of buffered bytes; holding.rs held Buffers while buffers.rs held BufferAccount; Holding, HeldBody, body_held, Phase::Held and held_back name five different things with one verb; whole_from has to be looked up.

BufferAccount is now BufferUsage, Holding is BufferGuard (module buffer_guard), HeldBody is GuardedBody, Phase::Held is Phase::Waiting, whole_from is finished_by. Comments on these say what is recorded. No behaviour, log field or message changes.

--- a/crates/gateway/src/holding.rs
+++ b/crates/gateway/src/buffer_guard.rs
@@ -1,6 +1,6 @@
-//! What one request holds in the account of buffered bytes, and the task that ends slow readers.
+//! Counts the bytes that are buffered for one request until it ends, and ends slow readers.
 
-use crate::buffers::{BufferAccount, HolderId, Phase, Stalled};
+use crate::buffers::{BufferUsage, HolderId, Phase, Stalled};
 use crate::context::RequestContext;
 use crate::shared::Shared;
 use bn_serve::{Abort, BodyError};
@@ -18,8 +18,8 @@
 
 /// Interval between two checks for slow readers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// A check that comes later than this shows that the process itself stood still, and its callers
-/// could not make progress.
+/// A longer interval shows that the process itself was stopped, so that its callers could not make
+/// progress.
 const MAX_CHECK_GAP: Duration = Duration::from_millis(400);
 /// Bytes of an answer handed to the connection at a time, so that progress is seen.
 pub(crate) const PIECE_BYTES: usize = 16 << 10;
@@ -32,7 +32,7 @@
 }
 
 struct BuffersState {
-    account: BufferAccount,
+    usage: BufferUsage,
     callers: IndexMap<HolderId, Caller>,
 }
 
@@ -47,7 +47,7 @@
     pub(crate) fn new(memory_bytes: Option<u64>) -> Buffers {
         Buffers {
             state: Mutex::new(BuffersState {
-                account: BufferAccount::new(memory_bytes),
+                usage: BufferUsage::new(memory_bytes),
                 callers: IndexMap::new(),
             }),
             freed: Notify::new(),
@@ -61,17 +61,17 @@
     /// `None` if a new request is admitted, otherwise when it may come back.
     pub(crate) fn refuse_until(&self, now: Duration) -> Option<Duration> {
         let state = self.state();
-        (!state.account.admits()).then(|| state.account.retry_after(now))
+        (!state.usage.admits()).then(|| state.usage.retry_after(now))
     }
 
     /// When a request that was refused for memory may come back.
     pub(crate) fn retry_after(&self, now: Duration) -> Duration {
-        self.state().account.retry_after(now)
+        self.state().usage.retry_after(now)
     }
 
     fn end_stalled(&self, now: Duration, lines: &Lines) {
         let state = self.state();
-        for stalled in state.account.stalled(now) {
+        for stalled in state.usage.stalled(now) {
             let caller = state.callers.get(&stalled.id);
             if let Some(caller) = caller.filter(|c| c.ended.set(stalled).is_ok()) {
                 metrics::counter!("slow_readers_ended_total").increment(1);
@@ -86,7 +86,7 @@
                 }
             }
         }
-        metrics::gauge!("gateway_buffered_bytes").set(state.account.total() as f64);
+        metrics::gauge!("gateway_buffered_bytes").set(state.usage.total() as f64);
     }
 }
 
@@ -100,24 +100,24 @@
         let now = shared.now();
         let gap = now.saturating_sub(last_check);
         if gap > MAX_CHECK_GAP {
-            shared.buffers.state().account.exclude_pause(now, gap);
+            shared.buffers.state().usage.exclude_pause(now, gap);
         }
         last_check = now;
         shared.buffers.end_stalled(now, &shared.lines);
     }
 }
 
-/// Bytes that are buffered for one caller, until dropped.
-pub(crate) struct Holding {
+/// Counts the bytes that are buffered for one request; releases them when dropped.
+pub(crate) struct BufferGuard {
     shared: Shared,
     id: HolderId,
     ended: Arc<OnceLock<Stalled>>,
 }
 
-impl Holding {
-    pub(crate) fn new(shared: &Shared, phase: Phase, ctx: &RequestContext) -> Holding {
+impl BufferGuard {
+    pub(crate) fn new(shared: &Shared, phase: Phase, ctx: &RequestContext) -> BufferGuard {
         let mut state = shared.buffers.state();
-        let id = state.account.open(shared.now(), phase);
+        let id = state.usage.open(shared.now(), phase);
         let ended = Arc::new(OnceLock::new());
         let caller = Caller {
             request: ctx.id.clone(),
@@ -125,7 +125,7 @@
             ended: ended.clone(),
         };
         state.callers.insert(id, caller);
-        Holding {
+        BufferGuard {
             shared: shared.clone(),
             id,
             ended,
@@ -140,18 +140,18 @@
     /// Counts bytes if they fit.
     pub(crate) fn try_add(&self, bytes: usize) -> bool {
         let mut state = self.shared.buffers.state();
-        let fits = state.account.fits(self.id, bytes as u64);
+        let fits = state.usage.fits(self.id, bytes as u64);
         if fits {
-            state.account.add(self.shared.now(), self.id, bytes as u64);
+            state.usage.add(self.shared.now(), self.id, bytes as u64);
         }
         fits
     }
 
-    /// Counts bytes as soon as they fit, and at most `own_bound` are held, or none.
+    /// Counts bytes as soon as they fit, and this guard holds none or stays within `own_bound`.
     pub(crate) async fn add(&self, bytes: usize, own_bound: usize) {
         loop {
             let freed = self.shared.buffers.freed.notified();
-            let held = self.shared.buffers.state().account.held(self.id) as usize;
+            let held = self.shared.buffers.state().usage.held(self.id) as usize;
             if (held == 0 || held + bytes <= own_bound) && self.try_add(bytes) {
                 return;
             }
@@ -159,13 +159,13 @@
         }
     }
 
-    /// Counts events as soon as they fit. If nothing is buffered for the caller, they always do: a
-    /// caller that reads is not held back by those that don't.
+    /// Counts events as soon as they fit. If nothing is buffered for the caller, they always do:
+    /// callers that don't read must not delay one that reads.
     pub(crate) async fn add_events(&self, bytes: usize, own_bound: usize) {
         {
             let mut state = self.shared.buffers.state();
-            if state.account.held(self.id) == 0 {
-                state.account.add(self.shared.now(), self.id, bytes as u64);
+            if state.usage.held(self.id) == 0 {
+                state.usage.add(self.shared.now(), self.id, bytes as u64);
                 return;
             }
         }
@@ -175,7 +175,7 @@
     pub(crate) fn release(&self, bytes: usize) {
         let now = self.shared.now();
         let mut state = self.shared.buffers.state();
-        state.account.release(now, self.id, bytes as u64);
+        state.usage.release(now, self.id, bytes as u64);
         drop(state);
         self.shared.buffers.freed.notify_waiters();
     }
@@ -185,24 +185,24 @@
         self.shared
             .buffers
             .state()
-            .account
+            .usage
             .set_phase(now, self.id, phase);
     }
 }
 
-impl Drop for Holding {
+impl Drop for BufferGuard {
     fn drop(&mut self) {
         let mut state = self.shared.buffers.state();
-        state.account.close(self.id);
+        state.usage.close(self.id);
         state.callers.swap_remove(&self.id);
         drop(state);
         self.shared.buffers.freed.notify_waiters();
     }
 }
 
-impl std::fmt::Debug for Holding {
+impl std::fmt::Debug for BufferGuard {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_tuple("Holding").field(&self.id).finish()
+        f.debug_tuple("BufferGuard").field(&self.id).finish()
     }
 }
 
@@ -216,7 +216,7 @@
 /// Reads a request body of at most `max_bytes`. Its memory is counted as the body arrives: counting
 /// the announced length would let callers that announce much and send nothing keep others out.
 pub(crate) async fn receive(
-    holding: &Holding,
+    guard: &BufferGuard,
     mut body: Incoming,
     max_bytes: usize,
 ) -> Result<Bytes, ReceiveError> {
@@ -236,7 +236,7 @@
             return Err(ReceiveError::Body(BodyError::TooLarge));
         }
         let more = bytes.capacity().saturating_sub(counted);
-        if !holding.try_add(more) {
+        if !guard.try_add(more) {
             return Err(ReceiveError::NoMemory);
         }
         counted += more;
@@ -245,14 +245,14 @@
 }
 
 /// A complete answer, handed to the connection in pieces.
-pub(crate) struct HeldBody {
+pub(crate) struct GuardedBody {
     pub(crate) rest: Bytes,
-    pub(crate) holding: Holding,
+    pub(crate) guard: BufferGuard,
     /// Called when the caller was ended before it had taken the whole answer.
     pub(crate) on_ended: Box<dyn Fn(Stalled) + Send + Sync>,
 }
 
-impl Body for HeldBody {
+impl Body for GuardedBody {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -266,7 +266,7 @@
         let length = self.rest.len().min(PIECE_BYTES);
         let piece = self.rest.split_to(length);
         // The pieces share one allocation, which is free only after the last one.
-        self.holding.release(0);
+        self.guard.release(0);
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
@@ -279,9 +279,9 @@
     }
 }
 
-impl Drop for HeldBody {
+impl Drop for GuardedBody {
     fn drop(&mut self) {
-        if let Some(stalled) = self.holding.ended() {
+        if let Some(stalled) = self.guard.ended() {
             (self.on_ended)(stalled);
         }
     }
--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -1,5 +1,5 @@
-//! Account of the bytes that a gateway buffers for its callers: decides which of them are ended
-//! because they make no progress, and whether a new request is admitted.
+//! Bytes that a gateway buffers for its callers: decides which callers are ended because they make no
+//! progress, and whether a new request is admitted.
 
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 /// Shortest and default retry-after time of a request that is refused for memory.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// Id of a holder in an account.
+/// Id of a holder: one request or answer that bytes are buffered for.
 pub type HolderId = u64;
 
 /// What a holder's bytes wait for.
@@ -25,7 +25,7 @@
     /// otherwise the request's deadline ends it.
     Receiving,
     /// A request or an answer that waits for a backend server: the caller is not at fault.
-    Held,
+    Waiting,
     /// An answer that waits for the caller.
     Sending,
 }
@@ -53,19 +53,19 @@
 
 /// Buffered bytes by holder. Times are durations since an arbitrary fixed start.
 #[derive(Debug, Default)]
-pub struct BufferAccount {
+pub struct BufferUsage {
     bound: Option<u64>,
     total: u64,
     next_id: HolderId,
     holders: IndexMap<HolderId, Holder>,
 }
 
-impl BufferAccount {
-    /// An account for a process with this much memory; without it there is no bound over all.
-    pub fn new(memory_bytes: Option<u64>) -> BufferAccount {
-        BufferAccount {
+impl BufferUsage {
+    /// Creates the counts of a process with this much memory; `None`: there is no overall bound.
+    pub fn new(memory_bytes: Option<u64>) -> BufferUsage {
+        BufferUsage {
             bound: memory_bytes.map(|m| (m as f64 * BUFFER_SHARE) as u64),
-            ..BufferAccount::default()
+            ..BufferUsage::default()
         }
     }
 
@@ -82,7 +82,7 @@
         id
     }
 
-    /// Bytes were buffered for a holder.
+    /// Records that bytes were buffered for a holder.
     pub fn add(&mut self, now: Duration, id: HolderId, bytes: u64) {
         if let Some(holder) = self.holders.get_mut(&id) {
             // Data that starts to wait gives the caller its whole time; more data does not.
@@ -94,7 +94,8 @@
         }
     }
 
-    /// The caller took data, and `bytes` of memory are free again; 0 if that comes later.
+    /// Records that the caller took data, and that `bytes` of memory are free again; 0 if the memory
+    /// is only freed later.
     pub fn release(&mut self, now: Duration, id: HolderId, bytes: u64) {
         if let Some(holder) = self.holders.get_mut(&id) {
             let bytes = bytes.min(holder.bytes);
@@ -104,15 +105,14 @@
         }
     }
 
-    /// What the holder's bytes wait for has changed.
+    /// Records that the holder's bytes now wait for something else.
     pub fn set_phase(&mut self, now: Duration, id: HolderId, phase: Phase) {
         if let Some(holder) = self.holders.get_mut(&id) {
             (holder.phase, holder.progress) = (phase, now);
         }
     }
 
-    /// Excludes a time in which the process stood still, and which ends now, from the times without
-    /// progress.
+    /// Excludes a pause of the process, which ends now, from the times without progress.
     pub fn exclude_pause(&mut self, now: Duration, pause: Duration) {
         for holder in self.holders.values_mut() {
             holder.progress = (holder.progress + pause).min(now);
@@ -136,8 +136,8 @@
         self.holders.get(&id).map_or(0, |h| h.bytes)
     }
 
-    /// Whether a holder may buffer so many bytes more. One alone always may: an answer larger than
-    /// the bound would otherwise never be read.
+    /// Whether a holder may buffer this many more bytes. The only holder with bytes always may: an
+    /// answer larger than the bound would otherwise never be read.
     pub fn fits(&self, id: HolderId, bytes: u64) -> bool {
         let alone = self.total == self.held(id);
         alone || self.bound.is_none_or(|b| self.total + bytes <= b)
@@ -163,7 +163,7 @@
         let stalled = |(id, h): (&HolderId, &Holder)| {
             let ends = match h.phase {
                 Phase::Receiving => !self.admits(),
-                Phase::Held => false,
+                Phase::Waiting => false,
                 Phase::Sending => true,
             };
             let stalled = now.saturating_sub(h.progress);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,7 +1,7 @@
 //! A caller's request as the gateway handles it: what was sent, what may be done with it and until
 //! when.
 
-use crate::holding::Holding;
+use crate::buffer_guard::BufferGuard;
 use bn_platform::header;
 use bn_quarantine::Digest;
 use bn_serve::Abort;
@@ -38,7 +38,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// Counts the body as buffered.
-    pub(crate) body_held: Option<Arc<Holding>>,
+    pub(crate) body_guard: Option<Arc<BufferGuard>>,
     /// Aborts the caller's connection.
     pub(crate) abort: Abort,
     pub(crate) account: Option<AccountId>,
@@ -104,7 +104,7 @@
             method: parts.method,
             uri: parts.uri,
             body: Bytes::new(),
-            body_held: None,
+            body_guard: None,
             abort: parts.extensions.get::<Abort>().cloned().unwrap_or_default(),
             digest: OnceLock::new(),
         })
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,12 +1,12 @@
 //! Handles callers' requests: accepts them, has them served and responds.
 
 use crate::answer::Refusal;
+use crate::buffer_guard::{BufferGuard, ReceiveError};
 use crate::buffers::Phase;
 use crate::context::{Denial, RequestContext};
 use crate::dispatch::{self, Attempts};
-use crate::holding::{Holding, ReceiveError};
 use crate::shared::{InFlightGuard, Shared};
-use crate::{context, holding, placement, plain, stream, urgency};
+use crate::{buffer_guard, context, placement, plain, stream, urgency};
 use bn_directory::ANSWER_TTL;
 use bn_platform::call::{self, Call};
 use bn_serve::{Body, BodyError, text};
@@ -57,8 +57,8 @@
     if let Some(after) = shared.buffers.refuse_until(now) {
         return refuse(&shared, &ctx, &Refusal::retryable(NO_MEMORY, after));
     }
-    let body_held = Holding::new(&shared, Phase::Receiving, &ctx);
-    let received = holding::receive(&body_held, body, max_bytes);
+    let body_guard = BufferGuard::new(&shared, Phase::Receiving, &ctx);
+    let received = buffer_guard::receive(&body_guard, body, max_bytes);
     match tokio::time::timeout(ctx.remaining(now), received).await {
         Ok(Ok(body)) => ctx.body = body,
         Ok(Err(ReceiveError::Body(error))) => {
@@ -70,8 +70,8 @@
         }
         Err(_) => return refuse(&shared, &ctx, &body_refusal(BodyError::TimedOut)),
     }
-    body_held.set_phase(Phase::Held);
-    ctx.body_held = Some(Arc::new(body_held));
+    body_guard.set_phase(Phase::Waiting);
+    ctx.body_guard = Some(Arc::new(body_guard));
     ctx.is_retry = shared.is_retry(&ctx.route.name, ctx.deadline);
     shared.count_request(&ctx.service);
     urgency::record_arrival(&shared, &ctx);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempt;
+mod buffer_guard;
 mod buffers;
 mod cases;
 mod context;
@@ -14,7 +15,6 @@
 mod events;
 mod feedback;
 mod frontend;
-mod holding;
 mod link;
 mod placement;
 mod plain;
@@ -25,7 +25,7 @@
 mod suspects;
 mod urgency;
 
-pub use buffers::{BufferAccount, HolderId, MAX_STALL, Phase, Stalled};
+pub use buffers::{BufferUsage, HolderId, MAX_STALL, Phase, Stalled};
 pub use events::Splitter;
 pub use sources::{PollState, Receipt, Sources, UpdateRange};
 pub use start::{Handle, start};
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -3,10 +3,10 @@
 
 use crate::answer::Refusal;
 use crate::attempt::{self, Head};
+use crate::buffer_guard::{BufferGuard, GuardedBody};
 use crate::buffers::{Phase, Stalled};
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
-use crate::holding::{HeldBody, Holding};
 use crate::shared::Shared;
 use crate::suspects::{self, Run};
 use bn_platform::header;
@@ -28,7 +28,7 @@
 pub(crate) struct CompleteAnswer {
     parts: Parts,
     body: Bytes,
-    holding: Holding,
+    guard: BufferGuard,
     server: ServerId,
 }
 
@@ -103,8 +103,8 @@
     let (parts, body) = response.into_parts();
     let signed = parts.headers.contains_key(header::SIGNATURE);
     let idle_timeout = attempt::keep_alive_timeout(&parts.headers);
-    let holding = Holding::new(shared, Phase::Held, ctx);
-    let body = read(&holding, body).await?;
+    let guard = BufferGuard::new(shared, Phase::Waiting, ctx);
+    let body = read(&guard, body).await?;
     let server = reservation.server.id.clone();
     shared.pool.put_back(shared.now(), connection, idle_timeout);
     drop(reservation);
@@ -112,7 +112,7 @@
         true => Ok(CompleteAnswer {
             parts,
             body,
-            holding,
+            guard,
             server,
         }),
         false => Err(CollectError::Unsigned),
@@ -121,12 +121,12 @@
 
 /// Reads a body. The known length is counted before it is read: of several large answers, those
 /// that fit are read to their end, and the others wait.
-async fn read(holding: &Holding, mut body: Incoming) -> Result<Bytes, CollectError> {
+async fn read(guard: &BufferGuard, mut body: Incoming) -> Result<Bytes, CollectError> {
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if announced > MAX_BODY_BYTES {
         return Err(CollectError::Incomplete);
     }
-    holding.add(announced, MAX_BODY_BYTES).await;
+    guard.add(announced, MAX_BODY_BYTES).await;
     let mut counted = announced;
     let mut bytes = Vec::with_capacity(announced);
     while let Some(frame) = body.frame().await {
@@ -138,7 +138,7 @@
             return Err(CollectError::Incomplete);
         }
         let more = length.saturating_sub(counted);
-        holding.add(more, MAX_BODY_BYTES).await;
+        guard.add(more, MAX_BODY_BYTES).await;
         counted += more;
         bytes.extend_from_slice(&data);
     }
@@ -154,18 +154,18 @@
     let CompleteAnswer {
         mut parts,
         body,
-        holding,
+        guard,
         server,
     } = answer;
     strip_hop_by_hop(&mut parts.headers);
     parts.headers.remove("content-length");
     parts.headers.remove(header::LOAD);
-    holding.set_phase(Phase::Sending);
+    guard.set_phase(Phase::Sending);
     let (lines, request) = (shared.lines.clone(), ctx.id.clone());
     let on_ended = move |stalled: Stalled| log_slow_reader(&lines, &request, &server, stalled);
-    let body = HeldBody {
+    let body = GuardedBody {
         rest: body,
-        holding,
+        guard,
         on_ended: Box::new(on_ended),
     };
     Response::from_parts(parts, body.boxed())
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by all requests of a gateway. It is locked only briefly, never across an await.
 
-use crate::holding::Buffers;
+use crate::buffer_guard::Buffers;
 use crate::suspects::Report;
 use crate::urgency::ServiceAdmission;
 use bn_directory::GatewaySelection;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -3,7 +3,7 @@
 use crate::feedback::ColdAllowance;
 use crate::link::Link;
 use crate::shared::Shared;
-use crate::{ListenSnafu, Result, RuntimeSnafu, frontend, holding};
+use crate::{ListenSnafu, Result, RuntimeSnafu, buffer_guard, frontend};
 use bn_conf::{Admission, Gateway as Conf, Settings};
 use bn_net::Net;
 use bn_route::{FillRule, RetryAllowance};
@@ -117,7 +117,7 @@
     let serving = shared.clone();
     let thread = std::thread::spawn(move || {
         runtime.block_on(async move {
-            tokio::spawn(holding::watch(serving.clone()));
+            tokio::spawn(buffer_guard::watch(serving.clone()));
             tokio::spawn(link.run(inbox, report_queue));
             tokio::spawn(serve_pages(serving.clone(), ready, frontend::readiness));
             if let Some(directory) = directory {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,11 +4,11 @@
 
 use crate::answer::Refusal;
 use crate::attempt::Head;
+use crate::buffer_guard::{BufferGuard, PIECE_BYTES};
 use crate::buffers::Phase;
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
 use crate::events::{MAX_EVENT_BYTES, Splitter};
-use crate::holding::{Holding, PIECE_BYTES};
 use crate::plain;
 use crate::shared::{InFlightGuard, Shared};
 use crate::suspects::{self, Run};
@@ -75,16 +75,16 @@
         .record_success(now, &source.reservation.server.id);
     let placed_at = source.reservation.placed_at;
     let (frames, receiver) = mpsc::channel(QUEUE_CAPACITY);
-    let holding = Arc::new(Holding::new(shared, Phase::Sending, ctx));
-    let whole_from = Arc::new(OnceLock::new());
+    let guard = Arc::new(BufferGuard::new(shared, Phase::Sending, ctx));
+    let finished_by = Arc::new(OnceLock::new());
     let receiver = FrameStream {
         receiver,
         rest: Bytes::new(),
         queued_bytes: 0,
-        holding: holding.clone(),
+        guard: guard.clone(),
         shared: shared.clone(),
         request: ctx.id.clone(),
-        whole_from: whole_from.clone(),
+        finished_by: finished_by.clone(),
     };
     let forwarder = EventForwarder {
         shared: shared.clone(),
@@ -94,8 +94,8 @@
         timing: Timing::default(),
         placed_at,
         frames,
-        holding,
-        whole_from,
+        guard,
+        finished_by,
         held_back: false,
     };
     tokio::spawn(async move {
@@ -146,17 +146,17 @@
     rest: Bytes,
     /// Size of these events when they were received.
     queued_bytes: usize,
-    holding: Arc<Holding>,
+    guard: Arc<BufferGuard>,
     shared: Shared,
     request: String,
     /// The backend server that the last event came from, once the whole stream was received.
-    whole_from: Arc<OnceLock<ServerId>>,
+    finished_by: Arc<OnceLock<ServerId>>,
 }
 
 impl Drop for FrameStream {
     fn drop(&mut self) {
         // Until the whole stream is received, the forwarder logs its end.
-        if let (Some(stalled), Some(server)) = (self.holding.ended(), self.whole_from.get()) {
+        if let (Some(stalled), Some(server)) = (self.guard.ended(), self.finished_by.get()) {
             plain::log_slow_reader(&self.shared.lines, &self.request, server, stalled);
         }
     }
@@ -187,7 +187,7 @@
         } else {
             0
         };
-        self.holding.release(freed);
+        self.guard.release(freed);
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 }
@@ -239,9 +239,9 @@
     placed_at: Duration,
     frames: mpsc::Sender<FrameResult>,
     /// What is buffered for the caller.
-    holding: Arc<Holding>,
+    guard: Arc<BufferGuard>,
     /// Set when the whole stream was received.
-    whole_from: Arc<OnceLock<ServerId>>,
+    finished_by: Arc<OnceLock<ServerId>>,
     /// Reading was last held back by the caller.
     held_back: bool,
 }
@@ -262,12 +262,12 @@
                     shared.state().fleet.record_success(now, &id);
                     suspects::on_complete(shared, &self.ctx);
                     self.log_event("stream_whole", &id, "");
-                    self.whole_from.get_or_init(|| id);
+                    self.finished_by.get_or_init(|| id);
                     return;
                 }
                 ReadEnd::CallerLeft => {
                     self.on_run_lost(&run, true);
-                    return match self.holding.ended() {
+                    return match self.guard.ended() {
                         Some(_) => self.log_event("stream_cut", &id, plain::SLOW_READER),
                         None => self.log_event("caller_left", &id, ""),
                     };
@@ -348,7 +348,7 @@
     async fn forward(&mut self, events: Bytes) -> Result<(), SendError<FrameResult>> {
         let start = self.shared.now();
         tokio::select! {
-            () = self.holding.add_events(events.len(), MAX_STREAM_BYTES) => {}
+            () = self.guard.add_events(events.len(), MAX_STREAM_BYTES) => {}
             () = self.frames.closed() => {}
         }
         let sent = self.frames.send(Ok(Frame::data(events))).await;
@@ -397,7 +397,7 @@
             return;
         }
         let millis = |d: Duration| d.as_millis() as u64;
-        let ended = self.holding.ended();
+        let ended = self.guard.ended();
         self.shared.lines.put(
             event,
             json!({
