Coordinator, cold periods, fill limit: a shorter on_poll, units in names

on_poll calls update_directory, document_for and record_demand in the order of before. No behaviour changes.

--- a/crates/backpressure/src/cold.rs
+++ b/crates/backpressure/src/cold.rs
@@ -1,12 +1,12 @@
-//! Cold periods: a backend server that has just started, or was idle, handles few requests a second
-//! for some seconds.
+//! Cold periods: times of some seconds in which a backend server can handle few requests a second, for
+//! instance after its start.
 
 use crate::ServerId;
 use crate::schedule::{JOIN_DELAY, Schedule};
 use crate::senders::{GatewaySet, WINDOW, window_interval};
 use std::time::Duration;
 
-/// Smaller moves of the end are the varying delay of the messages that carry it.
+/// Smaller changes of the end are ignored: the delay of the messages that carry it varies.
 const END_TOLERANCE: Duration = Duration::from_millis(250);
 /// An answer takes precedence over announcements for this long: they come every 1.2 s.
 const ANSWER_PRECEDENCE: Duration = Duration::from_secs(2);
@@ -40,7 +40,7 @@
 /// Cold period of one start of a backend server, as far as this gateway knows.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Cold {
-    /// Requests that all gateways together may send in any second of a cold period; `None` if
+    /// Requests per second that all gateways together may send during a cold period; `None` if
     /// backend servers of this service are never cold.
     pub(crate) bound: Option<f64>,
     pub(crate) until: Duration,
@@ -69,7 +69,7 @@
         let is_recent = |answered_at| now < answered_at + ANSWER_PRECEDENCE;
         let adopted = match report.source {
             ColdSource::Assumed => later,
-            // An end that an answer has overridden since may be announced again.
+            // The end of the previous announcement, repeated: an answer may have overridden it since.
             ColdSource::Announced if until.abs_diff(self.announced_until) < END_TOLERANCE => {
                 later && self.answered_at.is_none()
             }
@@ -99,16 +99,16 @@
         self.bound.is_some() && now < self.until
     }
 
-    /// Recomputes the schedule after a change; `true` if that changes it. `first` says that a cold
-    /// period begins: the schedule of an earlier one is discarded. `last_sent` is when a request was
-    /// last sent.
+    /// Recomputes the schedule after a change; `true` if that changes it. If `first`, a cold period
+    /// begins, and the schedule of an earlier one is discarded.
     pub(crate) fn reschedule(
         &mut self,
         now: Duration,
         id: &ServerId,
         set: &GatewaySet,
         draw: f64,
-        (first, last_sent): (bool, Option<Duration>),
+        first: bool,
+        last_sent: Option<Duration>,
     ) -> bool {
         let Some(bound) = self.bound.filter(|_| self.is_active(now)) else {
             return self.schedule.take().is_some();
--- a/crates/backpressure/src/senders.rs
+++ b/crates/backpressure/src/senders.rs
@@ -18,15 +18,15 @@
 /// learns that a limit was lifted.
 const MIN_RATE: f64 = 0.05;
 
-/// Span in which the number of requests to a cold backend server is bounded. Requests of one second
-/// there were sent within this span: paths from gateways differ by less than 0.1 s.
+/// Span over which gateways bound their requests to a cold backend server. Requests that arrive there
+/// within a second were sent within this span: the delays from gateways differ by less than 0.1 s.
 pub(crate) const WINDOW: Duration = Duration::from_millis(1_100);
 /// Added to intervals, so that the requests of a span and the first one after it are more than the
 /// span apart.
-const MARGIN: Duration = Duration::from_millis(1);
-/// Part of the bound that is handed out. Two views of the list of gateways may have no sender in
-/// common, since a gateway that is cut off holds an earlier list.
-const HANDED_OUT: f64 = 0.5;
+const INTERVAL_MARGIN: Duration = Duration::from_millis(1);
+/// Share of the bound that is allotted to the senders of one list of gateways. The senders of two
+/// lists may all differ, since a gateway that is cut off holds an earlier list.
+const ALLOTTED_SHARE: f64 = 0.5;
 
 /// Determines a gateway's share of limits.
 #[derive(Debug, Clone, Default)]
@@ -35,7 +35,7 @@
     pub own: Option<SocketAddr>,
     /// The same address of all gateways that callers are sent to.
     pub gateways: Vec<SocketAddr>,
-    /// When this gateway's own address came onto the list that it knows.
+    /// When this gateway's own address first appeared on the list.
     pub listed_at: Duration,
 }
 
@@ -52,13 +52,13 @@
 /// Interval between two requests of this gateway to a cold backend server that may get `bound`
 /// requests in any second from all gateways together; `None` if only others may send there.
 pub(crate) fn window_interval(bound: f64, id: &ServerId, set: &GatewaySet) -> Option<Duration> {
-    let shares = (bound * HANDED_OUT) as usize;
+    let shares = (bound * ALLOTTED_SHARE) as usize;
     let gateways = set.gateways.len();
     let share = (shares / gateways.max(1)).max(1);
     let senders = gateways.min(shares / share);
     let sends = is_sender(senders, id, set);
     let share = u32::try_from(share).unwrap_or(u32::MAX);
-    sends.then(|| WINDOW / share + MARGIN)
+    sends.then(|| WINDOW / share + INTERVAL_MARGIN)
 }
 
 /// Whether this gateway is one of the first `senders` in the order of a backend server.
--- a/crates/backpressure/src/state.rs
+++ b/crates/backpressure/src/state.rs
@@ -206,8 +206,8 @@
         let changed = self.cold.on_report(now, report);
         let begins = !was_active && self.cold.is_active(now);
         if changed {
-            let past = (begins, self.last_sent);
-            let rescheduled = self.cold.reschedule(now, id, set, draw, past);
+            let last_sent = self.last_sent;
+            let rescheduled = self.cold.reschedule(now, id, set, draw, begins, last_sent);
             self.changes += u64::from(rescheduled);
         }
         changed
@@ -215,8 +215,8 @@
 
     /// Recomputes the schedules after a change of the limit or of the list of gateways.
     pub fn reschedule(&mut self, now: Duration, id: &ServerId, set: &GatewaySet, draw: f64) {
-        let past = (false, self.last_sent);
-        let rescheduled = self.cold.reschedule(now, id, set, draw, past);
+        let last_sent = self.last_sent;
+        let rescheduled = self.cold.reschedule(now, id, set, draw, false, last_sent);
         self.changes += u64::from(rescheduled);
         let Some(rate) = self.limit.rate else {
             self.changes += u64::from(self.schedule.take().is_some());
--- a/crates/coordinator/src/http.rs
+++ b/crates/coordinator/src/http.rs
@@ -65,7 +65,7 @@
         }
         Call::Evacuate { domain } => evacuate(events, domain, true, received).await,
         Call::EndEvacuation { domain } => evacuate(events, domain, false, received).await,
-        // Answered above, before the body is read.
+        // Unsupported methods are answered above, before the body is read.
         Call::UnsupportedMethod => error_response(405, "use POST or DELETE"),
         Call::PutDocument => propose(events, body.to_vec()).await,
         Call::GetDocument => match query(events, Event::ReadDocument).await.flatten() {
--- a/crates/coordinator/src/updates.rs
+++ b/crates/coordinator/src/updates.rs
@@ -70,7 +70,7 @@
     /// Gateways that callers are sent to, valid as long.
     selection: GatewaySelection,
     common_due: Duration,
-    /// Demand that gateways reported, and its sum, valid as long.
+    /// Demand that gateways reported, and its sum, which is computed as often as `common`.
     demand: DemandSum<SocketAddr>,
     demand_sum: Demand,
 }
@@ -147,36 +147,13 @@
         if poll.unheard {
             self.net.disconnect(inbox);
         }
-        if let Ok(callers) = poll.callers.parse() {
-            let gateway = Gateway {
-                callers,
-                domain: poll.domain.clone(),
-                ready: poll.ready,
-                rate: poll.rate,
-            };
-            let stopping = !gateway.ready;
-            self.directory.update(now, inbox, gateway);
-            if stopping {
-                // Callers must not be sent there any more.
-                self.peers.common_due = now;
-            }
-        }
+        self.update_directory(now, inbox, poll);
         let (cursor, known_cases) = match poll.source == self.net.incarnation() {
             true => (poll.mark, poll.cases),
             false => (0, 0),
         };
         let is_gateway = !poll.callers.is_empty();
-        let behind = is_gateway && poll.version < self.committed.version;
-        let overdue = behind && self.peers.lag.needs_help(now, inbox, poll.version);
-        if !behind {
-            self.peers.lag.clear(inbox);
-        }
-        // A gateway without a document only accepts one that is known to be the newest.
-        let accepts = poll.version > 0 || self.current;
-        let document = match behind && accepts && (overdue || self.is_assigned(inbox)) {
-            true => self.committed.document.clone(),
-            false => Vec::new(),
-        };
+        let document = self.document_for(now, inbox, poll);
         let known = poll.evacuations == Some(self.evacuations.revision);
         let evacuations =
             (is_gateway && (!known || !document.is_empty())).then(|| (&self.evacuations).into());
@@ -191,17 +168,8 @@
         }
         let changed = changed.iter().map(|r| self.registry.to_wire(now, r));
         let changed: Vec<Registration> = changed.collect();
-        let demand = poll.demand.as_ref().filter(|_| is_gateway);
-        if let Some(raw) = demand {
-            let ReceivedDemand { demand, invalid } = raw.clone().into();
-            metrics::counter!("demand_invalid_total").increment(invalid);
-            self.peers.demand.record(now, inbox, demand);
-        }
+        let demand = self.record_demand(now, inbox, poll);
         let base = self.base_update();
-        // The coordinators that send a gateway its registrations also send it the demand.
-        let demand_sum = demand
-            .filter(|_| !poll.brief)
-            .map(|_| (&self.peers.demand_sum).into());
         let gateways = match is_gateway && poll.named != self.peers.selection.checksum() {
             true => self.peers.selection.gateways(),
             false => &[],
@@ -219,12 +187,64 @@
             changed,
             cases: self.cases.updates_since(known_cases, is_gateway),
             cases_mark: self.cases.table.cursor(),
-            demand: demand_sum,
+            demand,
             ..base
         };
         self.net.send(inbox, Body::News(update));
     }
 
+    /// Records a gateway in the directory that callers get their gateways from.
+    fn update_directory(&mut self, now: Duration, inbox: SocketAddr, poll: &wire::NewsAsk) {
+        let Ok(callers) = poll.callers.parse() else {
+            return;
+        };
+        let gateway = Gateway {
+            callers,
+            domain: poll.domain.clone(),
+            ready: poll.ready,
+            rate: poll.rate,
+        };
+        let stopping = !gateway.ready;
+        self.directory.update(now, inbox, gateway);
+        if stopping {
+            // Callers must not be sent there any more.
+            self.peers.common_due = now;
+        }
+    }
+
+    /// The document for a gateway that holds an older one and is due to get it from this
+    /// coordinator; otherwise empty.
+    fn document_for(&mut self, now: Duration, inbox: SocketAddr, poll: &wire::NewsAsk) -> Vec<u8> {
+        let is_gateway = !poll.callers.is_empty();
+        let behind = is_gateway && poll.version < self.committed.version;
+        let overdue = behind && self.peers.lag.needs_help(now, inbox, poll.version);
+        if !behind {
+            self.peers.lag.clear(inbox);
+        }
+        // A gateway without a document only accepts one that is known to be the newest.
+        let accepts = poll.version > 0 || self.current;
+        match behind && accepts && (overdue || self.is_assigned(inbox)) {
+            true => self.committed.document.clone(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Records the demand that a gateway reports; returns the sum over all gateways for the answer.
+    fn record_demand(
+        &mut self,
+        now: Duration,
+        inbox: SocketAddr,
+        poll: &wire::NewsAsk,
+    ) -> Option<wire::Demand> {
+        let is_gateway = !poll.callers.is_empty();
+        let raw = poll.demand.clone().filter(|_| is_gateway)?;
+        let ReceivedDemand { demand, invalid } = raw.into();
+        metrics::counter!("demand_invalid_total").increment(invalid);
+        self.peers.demand.record(now, inbox, demand);
+        // The coordinators that send a gateway its registrations also send it the demand.
+        (!poll.brief).then(|| (&self.peers.demand_sum).into())
+    }
+
     /// Merges registrations from another coordinator; documents arrive through the log only.
     pub(crate) fn on_update(
         &mut self,
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -193,7 +193,7 @@
             self.shared.lines.put("coordinator_lost", lost);
         }
         let with_accounts = self.accounts_due(inbox);
-        // The expression below holds the state locked up to its end.
+        // Computed first: the expression below keeps the state locked, and this locks it, too.
         let demand = urgency::local_demand(&self.shared, with_accounts);
         let request = wire::NewsAsk {
             callers: self.callers.to_string(),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -19,7 +19,7 @@
 use hyper::http::response::Parts;
 use serde_json::json;
 
-/// Reason in the log of a caller that was ended since it made no progress.
+/// Reason in the log for the end of a caller that made no progress.
 pub(crate) const SLOW_READER: &str = "slow reader";
 /// Maximum size of a plain response body.
 const MAX_BODY_BYTES: usize = 16 << 20;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -31,13 +31,14 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::SendError;
 
-/// Bytes buffered for a slow caller, unless a single piece is larger; beyond that, no more is read
-/// from the backend server.
+/// Maximum number of bytes buffered for a slow caller, unless a single piece is larger. At this
+/// number, reading from the backend server pauses.
 const MAX_STREAM_BYTES: usize = 64 << 10;
-/// Queueing that takes longer was held back by the caller; otherwise it takes microseconds.
-const HELD_BACK_THRESHOLD: Duration = Duration::from_millis(1);
-/// Pieces buffered for a slow caller, with the same effect.
+/// Maximum number of pieces buffered for a slow caller; reading pauses in the same way.
 const QUEUE_CAPACITY: usize = 16;
+/// If queueing an event takes longer, callers delay the stream: with room in the buffers, it takes
+/// microseconds.
+const CALLER_DELAY_THRESHOLD: Duration = Duration::from_millis(1);
 
 type FrameResult = Result<Frame<Bytes>, io::Error>;
 
@@ -96,7 +97,7 @@
         frames,
         guard,
         finished_by,
-        held_back: false,
+        caller_delayed: false,
     };
     tokio::spawn(async move {
         let _in_flight = in_flight;
@@ -242,8 +243,8 @@
     guard: Arc<BufferGuard>,
     /// Set when the whole stream was received.
     finished_by: Arc<OnceLock<ServerId>>,
-    /// Reading was last held back by the caller.
-    held_back: bool,
+    /// The last event had to wait for room in the buffers.
+    caller_delayed: bool,
 }
 
 impl EventForwarder {
@@ -330,7 +331,7 @@
             if let Some(pause) = self.timing.record_event(now, self.ctx.arrived) {
                 let max_pause = self.ctx.route.pause;
                 // A pause that the caller caused says nothing about the backend server's load.
-                if !self.held_back {
+                if !self.caller_delayed {
                     self.shared.record_pause(server, pause, max_pause);
                 }
             }
@@ -352,7 +353,7 @@
             () = self.frames.closed() => {}
         }
         let sent = self.frames.send(Ok(Frame::data(events))).await;
-        self.held_back = self.shared.now() - start > HELD_BACK_THRESHOLD;
+        self.caller_delayed = self.shared.now() - start > CALLER_DELAY_THRESHOLD;
         sent
     }
 
--- a/crates/route/src/cold.rs
+++ b/crates/route/src/cold.rs
@@ -1,5 +1,4 @@
-//! Cold backend servers of a gateway: what it assumes, hears and reports of their cold periods, and
-//! their slow start.
+//! Cold periods and slow starts of backend servers, as one gateway assumes them or learns of them.
 
 use crate::fleet::Fleet;
 use crate::server::{Server, ServerId, StartTime};
@@ -12,12 +11,12 @@
 /// Start times are by the server's clock, which may differ from the gateway's by this much.
 const CLOCK_ERROR: Duration = Duration::from_secs(5);
 
-/// What the backend servers of a service can handle after a start.
+/// Length of the cold periods of a service's backend servers, and the request rate during them.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ColdTerms {
     /// Time for which they are assumed cold.
     pub time: Duration,
-    /// Requests that all gateways together may send to a cold one in any second.
+    /// Requests per second that all gateways together may send to a cold one.
     pub bound: f64,
 }
 
@@ -52,8 +51,8 @@
     announced_until: Option<Duration>,
     /// Start and length of its slow start.
     slow_start: Option<(Duration, Duration)>,
-    /// It refused a connection, and none has been made since. Holds a random number for the
-    /// schedule from its return on.
+    /// Set while it refuses connections: a random number in `0..1` for the schedule that applies
+    /// from the next connection on.
     refused: Option<f64>,
 }
 
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -267,8 +267,8 @@
         self.mean_load_of(now, &self.accepting_in_unit(unit))
     }
 
-    /// The same without cold backend servers, unless all are cold: hardly any of their free slots
-    /// can be used yet.
+    /// [`Fleet::mean_load`] without cold backend servers, unless all are cold: hardly any of their
+    /// free slots can be used yet.
     pub fn usable_load(&self, now: Duration, unit: &str) -> f64 {
         self.mean_load_of(now, &without_cold(now, self.accepting_in_unit(unit)))
     }
--- a/crates/route/src/on_time_controller.rs
+++ b/crates/route/src/on_time_controller.rs
@@ -15,8 +15,8 @@
 /// Age up to which windows are used: two to three lives of a stream. Demand and expert maps change
 /// within seconds, so older passes say little.
 const HISTORY: Duration = Duration::from_secs(5);
-/// Time constant by which the weight of a run falls with its age.
-const RECENCY: f64 = 2.5;
+/// Time constant of the decay of a run's weight with its age, in seconds.
+const WEIGHT_DECAY_S: f64 = 2.5;
 /// Span of windows that an evaluation needs: about half the life of a stream.
 const MIN_SPAN: Duration = Duration::from_millis(1_000);
 /// Worth of a late answer relative to one in time. Callers give it a third to a half.
@@ -27,18 +27,18 @@
 const SURELY_IN_TIME: f64 = 0.92;
 const SURELY_LATE: f64 = 1.0;
 /// Ratio between neighbouring candidates.
-const STEP: f64 = 1.04;
+const CANDIDATE_RATIO: f64 = 1.04;
 /// Candidates whose worth is at least this fraction of the highest count as equal.
-const NEAR_TIE: f64 = 0.985;
-/// Load below which growth is scaled as if it had been seen at this load: a single prompt read at
-/// an idle group would otherwise stand for very long passes of a full one.
+const EQUAL_WORTH: f64 = 0.985;
+/// Minimum load that growth is divided by: a single prompt read at an idle group would otherwise
+/// predict very long passes of a full one.
 const MIN_LOAD: f64 = 0.25;
 /// Weight of the latest load in its moving average. The load of a group changes over the life of a
 /// stream, while its estimate changes with each report.
 const LOAD_WEIGHT: f64 = 0.4;
-/// A window counts as longer than known if its growth per load exceeds the highest in the history
-/// by this factor.
-const LONGER: f64 = 1.05;
+/// Passes count as longer than all recent ones if their growth per load exceeds the highest in the
+/// history by this factor.
+const MIN_STEEPENING: f64 = 1.05;
 /// Fractions of a change that are applied per window. All gateways see the same passes and change
 /// their limits together, before the load follows.
 const RAISE_RATE: f64 = 0.15;
@@ -138,7 +138,7 @@
         })
     }
 
-    /// Adds a window to the history; `true` if its passes were longer than any known ones.
+    /// Adds a window to the history; `true` if its passes were longer than all in the history.
     fn record(&mut self, now: Duration, idle: f64, update: &FillUpdate) -> bool {
         let before = self.mean_load.unwrap_or(update.load);
         let load = before + LOAD_WEIGHT * (update.load - before);
@@ -153,7 +153,7 @@
         }
         let steepest = self.history.iter().map(|s| s.slope).fold(0.0, f64::max);
         self.history.push_back(Sample { at: now, slope });
-        slope > LONGER * steepest
+        slope > MIN_STEEPENING * steepest
     }
 
     /// The candidate of the highest worth; among nearly equal ones the nearest to the present
@@ -181,10 +181,10 @@
                 worth: load / pass * (in_time + LATE_VALUE * (1.0 - in_time)),
                 in_time,
             });
-            limit *= STEP;
+            limit *= CANDIDATE_RATIO;
         }
         let highest = candidates.iter().map(|c| c.worth).fold(0.0, f64::max);
-        let equal = |c: &&Candidate| c.worth >= NEAR_TIE * highest;
+        let equal = |c: &&Candidate| c.worth >= EQUAL_WORTH * highest;
         let last = candidates.iter().rfind(equal).copied();
         if last.is_some_and(|c| c.load >= 1.0) {
             return last;
@@ -211,7 +211,7 @@
 impl Runs {
     fn new(now: Duration, history: &VecDeque<Sample>) -> Runs {
         let newest_first = || history.iter().rev();
-        let weight = |s: &Sample| (-now.saturating_sub(s.at).as_secs_f64() / RECENCY).exp();
+        let weight = |s: &Sample| (-now.saturating_sub(s.at).as_secs_f64() / WEIGHT_DECAY_S).exp();
         Runs {
             slopes: newest_first().map(|s| s.slope).collect(),
             weights: newest_first().map(weight).collect(),
