--- a/crates/backpressure/src/senders.rs
+++ b/crates/backpressure/src/senders.rs
@@ -18,19 +18,19 @@
 /// learns that a limit was lifted.
 const MIN_RATE: f64 = 0.05;
 
-/// Span in which the number of requests to a cold backend server is bounded. Requests of one second
-/// there were sent within this span: paths from gateways differ by less than 0.1 s.
+/// Span over which gateways bound their requests to a cold backend server. Requests that arrive there
+/// within a second were sent within this span: the delays from gateways differ by less than 0.1 s.
 pub(crate) const WINDOW: Duration = Duration::from_millis(1_100);
 /// Added to intervals, so that the requests of a span and the first one after it are more than the
 /// span apart.
-const MARGIN: Duration = Duration::from_millis(1);
-/// Part of the bound that is handed out to the senders. Two views of the list of gateways may have
-/// no sender in common, since a gateway that is cut off holds an earlier list.
-const HANDED_OUT: f64 = 0.4;
-/// Part of the bound for all gateways that are no senders, among them those that have just started:
+const INTERVAL_MARGIN: Duration = Duration::from_millis(1);
+/// Share of the bound that is allotted to the senders of one list of gateways. The senders of two
+/// lists may all differ, since a gateway that is cut off holds an earlier list.
+const ALLOTTED_SHARE: f64 = 0.4;
+/// Share of the bound for all gateways that are no senders, among them those that have just started:
 /// after a common loss of power no gateway is a sender yet, and all backend servers are cold.
-const NON_SENDERS: f64 = 0.2;
-/// Fewest gateways that are assumed to share that part: right after a common start, coordinators
+const NON_SENDER_SHARE: f64 = 0.2;
+/// Fewest gateways that are assumed to divide that share: right after a common start, coordinators
 /// have heard from few.
 const MIN_RUNNING: u32 = 64;
 
@@ -41,7 +41,7 @@
     pub own: Option<SocketAddr>,
     /// The same address of all gateways that callers are sent to.
     pub gateways: Vec<SocketAddr>,
-    /// When this gateway's own address came onto the list that it knows.
+    /// When this gateway's own address first appeared on the list.
     pub listed_at: Duration,
     /// Number of gateways that coordinators know, named or not; 0 if it is not known.
     pub running: u32,
@@ -60,21 +60,21 @@
 /// Interval between two requests of this gateway to a cold backend server that may get `bound`
 /// requests in any second from all gateways together; `None` if only others may send there.
 pub(crate) fn window_interval(bound: f64, id: &ServerId, set: &GatewaySet) -> Option<Duration> {
-    let shares = (bound * HANDED_OUT) as usize;
+    let shares = (bound * ALLOTTED_SHARE) as usize;
     let gateways = set.gateways.len();
     let share = (shares / gateways.max(1)).max(1);
     let senders = gateways.min(shares / share);
     let sends = is_sender(senders, id, set);
     let share = u32::try_from(share).unwrap_or(u32::MAX);
-    sends.then(|| WINDOW / share + MARGIN)
+    sends.then(|| WINDOW / share + INTERVAL_MARGIN)
 }
 
 /// Interval between two requests to a cold backend server of a gateway that is no sender; `None` if
 /// the number of gateways is not known.
 pub(crate) fn non_sender_interval(bound: f64, set: &GatewaySet) -> Option<Duration> {
     let running = f64::from(set.running.max(MIN_RUNNING));
-    let window = WINDOW.mul_f64(running / (bound * NON_SENDERS).max(f64::MIN_POSITIVE));
-    (set.running > 0 && bound > 0.0).then(|| window + MARGIN)
+    let window = WINDOW.mul_f64(running / (bound * NON_SENDER_SHARE).max(f64::MIN_POSITIVE));
+    (set.running > 0 && bound > 0.0).then(|| window + INTERVAL_MARGIN)
 }
 
 /// Whether this gateway is one of the first `senders` in the order of a backend server.
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -193,8 +193,8 @@
             self.shared.lines.put("coordinator_lost", lost);
         }
         let with_accounts = self.accounts_due(inbox);
-        // The expression below holds the state locked up to its end.
-        let demand = urgency::demand(&self.shared, with_accounts);
+        // Computed first: the expression below keeps the state locked, and this locks it, too.
+        let demand = urgency::local_demand(&self.shared, with_accounts);
         let request = wire::NewsAsk {
             callers: self.callers.to_string(),
             domain: self.domain.clone(),
@@ -355,7 +355,7 @@
                 let now = self.shared.now();
                 let mut state = self.shared.state();
                 state.fleet.set_cold_terms(now, terms, rand::random);
-                state.adopt_priorities(&document);
+                state.update_ranked_services(&document);
                 state.document = Some(std::sync::Arc::new(document));
                 drop(state);
                 feedback::log_cold_changes(&self.shared);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by all requests of a gateway. It is locked only briefly, never across an await.
 
-use crate::holding::Buffers;
+use crate::buffer_guard::Buffers;
 use crate::suspects::Report;
 use crate::urgency::ServiceAdmission;
 use bn_directory::GatewaySelection;
@@ -62,7 +62,7 @@
     pub(crate) retry_budgets: IndexMap<String, RetryBudget>,
     /// Requests that wait for a slot, by service.
     pub(crate) queues: IndexMap<String, Queue>,
-    /// Admission to services whose requests differ in priority.
+    /// Admission to ranked services.
     pub(crate) admissions: IndexMap<String, ServiceAdmission>,
     /// Fill controllers of streaming services, by unit.
     pub(crate) controllers: IndexMap<Unit, UnitController>,
