--- a/crates/backpressure/src/cold.rs
+++ b/crates/backpressure/src/cold.rs
@@ -54,6 +54,8 @@
     schedule: Option<Schedule>,
     /// Whether the schedule is that of a sender.
     is_sender: bool,
+    /// When this gateway becomes a sender, and its interval from then on.
+    joins: Option<(Duration, Duration)>,
     /// Number of changes of the end.
     pub(crate) changes: u64,
 }
@@ -122,14 +124,17 @@
         // Requests sent before the cold period was known count.
         let free_at = now.max(last_sent.map_or(Duration::ZERO, |at| at + WINDOW));
         let joined_at = set.listed_at + JOIN_DELAY;
-        let own_share = window_interval(bound, id, set).filter(|_| now >= joined_at);
+        let share = window_interval(bound, id, set);
+        let own_share = share.filter(|_| now >= joined_at);
         let (interval, earliest) = match (own_share, non_sender_interval(bound, set)) {
             (None, Some(interval)) => (Some(interval), free_at),
             (Some(interval), _) if first => (Some(interval), free_at),
             (Some(interval), _) => (Some(interval), now + JOIN_DELAY),
             // A sender may have sent its share before it was restarted.
-            (None, None) => (window_interval(bound, id, set), free_at.max(joined_at)),
+            (None, None) => (share, free_at.max(joined_at)),
         };
+        let joining = share.filter(|_| now < joined_at && interval != share);
+        self.joins = joining.map(|share| (free_at.max(joined_at) + share.mul_f64(draw), share));
         let becomes_sender = own_share.is_some() && !self.is_sender;
         self.is_sender = own_share.is_some();
         let schedule = self.schedule.get_or_insert_default();
@@ -144,6 +149,8 @@
     /// all gateways may send.
     pub(crate) fn next_send_at(&self) -> Duration {
         let next_at = self.schedule.and_then(|s| s.next_send_at());
+        let joins_at = self.joins.map(|(at, _)| at);
+        let next_at = next_at.into_iter().chain(joins_at).min();
         match (self.bound, self.schedule) {
             (Some(_), Some(_)) => next_at.map_or(self.until, |at| at.min(self.until)),
             _ => Duration::ZERO,
@@ -151,16 +158,26 @@
     }
 
     pub(crate) fn on_sent(&mut self, now: Duration) {
+        self.join(now);
         if let Some(schedule) = &mut self.schedule {
             schedule.on_sent(now);
         }
     }
 
+    /// Makes this gateway a sender once it has waited for the previous one.
+    fn join(&mut self, now: Duration) {
+        if let Some((_, interval)) = self.joins.take_if(|(at, _)| now >= *at) {
+            self.is_sender = true;
+            self.schedule.get_or_insert_default().interval = Some(interval);
+        }
+    }
+
     /// Whether a request may be written now, if the previous one was written at `last_written`.
     pub(crate) fn on_write(&mut self, now: Duration, last_written: Option<Duration>) -> bool {
         if !self.is_active(now) {
             return true;
         }
+        self.join(now);
         let Some(interval) = self.schedule.and_then(|s| s.interval) else {
             return false;
         };
