--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -114,6 +114,7 @@
     if let Some(why) = withheld {
         return Outcome::Withheld(why);
     }
+    ctx.sends.record(now, &reservation.server.id);
     let request = request(now, ctx, &reservation.server, last_event);
     let sent = connection.sender.try_send_request(request).await;
     match sent {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -2,6 +2,7 @@
 //! when.
 
 use crate::buffer_guard::BufferGuard;
+use crate::departure::SendLog;
 use bn_platform::header;
 use bn_quarantine::Digest;
 use bn_serve::Abort;
@@ -41,6 +42,8 @@
     pub(crate) body_guard: Option<Arc<BufferGuard>>,
     /// Aborts the caller's connection.
     pub(crate) abort: Abort,
+    /// Backend servers that it was sent to.
+    pub(crate) sends: SendLog,
     pub(crate) account: Option<AccountId>,
     pub(crate) route: Route,
     pub(crate) service: String,
@@ -106,6 +109,7 @@
             body: Bytes::new(),
             body_guard: None,
             abort: parts.extensions.get::<Abort>().cloned().unwrap_or_default(),
+            sends: SendLog::default(),
             digest: OnceLock::new(),
         })
     }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -4,6 +4,7 @@
 use crate::buffer_guard::{BufferGuard, ReceiveError};
 use crate::buffers::Phase;
 use crate::context::{Denial, RequestContext};
+use crate::departure::DepartureGuard;
 use crate::dispatch::{self, Attempts};
 use crate::shared::{InFlightGuard, Shared};
 use crate::{buffer_guard, context, placement, plain, stream, urgency};
@@ -75,10 +76,12 @@
     ctx.is_retry = shared.is_retry(&ctx.route.name, ctx.deadline);
     shared.count_request(&ctx.service);
     urgency::record_arrival(&shared, &ctx);
+    let departure = DepartureGuard::new(&shared, &ctx);
     let result = match ctx.streams() {
         true => stream::serve(&shared, &ctx, Attempts::default(), in_flight).await,
         false => serve_plain(&shared, &ctx).await,
     };
+    departure.disarm();
     match result {
         Ok(response) => {
             record_answered(&shared, &ctx, &response);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod buffers;
 mod cases;
 mod context;
+mod departure;
 mod dispatch;
 mod events;
 mod feedback;
