gateway: fail over from backend servers that fall silent, and send them nothing

Cause: a gateway trusted a backend server for as long as its connection stood. Evidence: caller_left lines: 68 of 75 callers without an answer had been sent to a machine that was frozen already, at all moments of its freeze. Change: signs of life by backend server. What owes an answer and sends nothing for longer than is usual (mean and deviation of recent answers, within half of the target and the target; two and four allowed pauses between events) counts as silent, unless most others that owe something are silent, too, or this process itself stood still. A request that may be repeated is then sent to another one, within the retry budget, while the first is still listened to: whichever goes on first is kept, so a short stop cuts nothing. Placement avoids silent backend servers, and those that have owed an answer for half of the target; a health check that stays open tells when they are back.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::context::{RequestContext, text};
 use crate::feedback;
 use crate::shared::Shared;
+use crate::silence;
 use bn_platform::header;
 use bn_route::{LoadReport, Server};
 use bn_serve::client::{self, Connection};
@@ -148,6 +149,7 @@
     connection: Connection,
     reservation: Reservation,
 ) -> Outcome {
+    silence::record_heard(shared, &reservation.server);
     let headers = response.headers();
     record_load(shared, &reservation.server, headers);
     let status = response.status().as_u16();
@@ -170,6 +172,7 @@
     if text(headers, header::ATTEMPT) != Some(&ctx.id) {
         return Outcome::Mismatched;
     }
+    silence::record_answer(shared, &reservation.server, shared.now() - sent);
     Outcome::Head(Box::new(Head {
         response,
         connection,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,14 +6,17 @@
 use crate::context::RequestContext;
 use crate::placement;
 use crate::shared::Shared;
+use crate::silence::{self, Awaited};
 use crate::suspects::{self, Run, Trial};
 use bn_quarantine::to_text;
-use bn_route::ServerId;
+use bn_route::{Server, ServerId};
 use serde_json::json;
 
 /// Connections that may fail before a request is refused; each was to another backend server, and
 /// no byte was sent.
 const MAX_UNSENT: u32 = 3;
+/// Why a request stays where it is.
+pub(crate) const NO_RETRY: &str = "the route or the retry budget allows no other backend server";
 
 /// Attempts made for a request so far.
 #[derive(Default)]
@@ -21,6 +24,8 @@
     pub(crate) tried: Vec<ServerId>,
     /// Number of backend servers that it was sent to.
     pub(crate) sent: u32,
+    /// Number of silent backend servers at which it still is while another one is tried.
+    pending: u32,
     unsent: u32,
     /// It is or was at a backend server that did not report that it was not run.
     pub(crate) may_have_run: bool,
@@ -29,6 +34,11 @@
 }
 
 impl Attempts {
+    /// Whether the route allows another backend server.
+    fn may_send(&self, ctx: &RequestContext) -> bool {
+        self.sent + self.pending < ctx.route.attempts
+    }
+
     /// The refusal returned when time or attempts have run out.
     pub(crate) fn final_refusal(&self, otherwise: Refusal) -> Refusal {
         match self.may_have_run {
@@ -67,7 +77,20 @@
         attempts.tried.push(id.clone());
         let may_have_run_before = attempts.may_have_run;
         attempts.may_have_run = true;
-        let outcome = attempt::send(shared, ctx, reservation, last_event).await;
+        let server = reservation.server.clone();
+        let sending = attempt::send(shared, ctx, reservation, last_event);
+        let pending = attempts.pending;
+        let outcome = tokio::select! {
+            biased;
+            outcome = sending => outcome,
+            head = fail_over(shared, ctx, attempts, &server, last_event) => {
+                attempts.pending = pending;
+                attempts.sent += 1;
+                suspects::on_run_lost(shared, ctx, attempts, &run, true);
+                return Ok(head);
+            }
+        };
+        attempts.pending = pending;
         match outcome {
             Outcome::Head(head) => {
                 attempts.sent += 1;
@@ -119,11 +142,38 @@
     }
 }
 
+/// Obtains the answer of another backend server once `server` is silent. It may still answer itself:
+/// until the other one does, the caller drops this future then.
+async fn fail_over(
+    shared: &Shared,
+    ctx: &RequestContext,
+    attempts: &mut Attempts,
+    server: &Server,
+    last_event: Option<&str>,
+) -> Box<Head> {
+    attempts.pending += 1;
+    loop {
+        silence::wait(shared, ctx, server, Awaited::Answer).await;
+        if !take_retry(shared, ctx, attempts) {
+            silence::log_kept(shared, ctx, &server.id, NO_RETRY);
+            continue;
+        }
+        match Box::pin(dispatch(shared, ctx, attempts, last_event)).await {
+            Ok(head) => {
+                let to = &head.reservation.server.id;
+                silence::log_failover(shared, ctx, &server.id, to, last_event);
+                return head;
+            }
+            Err(refusal) => silence::log_kept(shared, ctx, &server.id, refusal.reason),
+        }
+    }
+}
+
 /// Whether the request may go to another backend server although it may have run; if so, charges
 /// the retry budget. A suspect may not: the next backend server would terminate, too, before this
 /// termination is known.
 pub(crate) fn take_retry(shared: &Shared, ctx: &RequestContext, attempts: &Attempts) -> bool {
-    let may = ctx.idempotent() && attempts.trial.is_none() && attempts.sent < ctx.route.attempts;
+    let may = ctx.idempotent() && attempts.trial.is_none() && attempts.may_send(ctx);
     may && shared.try_withdraw_retry(&ctx.service)
 }
 
@@ -180,7 +230,7 @@
     attempts.unsent += u32::from(cannot_serve);
     let may_try = match cannot_serve {
         true => attempts.unsent < MAX_UNSENT,
-        false => attempts.sent < ctx.route.attempts,
+        false => attempts.may_send(ctx),
     };
     match may_try && shared.try_withdraw_retry(&ctx.service) {
         true => Ok(()),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::attempt::Reservation;
 use crate::context::RequestContext;
 use crate::shared::{Shared, State};
-use crate::urgency;
+use crate::{silence, urgency};
 use bn_limit::QueuedRequest;
 use bn_route::{
     FillController, PickArgs, ServerId, Unavailable, Unit, UnitController, fill_limit_for,
@@ -150,6 +150,7 @@
         service: &ctx.service,
         tried,
         final_attempt: tried.len() + 1 >= ctx.route.attempts as usize,
+        doubt_after: silence::doubt_after(ctx),
         fill_limit: &fill_limit,
     };
     let picked = state.fleet.pick(now, &args, rand::random::<f64>);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,8 +7,8 @@
 use bn_limit::Queue;
 use bn_quarantine::{LossTracker, Table};
 use bn_route::{
-    FillRule, Fleet, PauseBounds, RetryAllowance, RetryBudget, RetryDetector, Server, Unit,
-    UnitController,
+    FillRule, Fleet, PauseBounds, ResponseTimer, RetryAllowance, RetryBudget, RetryDetector,
+    Server, Unit, UnitController,
 };
 use bn_serve::client::Pool;
 use bn_settle::Document;
@@ -66,6 +66,10 @@
     pub(crate) admissions: IndexMap<String, ServiceAdmission>,
     /// Fill controllers of streaming services, by unit.
     pub(crate) controllers: IndexMap<Unit, UnitController>,
+    /// Times until the answers of backend servers, by unit.
+    pub(crate) answer_timers: IndexMap<Unit, ResponseTimer>,
+    /// Pauses between the events of streams, by unit.
+    pub(crate) event_timers: IndexMap<Unit, ResponseTimer>,
     /// When the next event on the fill limit is due.
     fill_event_due: Duration,
     /// How long callers wait, by route.
@@ -114,6 +118,8 @@
             queues: IndexMap::new(),
             admissions: IndexMap::new(),
             controllers: IndexMap::new(),
+            answer_timers: IndexMap::new(),
+            event_timers: IndexMap::new(),
             fill_event_due: Duration::ZERO,
             retry_detector: RetryDetector::default(),
             gateway_count: 1,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 use crate::events::{MAX_EVENT_BYTES, Splitter};
 use crate::plain;
 use crate::shared::{InFlightGuard, Shared};
+use crate::silence::{self, Awaited};
 use crate::suspects::{self, Run};
 use bn_platform::header;
 use bn_route::{Server, ServerId};
@@ -40,6 +41,8 @@
 /// microseconds.
 const CALLER_DELAY_THRESHOLD: Duration = Duration::from_millis(1);
 
+/// What reading a backend server's body returns; `None` at its end.
+type ReadFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
 type FrameResult = Result<Frame<Bytes>, io::Error>;
 
 /// Serves a request whose response is a stream.
@@ -203,6 +206,8 @@
     TimedOut,
     /// The stream from the backend server broke off.
     Broken(&'static str),
+    /// The next event is overdue, and the backend server sends nothing else either.
+    Silent,
 }
 
 /// When events were forwarded to the caller.
@@ -250,10 +255,12 @@
 impl EventForwarder {
     async fn run(mut self, body: Incoming, source: StreamSource) {
         let (mut body, mut source) = (body, source);
+        let mut first_frame = None;
         loop {
             let run = Run::at(&source.reservation.server);
             let id = source.reservation.server.id.clone();
-            match self.read(&mut body, &source.reservation.server).await {
+            let server = &source.reservation.server;
+            match self.read(&mut body, server, first_frame.take()).await {
                 ReadEnd::Complete => {
                     let shared = &self.shared;
                     let now = shared.now();
@@ -287,8 +294,29 @@
                     self.log_event("stream_broken", &id, why);
                     dispatch::record_failure(&self.shared, &id, false);
                     match self.resume().await {
-                        Some(next) => (body, source) = next,
-                        None => return self.abort().await,
+                        Ok(next) => (body, source) = next,
+                        Err(_) => return self.abort().await,
+                    }
+                }
+                // It may go on by itself until another backend server does.
+                ReadEnd::Silent => {
+                    let next = tokio::select! {
+                        biased;
+                        frame = body.frame() => {
+                            first_frame = Some(frame);
+                            continue;
+                        }
+                        next = self.resume() => next,
+                    };
+                    match next {
+                        Ok(next) => {
+                            self.on_run_lost(&run, true);
+                            (body, source) = next;
+                            let to = &source.reservation.server.id;
+                            let from = self.splitter.last_id();
+                            silence::log_failover(&self.shared, &self.ctx, &id, to, from);
+                        }
+                        Err(why) => silence::log_kept(&self.shared, &self.ctx, &id, why),
                     }
                 }
             }
@@ -299,16 +327,30 @@
         suspects::on_run_lost(&self.shared, &self.ctx, &self.attempts, run, abandoned);
     }
 
-    async fn read(&mut self, body: &mut Incoming, server: &Server) -> ReadEnd {
+    /// Forwards events; `first_frame` was already read.
+    async fn read(
+        &mut self,
+        body: &mut Incoming,
+        server: &Server,
+        mut first_frame: Option<ReadFrame>,
+    ) -> ReadEnd {
         let remaining = self.ctx.remaining(self.shared.now());
         let timeout = tokio::time::sleep(remaining);
         let mut timeout = std::pin::pin!(timeout);
         loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = self.frames.closed() => return ReadEnd::CallerLeft,
-                () = timeout.as_mut() => return ReadEnd::TimedOut,
+            let frame = match first_frame.take() {
+                Some(frame) => frame,
+                None => tokio::select! {
+                    biased;
+                    frame = body.frame() => frame,
+                    () = self.frames.closed() => return ReadEnd::CallerLeft,
+                    () = timeout.as_mut() => return ReadEnd::TimedOut,
+                    () = silence::wait(&self.shared, &self.ctx, server, Awaited::Event) => {
+                        return ReadEnd::Silent;
+                    }
+                },
             };
+            silence::record_heard(&self.shared, server);
             let data = match frame {
                 None if self.splitter.pending() > 0 => {
                     return ReadEnd::Broken("ended within an event");
@@ -332,6 +374,7 @@
                 let max_pause = self.ctx.route.pause;
                 // A pause that the caller caused says nothing about the backend server's load.
                 if !self.caller_delayed {
+                    silence::record_event(&self.shared, server, pause);
                     self.shared.record_pause(server, pause, max_pause);
                 }
             }
@@ -357,27 +400,30 @@
         sent
     }
 
-    /// Resumes at another backend server after the last complete event.
-    async fn resume(&mut self) -> Option<(Incoming, StreamSource)> {
-        self.splitter.discard_partial();
+    /// Resumes at another backend server after the last complete event; otherwise returns why it
+    /// cannot.
+    async fn resume(&mut self) -> Result<(Incoming, StreamSource), &'static str> {
         if !dispatch::take_retry(&self.shared, &self.ctx, &self.attempts) {
-            return None;
+            return Err(dispatch::NO_RETRY);
         }
         let from = self.splitter.last_id().map(str::to_string);
         let remaining = self.ctx.remaining(self.shared.now());
         let dispatched =
             dispatch::dispatch(&self.shared, &self.ctx, &mut self.attempts, from.as_deref());
         let head = tokio::select! {
-            head = tokio::time::timeout(remaining, dispatched) => head.ok()?.ok()?,
-            () = self.frames.closed() => return None,
+            head = tokio::time::timeout(remaining, dispatched) => head,
+            () = self.frames.closed() => return Err("the caller left"),
         };
+        let head = head.map_err(|_| "no answer in time")?;
+        let head = head.map_err(|refusal| refusal.reason)?;
         if !is_stream(&head) {
-            return None;
+            return Err("no stream");
         }
+        self.splitter.discard_partial();
         let (_, body, source) = split(*head);
         let id = source.reservation.server.id.clone();
         self.log_event("stream_resumed", &id, from.as_deref().unwrap_or("start"));
-        Some((body, source))
+        Ok((body, source))
     }
 
     /// Aborts the caller's connection: without the end of the framing, the response cannot be
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use crate::cold::{ColdChange, ColdTerms};
 use crate::server::{LoadReport, Server, ServerId, StartTime, Unit, without_slow};
+use crate::silence::without_silent;
 use bn_backpressure::GatewaySet;
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
@@ -33,6 +34,9 @@
     pub tried: &'a [ServerId],
     /// If rejected there, the request may not be sent to another one.
     pub final_attempt: bool,
+    /// A backend server that has owed an answer for this long without sending anything is picked
+    /// only if no other one has capacity.
+    pub doubt_after: Duration,
     /// Load over slots up to which a backend server of a unit is filled.
     pub fill_limit: &'a dyn Fn(&str) -> f64,
 }
@@ -193,19 +197,36 @@
             return first.ok_or(Unavailable::NoServers);
         }
         let candidates = without_slow(candidates);
-        let units = self.units(now, args, &candidates);
+        let heard = without_silent(now, &candidates, args.doubt_after);
+        let best = match self.cheapest(now, args, &heard, &mut random) {
+            // A silent backend server is better than none: it may be back.
+            None => self.cheapest(now, args, &candidates, &mut random),
+            best => best,
+        };
+        best.ok_or(Unavailable::Full)
+    }
+
+    /// The backend server with the lowest cost among those with capacity.
+    fn cheapest<'a>(
+        &self,
+        now: Duration,
+        args: &PickArgs<'_>,
+        candidates: &[&'a Server],
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<&'a Server> {
+        let units = self.units(now, args, candidates);
         let max_limit = units.values().map(|u| u.fill_limit).fold(0.0, f64::max);
-        let healthy = candidates.into_iter().filter(|s| !s.health.is_ejected(now));
+        let healthy = candidates.iter().filter(|s| !s.health.is_ejected(now));
         let costed = healthy.filter_map(|s| {
             let unit = units.get(s.unit.as_str())?;
             let limit = unit.fill_limit * s.slots() * s.capacity_share(now);
             let relative = unit.fill_limit / max_limit.max(f64::MIN_POSITIVE);
             let local = s.domain == self.domain;
             let cost = s.cost(now, unit.peer_load, relative, local) + JITTER * random();
-            (s.load(now, unit.peer_load) < limit).then_some((cost, s))
+            (s.load(now, unit.peer_load) < limit).then_some((cost, *s))
         });
         let best = costed.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, s)| s).ok_or(Unavailable::Full)
+        best.map(|(_, s)| s)
     }
 
     /// Fill limit and peer load of the units of these backend servers.
@@ -323,6 +344,7 @@
     pub fn record_sent(&mut self, now: Duration, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
             server.in_flight += 1;
+            server.signs.record_sent(now);
             server.backpressure.on_sent(now);
             if let Some(stall) = self.stalled.get_mut(&server.unit) {
                 stall.next_probe = now + PROBE_INTERVAL;
@@ -383,6 +405,9 @@
         let server = self.servers.get_mut(id);
         if let Some(server) = server.filter(|s| s.start_time == start_time) {
             server.in_flight = server.in_flight.saturating_sub(1);
+            if server.in_flight == 0 {
+                server.signs.record_idle();
+            }
         }
     }
 
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::cold::ColdRecord;
 use crate::health_record::HealthRecord;
+use crate::silence::Signs;
 use bn_backpressure::Backpressure;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
@@ -63,6 +64,7 @@
     /// Health from the outcomes of requests.
     pub health: HealthRecord,
     pub(crate) cold: ColdRecord,
+    pub(crate) signs: Signs,
     /// This gateway's requests in flight there.
     pub(crate) in_flight: u32,
     /// Requests of other gateways at its last load report.
@@ -88,6 +90,7 @@
             backpressure: Backpressure::default(),
             health: HealthRecord::default(),
             cold: ColdRecord::default(),
+            signs: Signs::default(),
             in_flight: 0,
             peer_requests: 0.0,
             reported_at: Duration::ZERO,
--- a/crates/route/tests/asked.rs
+++ b/crates/route/tests/asked.rs
@@ -30,6 +30,7 @@
         service: "s",
         tried: &[],
         final_attempt: false,
+        doubt_after: Duration::MAX,
         fill_limit: &|_| 1.0,
     };
     fleet.pick(now, &args, || 0.0).map(|s| s.id.clone())
@@ -204,6 +205,7 @@
         service: "s",
         tried: &[],
         final_attempt: true,
+        doubt_after: Duration::MAX,
         fill_limit: &|_| 1.0,
     };
 
--- a/crates/route/tests/cold.rs
+++ b/crates/route/tests/cold.rs
@@ -57,6 +57,7 @@
         service: "s",
         tried: &[],
         final_attempt: false,
+        doubt_after: Duration::MAX,
         fill_limit: &|_| 1.0,
     };
     let mut placed = 0;
--- a/crates/route/tests/evacuation.rs
+++ b/crates/route/tests/evacuation.rs
@@ -30,6 +30,7 @@
         service: "s",
         tried,
         final_attempt: false,
+        doubt_after: Duration::MAX,
         fill_limit: &|_| 1.0,
     };
     fleet.pick(NOW, &args, || 0.0).map(|s| s.id.clone())
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -23,6 +23,7 @@
         service: "s",
         tried,
         final_attempt: false,
+        doubt_after: Duration::MAX,
         fill_limit: &|_| 1.0,
     }
 }
--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -144,6 +144,8 @@
 pub struct Service {
     /// Name.
     pub name: ServiceId,
+    /// Path of its backend servers' health check.
+    pub health_path: String,
     /// Connections that each of its backend servers accepts from all callers together.
     pub connections: u32,
     /// Present if its backend servers are engines.
