gateway: answer a stream's caller before it leaves a silent backend server

Callers saw: nothing, for exactly 2.000 s; then they left without knowing whether their request had run, and the engine ran it on waking (GONE). Cause: the only bound on a stream's wait was its deadline of 7 to 8 s. That callers abandon a stream after the longest of 2 s, four times the target and eight times the allowed pause stands in the platform's protocol; the gateway held targets and pauses of each route, but worked nothing out from them. Why so late: until then the backend server may still go on (nothing that would have gone on in time is cut), and failover has been tried since some 0.3 s. Tests: a_caller_is_answered_before_it_leaves_a_silent_backend_server, a_stream_that_cannot_continue_is_cut_before_its_caller_leaves.

--- a/crates/cli/tests/silent.rs
+++ b/crates/cli/tests/silent.rs
@@ -197,6 +197,35 @@
     expect_true!(has_line(&fleet, "backend_server_silent"));
 }
 
+/// Guards against a caller that is told nothing: it left after two seconds of silence, and the
+/// request ran when the instance went on.
+#[googletest::test]
+fn a_caller_is_answered_before_it_leaves_a_silent_backend_server() {
+    let frozen = Frozen::default();
+    frozen.set(true);
+    let backend = start_backend("a", &frozen);
+    let fleet = start_fleet(64, "engines", &[backend]);
+
+    let (answer, elapsed) = send(&fleet, "POST", "/draft/1", "id");
+
+    expect_that!(answer.status(), eq(504));
+    expect_that!(answer.text(), contains_substring("may-have-run"));
+    expect_that!(elapsed, lt(PATIENCE));
+}
+
+/// Guards against a stream that has begun and hangs until its caller leaves.
+#[googletest::test]
+fn a_stream_that_cannot_continue_is_cut_before_its_caller_leaves() {
+    let backend = start_stopping_backend("a", FOR_GOOD);
+    let fleet = start_fleet(65, "engines", &[backend]);
+
+    let (answer, elapsed) = send(&fleet, "POST", "/draft/1", "id");
+
+    expect_false!(answer.complete);
+    expect_true!(answer.text().ends_with(&event(LAST_BEFORE_STOP)));
+    expect_that!(elapsed, lt(PATIENCE + Duration::from_millis(100)));
+}
+
 /// Guards against a request that may run once and is sent to a second backend server because the
 /// first one is silent.
 #[googletest::test]
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -18,6 +18,10 @@
 /// deadline that a caller may name.
 const MAX_DEADLINE: Duration = Duration::from_secs(3600);
 
+/// Part of a caller's patience that is left for the way of an answer: two links, and the delays of a
+/// busy process.
+const PATIENCE_MARGIN: Duration = Duration::from_millis(100);
+
 /// Why a request is not accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Denial {
@@ -144,6 +148,14 @@
         self.route.kind == Kind::Stream
     }
 
+    /// Time left for the next event, or the answer, if the caller received the last one at `last`:
+    /// after it, the caller would leave without having been told anything.
+    pub(crate) fn patience_left(&self, now: Duration, last: Duration) -> Duration {
+        let patience = self.route.patience.unwrap_or(Duration::MAX);
+        let until = last.saturating_add(patience.saturating_sub(PATIENCE_MARGIN));
+        until.saturating_sub(now).min(self.remaining(now))
+    }
+
     /// Time left until the final response must be sent.
     pub(crate) fn remaining(&self, now: Duration) -> Duration {
         self.answer_by.saturating_sub(now)
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// The refusal returned before the caller leaves for want of an answer.
+    pub(crate) fn unanswered(&self, shared: &Shared, ctx: &RequestContext) -> Refusal {
+        match self.may_have_run {
+            true => Refusal::unknown(504, "the backend server sends nothing"),
+            false => Refusal::retryable(placement::FULL, placement::retry_delay(shared, ctx)),
+        }
+    }
+
     /// The refusal returned at the deadline or the route's timeout.
     pub(crate) fn timed_out(&self) -> Refusal {
         match self.may_have_run {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -41,6 +41,10 @@
 /// microseconds.
 const CALLER_DELAY_THRESHOLD: Duration = Duration::from_millis(1);
 
+/// Why a stream was cut.
+const TIMED_OUT: &str = "deadline or timeout";
+const OUT_OF_PATIENCE: &str = "no event for as long as the caller waits";
+
 /// What reading a backend server's body returns; `None` at its end.
 type ReadFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
 type FrameResult = Result<Frame<Bytes>, io::Error>;
@@ -53,9 +57,11 @@
     in_flight: InFlightGuard,
 ) -> Result<Response<Body>, Refusal> {
     let dispatched = dispatch::dispatch(shared, ctx, &mut attempts, None);
-    let head = match tokio::time::timeout(ctx.remaining(shared.now()), dispatched).await {
+    let limit = ctx.patience_left(shared.now(), ctx.arrived);
+    let head = match tokio::time::timeout(limit, dispatched).await {
         Ok(head) => head?,
-        Err(_) => return Err(attempts.timed_out()),
+        Err(_) if ctx.remaining(shared.now()).is_zero() => return Err(attempts.timed_out()),
+        Err(_) => return Err(attempts.unanswered(shared, ctx)),
     };
     if !is_stream(&head) {
         let run = Run::at(&head.reservation.server);
@@ -202,8 +208,8 @@
     Complete,
     /// The caller disconnected.
     CallerLeft,
-    /// The deadline or timeout was reached.
-    TimedOut,
+    /// The deadline, the timeout or the end of the caller's patience was reached.
+    TimedOut(&'static str),
     /// The stream from the backend server broke off.
     Broken(&'static str),
     /// The next event is overdue, and the backend server sends nothing else either.
@@ -280,11 +286,11 @@
                         None => self.log_event("caller_left", &id, ""),
                     };
                 }
-                ReadEnd::TimedOut => {
+                ReadEnd::TimedOut(why) => {
                     drop(source);
                     drop(body);
                     self.on_run_lost(&run, true);
-                    self.log_event("stream_cut", &id, "deadline or timeout");
+                    self.log_event("stream_cut", &id, why);
                     return self.abort().await;
                 }
                 ReadEnd::Broken(why) => {
@@ -323,6 +329,12 @@
         }
     }
 
+    /// Time left until the caller would leave for want of an event.
+    fn patience_left(&self) -> Duration {
+        let last = self.timing.last.unwrap_or(self.ctx.arrived);
+        self.ctx.patience_left(self.shared.now(), last)
+    }
+
     fn on_run_lost(&self, run: &Run, abandoned: bool) {
         suspects::on_run_lost(&self.shared, &self.ctx, &self.attempts, run, abandoned);
     }
@@ -344,7 +356,10 @@
                     biased;
                     frame = body.frame() => frame,
                     () = self.frames.closed() => return ReadEnd::CallerLeft,
-                    () = timeout.as_mut() => return ReadEnd::TimedOut,
+                    () = timeout.as_mut() => return ReadEnd::TimedOut(TIMED_OUT),
+                    () = tokio::time::sleep(self.patience_left()) => {
+                        return ReadEnd::TimedOut(OUT_OF_PATIENCE);
+                    }
                     () = silence::wait(&self.shared, &self.ctx, server, Awaited::Event) => {
                         return ReadEnd::Silent;
                     }
@@ -380,7 +395,7 @@
             }
             let sent = tokio::select! {
                 sent = self.forward(events) => sent,
-                () = timeout.as_mut() => return ReadEnd::TimedOut,
+                () = timeout.as_mut() => return ReadEnd::TimedOut(TIMED_OUT),
             };
             if sent.is_err() {
                 return ReadEnd::CallerLeft;
@@ -407,7 +422,7 @@
             return Err(dispatch::NO_RETRY);
         }
         let from = self.splitter.last_id().map(str::to_string);
-        let remaining = self.ctx.remaining(self.shared.now());
+        let remaining = self.patience_left();
         let dispatched =
             dispatch::dispatch(&self.shared, &self.ctx, &mut self.attempts, from.as_deref());
         let head = tokio::select! {
--- a/crates/settle/src/document.rs
+++ b/crates/settle/src/document.rs
@@ -50,6 +50,8 @@
     pub target: Duration,
     /// Maximum pause between two events of a stream that is on time; 0: not a stream.
     pub pause: Duration,
+    /// Time without an event after which callers abandon a stream; `None`: not a stream.
+    pub patience: Option<Duration>,
     /// Priority; 0 is the highest.
     pub priority: u32,
     /// Maximum number of backend servers that one request is sent to.
--- a/crates/settle/tests/documents.rs
+++ b/crates/settle/tests/documents.rs
@@ -16,6 +16,7 @@
         timeout: Duration::from_secs(1),
         target: Duration::from_millis(100),
         pause: Duration::ZERO,
+        patience: None,
         priority: 1,
         attempts: 2,
         open: false,
