gateway: answer plain callers before their deadline

Callers saw: a plain request that may run once, sent to a backend server that hangs, got nothing at all; the caller left at its deadline. Change: a plain answer, or the refusal in its place, is sent 5 in 100 of the deadline (100 ms at most) before it. Backend servers are still told the whole time that is left. Test: a_caller_of_a_plain_route_is_answered_before_its_deadline.

--- a/crates/cli/tests/silent.rs
+++ b/crates/cli/tests/silent.rs
@@ -226,6 +226,24 @@
     expect_that!(elapsed, lt(PATIENCE + Duration::from_millis(100)));
 }
 
+/// Guards against a caller of a plain route that is told nothing before its deadline.
+#[googletest::test]
+fn a_caller_of_a_plain_route_is_answered_before_its_deadline() {
+    let frozen = Frozen::default();
+    frozen.set(true);
+    let backend = start_backend("a", &frozen);
+    let fleet = start_fleet(68, "plain", &[backend]);
+    let deadline = Duration::from_millis(600);
+    let head = request_head("POST", "/file/1", "id", "key-1").replace(": 2000", ": 600");
+    let start = Instant::now();
+
+    let answer = fleet::call(fleet.callers(4), &head, "").unwrap();
+
+    expect_that!(start.elapsed(), lt(deadline));
+    expect_that!(answer.status(), eq(504));
+    expect_that!(answer.text(), contains_substring("may-have-run"));
+}
+
 /// Guards against a request that may run once and is sent to a second backend server because the
 /// first one is silent.
 #[googletest::test]
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -22,6 +22,9 @@
 /// busy process.
 const PATIENCE_MARGIN: Duration = Duration::from_millis(100);
 
+/// The same of a deadline, as a fraction of it: most of a short one has to be left for the answer.
+const DEADLINE_MARGIN: f64 = 0.05;
+
 /// Why a request is not accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Denial {
@@ -156,6 +159,14 @@
         until.saturating_sub(now).min(self.remaining(now))
     }
 
+    /// Time left until a plain answer, or the refusal in its place, must be sent so that it reaches
+    /// the caller before its deadline.
+    pub(crate) fn plain_answer_time(&self, now: Duration) -> Duration {
+        let margin = self.deadline.mul_f64(DEADLINE_MARGIN).min(PATIENCE_MARGIN);
+        let sent_by = (self.arrived + self.deadline).saturating_sub(margin);
+        sent_by.saturating_sub(now).min(self.remaining(now))
+    }
+
     /// Time left until the final response must be sent.
     pub(crate) fn remaining(&self, now: Duration) -> Duration {
         self.answer_by.saturating_sub(now)
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -94,7 +94,7 @@
 async fn serve_plain(shared: &Shared, ctx: &RequestContext) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
     let result = plain::serve(shared, ctx, &mut attempts);
-    match tokio::time::timeout(ctx.remaining(shared.now()), result).await {
+    match tokio::time::timeout(ctx.plain_answer_time(shared.now()), result).await {
         Ok(result) => result,
         Err(_) => Err(attempts.timed_out()),
     }
