gateway: an answer of another backend server at the address is no sign of life

By reading: a health check at an address that was given to another backend server would clear the silence of the one that is gone. Its answer names its id; an answer that names another one is passed over.

--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -1,7 +1,9 @@
 //! Asks a silent backend server whether it is back, so that no caller's request has to find out.
 
+use crate::context;
 use crate::shared::Shared;
 use crate::silence;
+use bn_platform::header;
 use bn_route::Server;
 use bn_serve::client;
 use http_body_util::Full;
@@ -34,7 +36,8 @@
     fleet.is_silent(&server.id, server.start_time)
 }
 
-/// Whether the backend server answers its health check, with any status.
+/// Whether the backend server answers its health check, with any status. Another one may have its
+/// address by now.
 async fn ask(shared: &Shared, server: &Server) -> bool {
     let path = {
         let state = shared.state();
@@ -49,8 +52,10 @@
         return false;
     };
     metrics::counter!("liveness_checks_total").increment(1);
-    match client::open(server.address).await {
-        Ok(mut connection) => connection.sender.send_request(request).await.is_ok(),
-        Err(_) => false,
-    }
+    let Ok(mut connection) = client::open(server.address).await else {
+        return false;
+    };
+    let answer = connection.sender.send_request(request).await;
+    answer
+        .is_ok_and(|a| context::text(a.headers(), header::SERVER).is_none_or(|id| id == server.id))
 }
