gateway: a request that was sent to two backend servers is not told as not run

By reading the failover: its first, silent backend server wakes and says that it did not run the request; the second send is dropped then, and the flag that the request may have run went back to what it was before the first. The caller would have been told not-run while the second may run it. Change: what is no longer listened to counts as sent and as may-have-run, in plain answers and when a silent stream goes on by itself. A request that may not go elsewhere waits without further checks and log lines. Test: a_rejection_by_one_of_two_silent_backend_servers_is_not_told_as_not_run; the mutant silent-verdict shows what it guards against.

--- a/crates/cli/tests/silent.rs
+++ b/crates/cli/tests/silent.rs
@@ -6,7 +6,7 @@
 #[allow(dead_code)]
 mod fleet;
 
-use bn_platform::header::{ATTEMPT, LAST_EVENT, SIGNATURE};
+use bn_platform::header::{ATTEMPT, LAST_EVENT, NOT_RUN, SIGNATURE};
 use fleet::scripts::{response_head, succeed, write_text};
 use fleet::{Backend, Fleet, Message, request_head};
 use googletest::prelude::*;
@@ -226,6 +226,37 @@
     expect_that!(elapsed, lt(PATIENCE + Duration::from_millis(100)));
 }
 
+/// Guards against a refusal that says not-run because one of two backend servers says so, while
+/// nothing is known of the other.
+#[googletest::test]
+fn a_rejection_by_one_of_two_silent_backend_servers_is_not_told_as_not_run() {
+    let (first, second) = (Frozen::default(), Frozen::default());
+    first.set(true);
+    second.set(true);
+    let gate = first.clone();
+    let rejecting = Backend::start("a", move |request, stream| {
+        gate.wait();
+        let head = response_head(request, "503 Full", &format!("{NOT_RUN}: 1\r\n"));
+        write_text(stream, &format!("{head}content-length: 0\r\n\r\n"))
+    });
+    let silent = start_backend("b", &second);
+    let fleet = start_fleet(69, "engines", std::slice::from_ref(&rejecting));
+    let address = fleet.callers(4);
+    let caller = thread::spawn(move || {
+        let head = request_head("POST", "/draft/1", "id", "key-1").replace(": 2000", ": 8000");
+        fleet::call(address, &head, "")
+    });
+    fleet.wait("request", |_| rejecting.count() == 1);
+    fleet.announce(&silent, "engines", "ready", 1);
+    fleet.wait("second request", |_| silent.count() == 1);
+
+    first.set(false);
+    let answer = caller.join().unwrap().unwrap();
+
+    expect_that!(answer.status(), eq(502));
+    expect_that!(answer.text(), contains_substring("may-have-run"));
+}
+
 /// Guards against a caller of a plain route that is told nothing before its deadline.
 #[googletest::test]
 fn a_caller_of_a_plain_route_is_answered_before_its_deadline() {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,7 +16,7 @@
 /// no byte was sent.
 const MAX_UNSENT: u32 = 3;
 /// Why a request stays where it is.
-pub(crate) const NO_RETRY: &str = "the route or the retry budget allows no other backend server";
+pub(crate) const NO_BUDGET: &str = "the retry budget is used up";
 
 /// Attempts made for a request so far.
 #[derive(Default)]
@@ -24,8 +24,8 @@
     pub(crate) tried: Vec<ServerId>,
     /// Number of backend servers that it was sent to.
     pub(crate) sent: u32,
-    /// Number of silent backend servers at which it still is while another one is tried.
-    pending: u32,
+    /// Number of backend servers that it is at now: more than one if some are silent.
+    in_flight: u32,
     unsent: u32,
     /// It is or was at a backend server that did not report that it was not run.
     pub(crate) may_have_run: bool,
@@ -36,7 +36,22 @@
 impl Attempts {
     /// Whether the route allows another backend server.
     fn may_send(&self, ctx: &RequestContext) -> bool {
-        self.sent + self.pending < ctx.route.attempts
+        self.sent + self.in_flight < ctx.route.attempts
+    }
+
+    /// Whether the request may go to another backend server although it may have run. A suspect may
+    /// not: the next backend server would terminate, too, before this termination is known.
+    pub(crate) fn may_retry(&self, ctx: &RequestContext) -> bool {
+        ctx.idempotent() && self.trial.is_none() && self.may_send(ctx)
+    }
+
+    /// Records that only `kept` of the backend servers that it is at are still listened to; `true` if
+    /// there were others, where it may run.
+    pub(crate) fn abandon_beyond(&mut self, kept: u32) -> bool {
+        let abandoned = self.in_flight.saturating_sub(kept);
+        self.in_flight -= abandoned;
+        self.sent += abandoned;
+        abandoned > 0
     }
 
     /// The refusal returned when time or attempts have run out.
@@ -87,18 +102,19 @@
         attempts.may_have_run = true;
         let server = reservation.server.clone();
         let sending = attempt::send(shared, ctx, reservation, last_event);
-        let pending = attempts.pending;
+        let in_flight = attempts.in_flight;
+        attempts.in_flight += 1;
         let outcome = tokio::select! {
             biased;
             outcome = sending => outcome,
             head = fail_over(shared, ctx, attempts, &server, last_event) => {
-                attempts.pending = pending;
-                attempts.sent += 1;
+                attempts.abandon_beyond(in_flight);
                 suspects::on_run_lost(shared, ctx, attempts, &run, true);
                 return Ok(head);
             }
         };
-        attempts.pending = pending;
+        let may_have_run_before = attempts.abandon_beyond(in_flight + 1) || may_have_run_before;
+        attempts.in_flight = in_flight;
         match outcome {
             Outcome::Head(head) => {
                 attempts.sent += 1;
@@ -150,8 +166,8 @@
     }
 }
 
-/// Obtains the answer of another backend server once `server` is silent. It may still answer itself:
-/// until the other one does, the caller drops this future then.
+/// Obtains the answer of another backend server once `server` is silent. `server` may still answer
+/// first, which ends this.
 async fn fail_over(
     shared: &Shared,
     ctx: &RequestContext,
@@ -159,11 +175,13 @@
     server: &Server,
     last_event: Option<&str>,
 ) -> Box<Head> {
-    attempts.pending += 1;
     loop {
         silence::wait(shared, ctx, server, Awaited::Answer).await;
+        if !attempts.may_retry(ctx) {
+            return std::future::pending().await;
+        }
         if !take_retry(shared, ctx, attempts) {
-            silence::log_kept(shared, ctx, &server.id, NO_RETRY);
+            silence::log_kept(shared, ctx, &server.id, NO_BUDGET);
             continue;
         }
         match Box::pin(dispatch(shared, ctx, attempts, last_event)).await {
@@ -178,11 +196,9 @@
 }
 
 /// Whether the request may go to another backend server although it may have run; if so, charges
-/// the retry budget. A suspect may not: the next backend server would terminate, too, before this
-/// termination is known.
+/// the retry budget.
 pub(crate) fn take_retry(shared: &Shared, ctx: &RequestContext, attempts: &Attempts) -> bool {
-    let may = ctx.idempotent() && attempts.trial.is_none() && attempts.may_send(ctx);
-    may && shared.try_withdraw_retry(&ctx.service)
+    attempts.may_retry(ctx) && shared.try_withdraw_retry(&ctx.service)
 }
 
 fn on_unknown(
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -310,10 +310,11 @@
                         biased;
                         frame = body.frame() => {
                             first_frame = Some(frame);
-                            continue;
+                            Err("it goes on by itself")
                         }
                         next = self.resume() => next,
                     };
+                    self.attempts.abandon_beyond(0);
                     match next {
                         Ok(next) => {
                             self.on_run_lost(&run, true);
@@ -329,6 +330,14 @@
         }
     }
 
+    /// Returns once `server` is silent, if the stream may go on elsewhere.
+    async fn silence_to_act_on(&self, server: &Server) {
+        silence::wait(&self.shared, &self.ctx, server, Awaited::Event).await;
+        if !self.attempts.may_retry(&self.ctx) {
+            std::future::pending().await
+        }
+    }
+
     /// Time left until the caller would leave for want of an event.
     fn patience_left(&self) -> Duration {
         let last = self.timing.last.unwrap_or(self.ctx.arrived);
@@ -360,9 +369,7 @@
                     () = tokio::time::sleep(self.patience_left()) => {
                         return ReadEnd::TimedOut(OUT_OF_PATIENCE);
                     }
-                    () = silence::wait(&self.shared, &self.ctx, server, Awaited::Event) => {
-                        return ReadEnd::Silent;
-                    }
+                    () = self.silence_to_act_on(server) => return ReadEnd::Silent,
                 },
             };
             silence::record_heard(&self.shared, server);
@@ -419,7 +426,7 @@
     /// cannot.
     async fn resume(&mut self) -> Result<(Incoming, StreamSource), &'static str> {
         if !dispatch::take_retry(&self.shared, &self.ctx, &self.attempts) {
-            return Err(dispatch::NO_RETRY);
+            return Err(dispatch::NO_BUDGET);
         }
         let from = self.splitter.last_id().map(str::to_string);
         let remaining = self.patience_left();
