--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -1,5 +1,6 @@
 //! Detects backend servers that keep a request waiting and send nothing at all, so that it can go to
-//! another one while its caller still waits.
+//! another one while its caller still waits. The decisions are `bn_route`'s; here are their timers
+//! and log lines.
 
 use crate::context::RequestContext;
 use crate::liveness;
@@ -33,8 +34,8 @@
     Event,
 }
 
-/// Returns once `server` has sent nothing for longer than expected, counted from this call, though
-/// most others that owe answers have.
+/// Returns once `server` has sent nothing for longer than usual, counted from this call, while most
+/// others that owe answers have sent something.
 pub(crate) async fn wait(shared: &Shared, ctx: &RequestContext, server: &Server, awaited: Awaited) {
     let mut since = shared.now();
     loop {
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -30,9 +30,9 @@
 
     /// Time for which it has owed an answer and sent nothing.
     fn silence(&self, now: Duration) -> Duration {
-        let since = self
-            .owed_since
-            .map(|s| self.heard_at.map_or(s, |h| h.max(s)));
+        // Nothing received counts as received long ago.
+        let heard_at = self.heard_at.unwrap_or_default();
+        let since = self.owed_since.map(|owed| owed.max(heard_at));
         since.map_or(Duration::ZERO, |s| now.saturating_sub(s))
     }
 }
@@ -42,12 +42,11 @@
     /// as silent.
     pub fn record_heard(&mut self, now: Duration, id: &str, start_time: StartTime) -> bool {
         let server = self.servers.get_mut(id);
-        server
-            .filter(|s| s.start_time == start_time)
-            .is_some_and(|s| {
-                s.signs.heard_at = Some(now);
-                std::mem::take(&mut s.signs.silent)
-            })
+        let Some(server) = server.filter(|s| s.start_time == start_time) else {
+            return false;
+        };
+        server.signs.heard_at = Some(now);
+        std::mem::take(&mut server.signs.silent)
     }
 
     /// When something was last received from a backend server.
@@ -84,8 +83,8 @@
     }
 }
 
-/// Leaves out silent backend servers, and those that have owed an answer for `doubt_after`, if there
-/// are others.
+/// Leaves out silent backend servers, and those that have owed an answer for `doubt_after` without
+/// sending anything.
 pub(crate) fn without_silent<'a>(
     now: Duration,
     servers: &[&'a Server],
