--- a/crates/cli/tests/silent.rs
+++ b/crates/cli/tests/silent.rs
@@ -10,10 +10,10 @@
 use fleet::scripts::{response_head, succeed, write_text};
 use fleet::{Backend, Fleet, Message, request_head};
 use googletest::prelude::*;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// Events of a whole stream, and the one after which a stalled backend server falls silent.
@@ -88,13 +88,22 @@
 
 /// Sends a request whose caller waits for eight seconds; returns the answer and when it was complete.
 fn send(fleet: &Fleet, method: &str, path: &str, id: &str) -> (Message, Duration) {
+    send_to(fleet.callers(4), &request_head(method, path, id, "key-1"))
+}
+
+/// Sends a stream's request in the same way, on a thread of its own.
+fn start_caller(fleet: &Fleet) -> JoinHandle<(Message, Duration)> {
+    let address = fleet.callers(4);
+    thread::spawn(move || send_to(address, &request_head("POST", "/draft/1", "id", "key-1")))
+}
+
+fn send_to(address: SocketAddr, head: &str) -> (Message, Duration) {
     let start = Instant::now();
-    let head = request_head(method, path, id, "key-1").replace(": 2000", ": 8000");
-    let answer = fleet::call(fleet.callers(4), &head, "").unwrap_or_default();
-    (answer, start.elapsed())
+    let answer = fleet::call(address, &head.replace(": 2000", ": 8000"), "");
+    (answer.unwrap_or_default(), start.elapsed())
 }
 
-/// A system with two backend servers, of which the first gets the next request.
+/// A system with these backend servers of one service.
 fn start_fleet(port_block: u8, service: &str, backends: &[Backend]) -> Fleet {
     let fleet = Fleet::start(port_block);
     for backend in backends {
@@ -138,18 +147,12 @@
         start_backend("b", &Frozen::default()),
     ];
     let fleet = start_fleet(61, "engines", &backends[..1]);
-    let address = fleet.callers(4);
-    let caller = thread::spawn(move || {
-        let head = request_head("POST", "/draft/1", "id", "key-1").replace(": 2000", ": 8000");
-        let start = Instant::now();
-        (fleet::call(address, &head, ""), start.elapsed())
-    });
+    let caller = start_caller(&fleet);
     fleet.wait("request", |_| backends[0].count() == 1);
 
     fleet.announce(&backends[1], "engines", "ready", 1);
     let (answer, elapsed) = caller.join().unwrap();
 
-    let answer = answer.unwrap();
     expect_that!(answer.text(), eq(&whole_stream()));
     expect_true!(answer.complete);
     expect_that!(elapsed, lt(PATIENCE));
@@ -164,18 +167,12 @@
         start_backend("b", &Frozen::default()),
     ];
     let fleet = start_fleet(62, "engines", &backends[..1]);
-    let address = fleet.callers(4);
-    let caller = thread::spawn(move || {
-        let head = request_head("POST", "/draft/1", "id", "key-1").replace(": 2000", ": 8000");
-        let start = Instant::now();
-        (fleet::call(address, &head, ""), start.elapsed())
-    });
+    let caller = start_caller(&fleet);
     fleet.wait("request", |_| backends[0].count() == 1);
 
     fleet.announce(&backends[1], "engines", "ready", 1);
     let (answer, elapsed) = caller.join().unwrap();
 
-    let answer = answer.unwrap();
     expect_that!(answer.text(), eq(&whole_stream()));
     expect_true!(answer.complete);
     expect_that!(elapsed, lt(PATIENCE));
@@ -241,17 +238,13 @@
     });
     let silent = start_backend("b", &second);
     let fleet = start_fleet(69, "engines", std::slice::from_ref(&rejecting));
-    let address = fleet.callers(4);
-    let caller = thread::spawn(move || {
-        let head = request_head("POST", "/draft/1", "id", "key-1").replace(": 2000", ": 8000");
-        fleet::call(address, &head, "")
-    });
+    let caller = start_caller(&fleet);
     fleet.wait("request", |_| rejecting.count() == 1);
     fleet.announce(&silent, "engines", "ready", 1);
     fleet.wait("second request", |_| silent.count() == 1);
 
     first.set(false);
-    let answer = caller.join().unwrap().unwrap();
+    let (answer, _) = caller.join().unwrap();
 
     expect_that!(answer.status(), eq(502));
     expect_that!(answer.text(), contains_substring("may-have-run"));
