gateway: a line for each lost run, with its prompt's parts and whether its answer had begun

X-Prefix-Hash is parsed in platform/ (all parts but the last). run_lost names request, route, account, backend server, digest, parts, whether the answer had begun at that backend server (a stream that goes on elsewhere begins anew there) and whether the run was abandoned. No decision reads either yet.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,7 +3,7 @@
 
 use crate::buffer_guard::BufferGuard;
 use crate::departure::SendLog;
-use bn_platform::header;
+use bn_platform::{PartId, header};
 use bn_quarantine::Digest;
 use bn_serve::Abort;
 use bn_settle::{AccountId, Document, Engine, Kind, Route};
@@ -11,6 +11,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Uri};
+use indexmap::IndexSet;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -25,6 +26,9 @@
 /// The same of a deadline, as a fraction of it: most of a short one has to be left for the answer.
 const DEADLINE_MARGIN: f64 = 0.05;
 
+/// Maximum number of prompt parts of a request that are looked at.
+const MAX_PARTS: usize = 32;
+
 /// Why a request is not accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Denial {
@@ -69,6 +73,8 @@
     pub(crate) work: f64,
     /// Computed on first use: few requests ever need it.
     digest: OnceLock<Digest>,
+    /// Parsed on first use.
+    parts: OnceLock<Vec<PartId>>,
 }
 
 impl RequestContext {
@@ -118,6 +124,7 @@
             abort: parts.extensions.get::<Abort>().cloned().unwrap_or_default(),
             sends: SendLog::default(),
             digest: OnceLock::new(),
+            parts: OnceLock::new(),
         })
     }
 
@@ -141,6 +148,16 @@
         })
     }
 
+    /// The parts of its prompt that other requests may share, each once.
+    pub(crate) fn parts(&self) -> &[PartId] {
+        self.parts.get_or_init(|| {
+            let named = text(&self.headers, header::PARTS).unwrap_or_default();
+            let parts = bn_platform::parse_shared_parts(named).into_iter();
+            let distinct: IndexSet<PartId> = parts.take(MAX_PARTS).collect();
+            distinct.into_iter().collect()
+        })
+    }
+
     /// Whether it may run more than once.
     pub(crate) fn idempotent(&self) -> bool {
         self.route.idempotent()
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::placement;
 use crate::shared::Shared;
 use crate::silence::{self, Awaited};
-use crate::suspects::{self, Run, Trial};
+use crate::suspects::{self, Loss, Run, Trial};
 use bn_quarantine::to_text;
 use bn_route::{Server, ServerId};
 use serde_json::json;
@@ -109,7 +109,7 @@
             outcome = sending => outcome,
             head = fail_over(shared, ctx, attempts, &server, last_event) => {
                 attempts.abandon_beyond(in_flight);
-                suspects::on_run_lost(shared, ctx, attempts, &run, true);
+                suspects::on_run_lost(shared, ctx, attempts, &run, Loss::ABANDONED);
                 return Ok(head);
             }
         };
@@ -144,7 +144,7 @@
                 on_not_run(shared, ctx, attempts, &id, reason)?;
             }
             Outcome::ConnectionLost => {
-                suspects::on_run_lost(shared, ctx, attempts, &run, false);
+                suspects::on_run_lost(shared, ctx, attempts, &run, Loss::BROKEN);
                 on_unknown(
                     shared,
                     ctx,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -8,7 +8,7 @@
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
 use crate::shared::Shared;
-use crate::suspects::{self, Run};
+use crate::suspects::{self, Loss, Run};
 use bn_platform::header;
 use bn_route::ServerId;
 use bn_serve::Body;
@@ -51,8 +51,8 @@
         let answer = match collect(shared, ctx, head).await {
             Ok(answer) => answer,
             Err(error) => {
-                if error == CollectError::Incomplete {
-                    suspects::on_run_lost(shared, ctx, attempts, &run, false);
+                if let CollectError::Incomplete(loss) = error {
+                    suspects::on_run_lost(shared, ctx, attempts, &run, loss);
                 }
                 dispatch::log_failure(shared, ctx, &id, "cut", "the answer broke off");
                 dispatch::record_failure(shared, &id, false);
@@ -81,10 +81,10 @@
 }
 
 /// Why there is no complete response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) enum CollectError {
     /// It broke off or is larger than `MAX_BODY_BYTES`.
-    Incomplete,
+    Incomplete(Loss),
     /// It is not a backend server's own: it claims success without a backend server's signature.
     Unsigned,
 }
@@ -124,18 +124,22 @@
 async fn read(guard: &BufferGuard, mut body: Incoming) -> Result<Bytes, CollectError> {
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if announced > MAX_BODY_BYTES {
-        return Err(CollectError::Incomplete);
+        return Err(CollectError::Incomplete(Loss::BROKEN));
     }
     guard.add(announced, MAX_BODY_BYTES).await;
     let mut counted = announced;
     let mut bytes = Vec::with_capacity(announced);
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| CollectError::Incomplete)?.into_data() else {
+        let lost = CollectError::Incomplete(Loss {
+            abandoned: false,
+            begun: !bytes.is_empty(),
+        });
+        let Ok(data) = frame.map_err(|_| lost)?.into_data() else {
             continue;
         };
         let length = bytes.len() + data.len();
         if length > MAX_BODY_BYTES {
-            return Err(CollectError::Incomplete);
+            return Err(lost);
         }
         let more = length.saturating_sub(counted);
         guard.add(more, MAX_BODY_BYTES).await;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,7 +12,7 @@
 use crate::plain;
 use crate::shared::{InFlightGuard, Shared};
 use crate::silence::{self, Awaited};
-use crate::suspects::{self, Run};
+use crate::suspects::{self, Loss, Run};
 use bn_platform::header;
 use bn_route::{Server, ServerId};
 use bn_serve::Body;
@@ -71,8 +71,8 @@
         return answer
             .map(|a| plain::response(shared, ctx, a))
             .map_err(|error| {
-                if error == plain::CollectError::Incomplete {
-                    suspects::on_run_lost(shared, ctx, &attempts, &run, false);
+                if let plain::CollectError::Incomplete(loss) = error {
+                    suspects::on_run_lost(shared, ctx, &attempts, &run, loss);
                 }
                 Refusal::unknown(502, "the answer broke off")
             });
@@ -107,6 +107,7 @@
         guard,
         finished_by,
         caller_delayed: false,
+        begun: false,
     };
     tokio::spawn(async move {
         let _in_flight = in_flight;
@@ -256,6 +257,8 @@
     finished_by: Arc<OnceLock<ServerId>>,
     /// The last event had to wait for room in the buffers.
     caller_delayed: bool,
+    /// An event came from the backend server that is read now.
+    begun: bool,
 }
 
 impl EventForwarder {
@@ -344,8 +347,10 @@
         self.ctx.patience_left(self.shared.now(), last)
     }
 
-    fn on_run_lost(&self, run: &Run, abandoned: bool) {
-        suspects::on_run_lost(&self.shared, &self.ctx, &self.attempts, run, abandoned);
+    fn on_run_lost(&mut self, run: &Run, abandoned: bool) {
+        let begun = std::mem::take(&mut self.begun);
+        let loss = Loss { abandoned, begun };
+        suspects::on_run_lost(&self.shared, &self.ctx, &self.attempts, run, loss);
     }
 
     /// Forwards events; `first_frame` was already read.
@@ -387,6 +392,7 @@
                 }
                 continue;
             };
+            self.begun = true;
             let now = self.shared.now();
             if self.timing.first.is_none() {
                 self.shared
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -36,6 +36,28 @@
     RunFinished(Digest, bool),
 }
 
+/// How a run was lost.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Loss {
+    /// It was abandoned by this gateway, and did not break off at the backend server.
+    pub(crate) abandoned: bool,
+    /// Something of its answer's content had come.
+    pub(crate) begun: bool,
+}
+
+impl Loss {
+    /// It broke off before its answer had begun.
+    pub(crate) const BROKEN: Loss = Loss {
+        abandoned: false,
+        begun: false,
+    };
+    /// It was abandoned before its answer had begun.
+    pub(crate) const ABANDONED: Loss = Loss {
+        abandoned: true,
+        begun: false,
+    };
+}
+
 /// One run of a request at a backend server.
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
@@ -162,13 +184,13 @@
     ctx: &RequestContext,
     attempts: &Attempts,
     run: &Run,
-    abandoned: bool,
+    loss: Loss,
 ) {
     let now = shared.now();
     let lost = LostRun {
         digest: ctx.digest(),
         sole_trial: attempts.trial.is_some(),
-        abandoned,
+        abandoned: loss.abandoned,
     };
     let next = {
         let mut state = shared.state();
@@ -179,6 +201,7 @@
         }
         state.losses.on_lost(now, &run.start, run.address, lost)
     };
+    log_run_lost(shared, ctx, attempts, run, loss);
     match next {
         NextStep::Wait => {}
         NextStep::Probe => probe(shared.clone(), run.clone()),
@@ -186,6 +209,23 @@
     }
 }
 
+/// Logs a lost run with everything of the request that may be to blame.
+fn log_run_lost(shared: &Shared, ctx: &RequestContext, attempts: &Attempts, run: &Run, loss: Loss) {
+    let parts: Vec<String> = ctx.parts().iter().map(|p| format!("{p:x}")).collect();
+    shared.lines.put(
+        "run_lost",
+        json!({
+            "request": ctx.id, "route": ctx.route.name, "service": ctx.service,
+            "account": ctx.account, "id": run.start.id, "began": run.start.start_time,
+            "digest": to_text(ctx.digest()), "parts": parts, "answer_begun": loss.begun,
+            "abandoned": loss.abandoned, "alone": attempts.trial.is_some(),
+            "after_ms": (shared.now() - ctx.arrived).as_millis() as u64,
+        }),
+    );
+    let begun = if loss.begun { "yes" } else { "no" };
+    metrics::counter!("runs_lost_total", "answer_begun" => begun).increment(1);
+}
+
 /// Opens a connection to where a run was lost, and checks it after a moment. A process that
 /// terminates closes its sockets one after the other and accepts connections as long as its
 /// listener is open; these are reset with it. When such a connection counted as alive, one of three
