cli tests: parts of prompts that end backend servers; answers that end with their connections

A stream or plain answer without length that ends before its first byte reaches its caller as a whole, empty 200.

--- a/crates/cli/tests/fleet/crashing.rs
+++ b/crates/cli/tests/fleet/crashing.rs
@@ -2,7 +2,7 @@
 
 use super::addresses::free_address;
 use super::{Message, PATHS, call, read_message};
-use bn_platform::header::{ATTEMPT, SIGNATURE};
+use bn_platform::header::{ATTEMPT, PARTS, SIGNATURE};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,6 +12,11 @@
 
 /// A request whose body starts with this text terminates each backend server that runs it.
 pub(crate) const FATAL: &str = "fatal";
+/// A request whose prompt has this part, not as the last one, does the same.
+pub(crate) const FATAL_PART: &str = "bad0bad0";
+/// A request whose body contains this text is answered without length or chunks: the answer ends
+/// with its connection.
+pub(crate) const UNFRAMED: &str = "unframed";
 /// Time that a request runs; a fatal one then terminates the backend server.
 const RUN_TIME: Duration = Duration::from_millis(40);
 /// Time from a termination to the next start at the same address.
@@ -42,12 +47,23 @@
 /// Runs successive incarnations of a backend server at one address until the test ends. Each
 /// announces itself at `control`.
 pub(crate) fn run(name: &str, service: &str, control: SocketAddr, record: &Arc<Mutex<Record>>) {
+    run_for(name, service, control, record, Duration::MAX);
+}
+
+/// The same, with incarnations that also terminate by themselves after `lifetime`.
+pub(crate) fn run_for(
+    name: &str,
+    service: &str,
+    control: SocketAddr,
+    record: &Arc<Mutex<Record>>,
+    lifetime: Duration,
+) {
     let (name, service, record) = (name.to_string(), service.to_string(), record.clone());
     let address = free_address();
     thread::spawn(move || {
         for number in 0.. {
             let id = format!("{name}-{number}");
-            run_incarnation(&id, &service, control, address, &record);
+            run_incarnation(&id, &service, control, address, &record, lifetime);
             thread::sleep(RESTART_DELAY);
         }
     });
@@ -59,7 +75,9 @@
     control: SocketAddr,
     address: SocketAddr,
     record: &Arc<Mutex<Record>>,
+    lifetime: Duration,
 ) {
+    let started_at = Instant::now();
     let listener = TcpListener::bind(address).expect("listen");
     listener.set_nonblocking(true).expect("nonblocking");
     let incarnation = Incarnation {
@@ -68,7 +86,7 @@
         terminated: Arc::default(),
     };
     let (mut announce_at, mut sequence) = (Instant::now(), 0);
-    while !incarnation.terminated.load(Ordering::Relaxed) {
+    while !incarnation.terminated.load(Ordering::Relaxed) && started_at.elapsed() < lifetime {
         if Instant::now() >= announce_at {
             announce_at = Instant::now() + ANNOUNCE_INTERVAL;
             sequence += 1;
@@ -115,7 +133,7 @@
     };
     let mut reader = BufReader::new(copy);
     while let Some(request) = read_message(&mut reader, true) {
-        let fatal = request.text().starts_with(FATAL);
+        let fatal = is_fatal(&request);
         if fatal {
             let mut record = incarnation.record.lock().expect("record");
             record.arrivals.push(Instant::now());
@@ -131,25 +149,46 @@
             }
             return;
         }
-        if send_events(&mut stream).is_err() {
+        if send_events(&request, &mut stream).is_err() || is_unframed(&request) {
             return;
         }
     }
 }
 
+fn is_fatal(request: &Message) -> bool {
+    let shared = request.header(PARTS).rsplit_once(',');
+    let names_part = |(parts, _): (&str, &str)| parts.contains(FATAL_PART);
+    request.text().starts_with(FATAL) || shared.is_some_and(names_part)
+}
+
+fn is_unframed(request: &Message) -> bool {
+    request.text().contains(UNFRAMED)
+}
+
 fn send_head(request: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
     let id = request.header(ATTEMPT);
+    let framing = match is_unframed(request) {
+        true => "",
+        false => "transfer-encoding: chunked\r\n",
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\n{ATTEMPT}: {id}\r\n{SIGNATURE}: s\r\n\
-         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+         content-type: text/event-stream\r\n{framing}\r\n"
     );
     stream.write_all(head.as_bytes())
 }
 
-fn send_events(stream: &mut TcpStream) -> std::io::Result<()> {
+fn send_events(request: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
+    let unframed = is_unframed(request);
     for n in 1..=3 {
         let event = format!("id: {n}\ndata: piece {n}\n\n");
-        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        match unframed {
+            true => stream.write_all(event.as_bytes())?,
+            false => stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?,
+        }
+    }
+    match unframed {
+        true => Ok(()),
+        false => stream.write_all(b"0\r\n\r\n"),
     }
-    stream.write_all(b"0\r\n\r\n")
 }
