gateway: an answer without length or chunks that ends before its first byte is not complete

Cause: such a body ends with its connection, so the end of its backend server is the end of the body. A stream that ended between events, or before any, counted as complete, cleared what was held against its request, and raised the backend server's standing. Class: an end without a mark of its own taken for success.

Change: where neither length nor chunks frame the body, an end before the first event (streams) or byte (plain successes) is a run that broke off: it goes on elsewhere where it may, else the caller gets an aborted connection or 502 may-have-run. Ends within an event were told apart already; whole answers pass as before. An end exactly between two events can't be told from the whole by anything the protocol says, unless the connection is reset.

--- a/crates/cli/tests/fatal_parts.rs
+++ b/crates/cli/tests/fatal_parts.rs
@@ -139,8 +139,8 @@
     send_all(&addresses, bad, end);
     let sound = sound.join().unwrap();
     let record = record.lock().unwrap();
-    let terminations = record.terminations.iter().take(TERMINATIONS);
-    let from = *terminations.last().expect("terminations") + SERVED_AFTER;
+    let mut terminations = record.terminations.iter().take(TERMINATIONS);
+    let from = *terminations.next_back().expect("terminations") + SERVED_AFTER;
     let later = sound.into_iter().filter(|(at, _)| *at > from);
     later.map(|(_, response)| response).collect()
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,8 +8,8 @@
 use bn_route::{LoadReport, Server};
 use bn_serve::client::{self, Connection};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use std::time::Duration;
 
@@ -234,6 +234,12 @@
     path.map_or_else(|| uri.clone(), hyper::Uri::from)
 }
 
+/// Whether only the end of the connection ends this body: it has neither a length nor chunks. The
+/// end of its backend server then looks like the end of the body.
+pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_none() && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Idle timeout that a backend server announces, from `Keep-Alive: timeout=SECONDS`.
 pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let parts = text(headers, "keep-alive")?.split(',');
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -104,7 +104,11 @@
     let signed = parts.headers.contains_key(header::SIGNATURE);
     let idle_timeout = attempt::keep_alive_timeout(&parts.headers);
     let guard = BufferGuard::new(shared, Phase::Waiting, ctx);
+    let unframed = attempt::ends_with_connection(&parts.headers, &body);
     let body = read(&guard, body).await?;
+    if unframed && body.is_empty() && parts.status.is_success() {
+        return Err(CollectError::Incomplete(Loss::BROKEN));
+    }
     let server = reservation.server.id.clone();
     shared.pool.put_back(shared.now(), connection, idle_timeout);
     drop(reservation);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,7 +3,7 @@
 //! response; otherwise the caller's connection is aborted, so that the end never looks complete.
 
 use crate::answer::Refusal;
-use crate::attempt::Head;
+use crate::attempt::{self, Head};
 use crate::buffer_guard::{BufferGuard, PIECE_BYTES};
 use crate::buffers::Phase;
 use crate::context::{RequestContext, strip_hop_by_hop};
@@ -127,17 +127,21 @@
 /// Where a stream's body comes from: held for as long as it is read.
 struct StreamSource {
     connection: bn_serve::client::Connection,
-    reservation: crate::attempt::Reservation,
+    reservation: attempt::Reservation,
     idle_timeout: Option<Duration>,
+    /// Only the end of the connection ends it.
+    unframed: bool,
 }
 
 fn split(head: Head) -> (Parts, Incoming, StreamSource) {
     let (parts, body) = head.response.into_parts();
-    let idle_timeout = crate::attempt::keep_alive_timeout(&parts.headers);
+    let idle_timeout = attempt::keep_alive_timeout(&parts.headers);
+    let unframed = attempt::ends_with_connection(&parts.headers, &body);
     let source = StreamSource {
         connection: head.connection,
         reservation: head.reservation,
         idle_timeout,
+        unframed,
     };
     (parts, body, source)
 }
@@ -268,8 +272,7 @@
         loop {
             let run = Run::at(&source.reservation.server);
             let id = source.reservation.server.id.clone();
-            let server = &source.reservation.server;
-            match self.read(&mut body, server, first_frame.take()).await {
+            match self.read(&mut body, &source, first_frame.take()).await {
                 ReadEnd::Complete => {
                     let shared = &self.shared;
                     let now = shared.now();
@@ -357,9 +360,10 @@
     async fn read(
         &mut self,
         body: &mut Incoming,
-        server: &Server,
+        source: &StreamSource,
         mut first_frame: Option<ReadFrame>,
     ) -> ReadEnd {
+        let server = &source.reservation.server;
         let remaining = self.ctx.remaining(self.shared.now());
         let timeout = tokio::time::sleep(remaining);
         let mut timeout = std::pin::pin!(timeout);
@@ -382,6 +386,9 @@
                 None if self.splitter.pending() > 0 => {
                     return ReadEnd::Broken("ended within an event");
                 }
+                None if source.unframed && !self.begun => {
+                    return ReadEnd::Broken("ended before its first event");
+                }
                 None => return ReadEnd::Complete,
                 Some(Err(_)) => return ReadEnd::Broken("connection broke"),
                 Some(Ok(frame)) => frame.into_data(),
