quarantine: blame what requests share, not only whole requests

Cause: blame had one key, the whole request, so that no two of these were ever one case.

Change: cases are by attribute, the whole request and each part of its prompt but the last, bound to the service (Kind; a further attribute is a line there and in RequestContext). Against a part count ends of backend servers under runs that had not begun to answer, fleet-wide; for it, any answer that begins at any gateway, which closes the case. So gateways know a part's case from its first end on. Two ends without an answer in between: one trial at a time in the fleet, and others with that part wait for its outcome, half a second at most. An end of that trial, the third or later, refuses requests with the part. Where several parts of one request are suspects, requests with one of them are tried first; if there are none, they are tried together after a second, and an end refuses only requests that have all of them (partners). A refusal of a part is a trial again after ten minutes, four times that with each further end. A pardon closes partners, too.

Weighed: refusing at three ends without a trial (a common crash of ranks has each route's first part at all ends, and nothing clears it while the group is away); the rarest or deepest part first (a sound part that is always beside the bad one would be refused); a count at each gateway.

--- a/crates/cli/tests/fatal_parts.rs
+++ b/crates/cli/tests/fatal_parts.rs
@@ -153,6 +153,10 @@
         "{terminations} terminated"
     );
     let served = sound.iter().filter(|r| is_served(r)).count();
+    println!(
+        "{terminations} terminations, {served} of {} sound requests served",
+        sound.len()
+    );
     expect_that!(sound.len(), gt(100));
     expect_that!(served, eq(sound.len()));
 }
--- a/crates/coordinator/src/cases.rs
+++ b/crates/coordinator/src/cases.rs
@@ -8,7 +8,8 @@
 
 use crate::core::Core;
 use bn_quarantine::{
-    Case, CaseStatus, CaseUpdate, Digest, Start, Table, Termination, Trials, read_digest, to_text,
+    Case, CaseStatus, CaseUpdate, Digest, Kind, Start, Table, Termination, Trials, read_digest,
+    to_text,
 };
 use bn_quorum::Role;
 use bn_store::{AtomicFile, Disk};
@@ -83,7 +84,7 @@
         let updates = self.table.since(cursor);
         let updates = updates
             .iter()
-            .filter(|u| !gateway || affects_gateways(&u.case));
+            .filter(|u| !gateway || affects_gateways(u.digest, &u.case));
         updates.map(Into::into).collect()
     }
 }
@@ -101,9 +102,20 @@
 }
 
 /// Whether the case changes what a gateway does. A single termination is counted against a dozen
-/// requests and proves nothing yet.
-fn affects_gateways(case: &Case) -> bool {
-    case.status() != CaseStatus::Free || case.round > 0
+/// requests and proves nothing yet; of what many requests share, gateways tell at once if it is
+/// harmless.
+fn affects_gateways(digest: Digest, case: &Case) -> bool {
+    let kind = Kind::of(digest);
+    let is_watched = kind.is_shared() && case.is_open();
+    is_watched || case.status_as(kind) != CaseStatus::Free || case.round > 0
+}
+
+/// Id of the part that a digest is of, as logs and operators write it.
+fn part_text(digest: Digest) -> Option<String> {
+    match Kind::of(digest) {
+        Kind::Request => None,
+        Kind::Part(id) => Some(format!("{id:x}")),
+    }
 }
 
 impl Core {
@@ -119,6 +131,7 @@
             json!({ "id": termination.start.id, "began": termination.start.start_time, "gateway": inbox, "digests": digests }),
         );
         self.push_termination(now, &termination.start);
+        self.blame_joint_trial(now, &termination);
         for (digest, sole_trial) in &termination.runs {
             if self
                 .cases
@@ -130,6 +143,20 @@
         }
     }
 
+    /// If the termination was in a trial of several suspects, requests with all of them are refused:
+    /// which of them is the cause is not known. Only the leader knows the trial.
+    fn blame_joint_trial(&mut self, now: Duration, termination: &Termination) {
+        let digests: Vec<Digest> = termination.runs.iter().map(|(d, _)| *d).collect();
+        let Some(suspects) = self.cases.trials.joint_of(&digests) else {
+            return;
+        };
+        let is_shared = |d: &Digest| Kind::of(*d).is_shared();
+        if suspects.iter().all(is_shared) {
+            let suspects = suspects.to_vec();
+            self.cases.table.refuse_jointly(now, &suspects);
+        }
+    }
+
     /// Pushes a termination to gateways once: those that had no request on that backend server
     /// would otherwise go on sending requests to its group, or try to connect to it.
     fn push_termination(&mut self, now: Duration, start: &Start) {
@@ -166,18 +193,26 @@
         inbox: SocketAddr,
         request: &wire::TrialAsk,
     ) {
-        let Ok(digest) = read_digest(&request.digest) else {
+        let digests = std::iter::once(&request.digest).chain(&request.others);
+        let digests: Result<Vec<Digest>, _> = digests.map(|d| read_digest(d)).collect();
+        let Ok(digests) = digests else {
             return;
         };
         if self.quorum.role() != Role::Leader {
             return;
         }
         let time = Duration::from_millis(request.time_ms);
-        let refused = self.cases.table.status(digest) == CaseStatus::Refused;
-        let granted = !refused && self.cases.trials.grant(now, digest, time);
+        let verdict = self.cases.table.verdict(digests.iter().copied());
+        let is_refused = verdict.refused.is_some();
+        let tried = self.cases.table.all_tried(&digests);
+        let trials = &mut self.cases.trials;
+        let granted = !is_refused && trials.grant_all(now, &digests, time, tried);
+        let texts: Vec<String> = digests.iter().map(|d| to_text(*d)).collect();
         self.lines.put(
             "trial_asked",
-            json!({ "digest": to_text(digest), "gateway": inbox, "granted": granted }),
+            json!({
+                "digest": texts.first(), "digests": texts, "gateway": inbox, "granted": granted,
+            }),
         );
         let answer = wire::TrialAnswer {
             call: request.call,
@@ -199,35 +234,43 @@
 
     /// An operator declares a request harmless.
     pub(crate) fn pardon(&mut self, now: Duration, digest: Digest) -> bool {
-        let closed = self.cases.table.close(now, digest);
-        if closed {
-            self.log_case(digest, "operator");
+        let closed = self.cases.table.pardon(now, digest);
+        for digest in &closed {
+            self.log_case(*digest, "operator");
         }
-        closed
+        !closed.is_empty()
     }
 
     /// Lists refused and suspect requests for operators.
     pub(crate) fn show_cases(&self) -> String {
         let updates = self.cases.table.since(0).into_iter();
-        let updates = updates.filter(|u| u.case.status() != CaseStatus::Free);
+        let status = |u: &CaseUpdate| u.case.status_as(Kind::of(u.digest));
+        let updates = updates.filter(|u| status(u) != CaseStatus::Free);
         let rows = updates.map(|u| {
             let terminations: Vec<&str> =
                 u.case.terminations.iter().map(|s| s.id.as_str()).collect();
-            let status = format!("{:?}", u.case.status());
-            json!({ "digest": to_text(u.digest), "standing": status, "ended": terminations })
+            let partners: Vec<String> = u.case.partners.iter().map(|d| to_text(*d)).collect();
+            json!({
+                "digest": to_text(u.digest), "part": part_text(u.digest),
+                "standing": format!("{:?}", status(&u)), "ended": terminations,
+                "only_with": partners,
+            })
         });
         json!({ "requests": rows.collect::<Vec<_>>() }).to_string()
     }
 
     fn log_case(&self, digest: Digest, source: &str) {
-        let Some(case) = self.cases.table.get(digest).filter(|c| affects_gateways(c)) else {
+        let case = self.cases.table.get(digest);
+        let Some(case) = case.filter(|c| affects_gateways(digest, c)) else {
             return;
         };
         let terminations: Vec<&str> = case.terminations.iter().map(|s| s.id.as_str()).collect();
         self.lines.put(
             "request_case",
             json!({
-                "digest": to_text(digest), "standing": format!("{:?}", case.status()),
+                "digest": to_text(digest), "part": part_text(digest),
+                "standing": format!("{:?}", case.status_as(Kind::of(digest))),
+                "only_with": case.partners.iter().map(|d| to_text(*d)).collect::<Vec<_>>(),
                 "ended": terminations, "round": case.round, "source": source,
             }),
         );
--- a/crates/gateway/src/cases.rs
+++ b/crates/gateway/src/cases.rs
@@ -26,6 +26,7 @@
             let count = state.cases.get(digest).map_or(0, |c| c.terminations.len());
             (before, state.cases.status(digest), count)
         };
+        self.shared.cases_changed.notify_waiters();
         if before != after {
             self.shared.lines.put(
                 "request_standing",
@@ -56,18 +57,21 @@
                 digest: bytes(digest),
                 whole: complete,
             }),
-            Report::TrialRequest(digest, time, reply) => {
+            Report::TrialRequest(suspects, time, reply) => {
+                let mut digests = suspects.iter().map(|d| bytes(*d));
+                let (digest, others) = (digests.next().unwrap_or_default(), digests.collect());
                 self.last_call += 1;
                 // Differs from the call numbers of an earlier start of this process.
                 let call = self.net.incarnation().wrapping_add(self.last_call);
-                self.pending_trials.insert(call, (digest, reply));
+                self.pending_trials.insert(call, (suspects, reply));
                 while self.pending_trials.len() > MAX_PENDING_TRIALS {
                     self.pending_trials.shift_remove_index(0);
                 }
                 Body::TrialAsk(wire::TrialAsk {
                     call,
-                    digest: bytes(digest),
+                    digest,
                     time_ms: time.as_millis() as u64,
+                    others,
                 })
             }
         };
@@ -77,12 +81,14 @@
     }
 
     pub(crate) fn on_trial_answer(&mut self, answer: &wire::TrialAnswer) {
-        let Some((digest, reply)) = self.pending_trials.swap_remove(&answer.call) else {
+        let Some((suspects, reply)) = self.pending_trials.swap_remove(&answer.call) else {
             return;
         };
         // The request no longer waits for a late grant: others may try.
         if reply.send(answer.granted).is_err() && answer.granted {
-            self.report(Report::RunFinished(digest, false));
+            for digest in suspects {
+                self.report(Report::RunFinished(digest, false));
+            }
         }
     }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -4,7 +4,7 @@
 use crate::buffer_guard::BufferGuard;
 use crate::departure::SendLog;
 use bn_platform::{PartId, header};
-use bn_quarantine::Digest;
+use bn_quarantine::{Digest, part_digest};
 use bn_serve::Abort;
 use bn_settle::{AccountId, Document, Engine, Kind, Route};
 use hyper::body::Bytes;
@@ -158,6 +158,17 @@
         })
     }
 
+    /// Digests of what it shares with other requests.
+    pub(crate) fn shared_attributes(&self) -> impl Iterator<Item = Digest> {
+        let parts = self.parts().iter();
+        parts.map(|p| part_digest(&self.service, *p))
+    }
+
+    /// Digests of everything of it that may be to blame where backend servers terminate.
+    pub(crate) fn attributes(&self) -> impl Iterator<Item = Digest> {
+        std::iter::once(self.digest()).chain(self.shared_attributes())
+    }
+
     /// Whether it may run more than once.
     pub(crate) fn idempotent(&self) -> bool {
         self.route.idempotent()
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,10 +7,11 @@
 use crate::placement;
 use crate::shared::Shared;
 use crate::silence::{self, Awaited};
-use crate::suspects::{self, Loss, Run, Trial};
+use crate::suspects::{self, Admission, Loss, Run, Trial};
 use bn_quarantine::to_text;
 use bn_route::{Server, ServerId};
 use serde_json::json;
+use std::time::Duration;
 
 /// Connections that may fail before a request is refused; each was to another backend server, and
 /// no byte was sent.
@@ -29,8 +30,10 @@
     unsent: u32,
     /// It is or was at a backend server that did not report that it was not run.
     pub(crate) may_have_run: bool,
-    /// Set if it is a suspect, and this is its only attempt in the fleet.
+    /// Set if something of it is a suspect, and this is the only attempt with that in the fleet.
     pub(crate) trial: Option<Trial>,
+    /// Until when it waits for others' trials.
+    pub(crate) hold_until: Option<Duration>,
 }
 
 impl Attempts {
@@ -42,7 +45,8 @@
     /// Whether the request may go to another backend server although it may have run. A suspect may
     /// not: the next backend server would terminate, too, before this termination is known.
     pub(crate) fn may_retry(&self, ctx: &RequestContext) -> bool {
-        ctx.idempotent() && self.trial.is_none() && self.may_send(ctx)
+        let on_trial = self.trial.as_ref().is_some_and(Trial::is_pending);
+        ctx.idempotent() && !on_trial && self.may_send(ctx)
     }
 
     /// Records that only `kept` of the backend servers that it is at are still listened to; `true` if
@@ -94,7 +98,14 @@
         let reservation = reservation.map_err(|refusal| attempts.final_refusal(refusal))?;
         // The request waited for its slot, and more may be known of it by now.
         let admitted = suspects::admit(shared, ctx, attempts).await;
-        admitted.map_err(|refusal| attempts.final_refusal(refusal))?;
+        match admitted.map_err(|refusal| attempts.final_refusal(refusal))? {
+            Admission::Send => {}
+            Admission::Hold => {
+                drop(reservation);
+                suspects::hold(shared).await;
+                continue;
+            }
+        }
         let id = reservation.server.id.clone();
         let run = Run::at(&reservation.server);
         attempts.tried.push(id.clone());
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -76,7 +76,7 @@
     /// Maximum inbox length since the last usage event.
     max_inbox: usize,
     /// Suspects that wait for the leader's trial answer, by call number.
-    pub(crate) pending_trials: IndexMap<u64, (Digest, oneshot::Sender<bool>)>,
+    pub(crate) pending_trials: IndexMap<u64, (Vec<Digest>, oneshot::Sender<bool>)>,
     pub(crate) last_call: u64,
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -67,6 +67,7 @@
         if !failed {
             let now = shared.now();
             shared.state().fleet.record_success(now, &id);
+            suspects::on_begun(shared, ctx, attempts);
             suspects::on_complete(shared, ctx);
             return Ok(respond(answer));
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by all requests of a gateway. It is locked only briefly, never across an await.
 
 use crate::buffer_guard::Buffers;
-use crate::suspects::Report;
+use crate::suspects::{Report, Throttle};
 use crate::urgency::ServiceAdmission;
 use bn_directory::GatewaySelection;
 use bn_limit::Queue;
@@ -38,6 +38,8 @@
     pub(crate) lines: Lines,
     /// Notified when capacity may have become free.
     pub(crate) capacity_freed: Notify,
+    /// Notified when something is received about a case.
+    pub(crate) cases_changed: Notify,
     pub(crate) allowance: RetryAllowance,
     pub(crate) buffers: Buffers,
     /// What admission to lock-step groups aims at.
@@ -80,6 +82,10 @@
     pub(crate) selection: GatewaySelection,
     /// Requests under which backend servers terminated, as reported by coordinators.
     pub(crate) cases: Table,
+    /// When this gateway last asked for a trial of shared attributes.
+    pub(crate) trials_asked: Throttle,
+    /// When this gateway last reported that shared attributes are harmless.
+    pub(crate) cleared: Throttle,
     /// Runs that were lost at this gateway.
     pub(crate) losses: LossTracker,
 }
@@ -125,6 +131,8 @@
             gateway_count: 1,
             selection: GatewaySelection::default(),
             cases: Table::default(),
+            trials_asked: Throttle::default(),
+            cleared: Throttle::default(),
             losses: LossTracker::default(),
         };
         Shared(Arc::new(Inner {
@@ -133,6 +141,7 @@
             pool: Pool::default(),
             lines,
             capacity_freed: Notify::new(),
+            cases_changed: Notify::new(),
             allowance,
             buffers: Buffers::new(memory_bytes),
             fill_rule,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -399,7 +399,10 @@
                 }
                 continue;
             };
-            self.begun = true;
+            if !self.begun {
+                self.begun = true;
+                suspects::on_begun(&self.shared, &self.ctx, &mut self.attempts);
+            }
             let now = self.shared.now();
             if self.timing.first.is_none() {
                 self.shared
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -6,9 +6,12 @@
 use crate::dispatch::Attempts;
 use crate::placement;
 use crate::shared::{Inner, Shared};
-use bn_quarantine::{CaseStatus, Digest, LostRun, NextStep, Start, Termination, to_text};
+use bn_quarantine::{
+    CaseStatus, Digest, Kind, LostRun, NextStep, Start, Table, Termination, Verdict, to_text,
+};
 use bn_route::Server;
 use bn_serve::client::{self, Connection};
+use indexmap::IndexMap;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,6 +23,15 @@
 /// How long a connection must stay open before its peer counts as alive: far longer than a process
 /// takes to close its sockets, far shorter than a caller takes to retry.
 const PROBE_SETTLE_TIME: Duration = Duration::from_millis(100);
+/// How long a request waits while what it shares with others is on trial: a trial takes as long as
+/// a first event.
+const HOLD_TIME: Duration = Duration::from_millis(500);
+/// Interval between looks at a trial's outcome, if nothing is received of it.
+const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a trial of a shared attribute blocks others: its gateway, or its group, may be gone.
+const SHARED_TRIAL_TIME: Duration = Duration::from_secs(1);
+/// Interval between two messages of this gateway about one shared attribute.
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(100);
 /// Why a request is not sent any more.
 pub(crate) const QUARANTINED: &str = "backend servers ended under this request";
 /// Why a suspect has to wait.
@@ -30,9 +42,9 @@
 pub(crate) enum Report {
     /// A backend server terminated.
     Terminated(Termination),
-    /// Asks whether this request may be tried now, for this long.
-    TrialRequest(Digest, Duration, oneshot::Sender<bool>),
-    /// A run of a suspect is over, with or without a complete response.
+    /// Asks whether these suspects, all of one request, may be tried now, for this long.
+    TrialRequest(Vec<Digest>, Duration, oneshot::Sender<bool>),
+    /// A run of a suspect is over, or has shown that it is harmless.
     RunFinished(Digest, bool),
 }
 
@@ -78,18 +90,48 @@
     }
 }
 
-/// The only attempt of a suspect in the fleet. Its end is reported on drop.
+/// The only attempt with some suspects in the fleet. Its end is reported on drop.
 pub(crate) struct Trial {
     shared: Shared,
-    digest: Digest,
+    suspects: Vec<Digest>,
+}
+
+impl Trial {
+    /// Whether it is a trial of all of `suspects`.
+    fn covers(&self, suspects: &[Digest]) -> bool {
+        suspects.iter().all(|d| self.suspects.contains(d))
+    }
+
+    /// Whether it says something of each suspect: all have been shown to be harmless otherwise.
+    pub(crate) fn is_pending(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
+    /// Whether a termination during the trial is blamed on this attribute alone. A request that was
+    /// at several terminations is more likely the cause than what it shares with others; of several
+    /// that it shares, the leader knows that they were tried together.
+    fn blames(&self, digest: Digest) -> bool {
+        let is_sole = self.suspects.len() == 1 || !Kind::of(digest).is_shared();
+        is_sole && self.suspects.contains(&digest)
+    }
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        self.shared.report(Report::RunFinished(self.digest, false));
+        for digest in &self.suspects {
+            self.shared.report(Report::RunFinished(*digest, false));
+        }
     }
 }
 
+/// Whether a request may be sent now.
+pub(crate) enum Admission {
+    /// It may.
+    Send,
+    /// What it shares with others is on trial elsewhere: its turn may come soon.
+    Hold,
+}
+
 impl Inner {
     /// Passes a report to the link. A lost report costs one more backend server: the next
     /// termination reports the same.
@@ -99,78 +141,149 @@
         }
     }
 
-    fn case_status(&self, ctx: &RequestContext) -> CaseStatus {
+    /// What may be done with a request. No digest is computed that no case needs.
+    fn verdict(&self, ctx: &RequestContext) -> Verdict {
         let state = self.state();
-        // Without cases, no digest is computed.
-        match state.cases.is_empty() {
-            true => CaseStatus::Free,
-            false => state.cases.status(ctx.digest()),
+        let own = state.cases.has_requests().then(|| ctx.digest());
+        let shared = state.cases.has_shared().then(|| ctx.shared_attributes());
+        let attributes = own.into_iter().chain(shared.into_iter().flatten());
+        state.cases.verdict(attributes)
+    }
+}
+
+/// Limits the messages of this gateway about each shared attribute.
+#[derive(Default)]
+pub(crate) struct Throttle(IndexMap<Digest, Duration>);
+
+impl Throttle {
+    /// Whether a message is due. If so, the next one is due after `MESSAGE_INTERVAL`.
+    fn is_due(&mut self, now: Duration, digest: Digest) -> bool {
+        self.0
+            .retain(|_, sent_at| now < *sent_at + MESSAGE_INTERVAL);
+        let is_due = !self.0.contains_key(&digest);
+        if is_due {
+            self.0.insert(digest, now);
         }
+        is_due
     }
 }
 
 /// Refuses a request that is known to terminate backend servers, before it waits for a slot.
 pub(crate) fn refuse_quarantined(shared: &Shared, ctx: &RequestContext) -> Result<(), Refusal> {
-    match shared.case_status(ctx) {
-        CaseStatus::Refused => Err(quarantined(shared, ctx)),
-        _ => Ok(()),
+    match shared.verdict(ctx).refused {
+        Some(digest) => Err(quarantined(shared, ctx, digest)),
+        None => Ok(()),
     }
 }
 
 /// Not run this time, and without a time to retry: nothing says that a retry would help.
-fn quarantined(shared: &Shared, ctx: &RequestContext) -> Refusal {
-    let digest = to_text(ctx.digest());
-    let fields = json!({ "request": ctx.id, "digest": digest });
+fn quarantined(shared: &Shared, ctx: &RequestContext, refused: Digest) -> Refusal {
+    let part = match Kind::of(refused) {
+        Kind::Request => None,
+        Kind::Part(id) => Some(format!("{id:x}")),
+    };
+    let fields = json!({ "request": ctx.id, "digest": to_text(refused), "part": part });
     shared.lines.put("quarantined", fields);
     metrics::counter!("requests_quarantined_total").increment(1);
     Refusal::not_retryable(503, QUARANTINED)
 }
 
-/// Whether the request may be sent now, with a slot reserved. A suspect needs the leader's
-/// permission, and is the only one with its digest in the fleet until its run is over.
+/// Whether the request may be sent now, with a slot reserved. One with suspects needs the leader's
+/// permission, and is the only one with them in the fleet until its run is over.
 pub(crate) async fn admit(
     shared: &Shared,
     ctx: &RequestContext,
     attempts: &mut Attempts,
-) -> Result<(), Refusal> {
-    match shared.case_status(ctx) {
-        CaseStatus::Free => return Ok(()),
-        CaseStatus::Refused => return Err(quarantined(shared, ctx)),
-        CaseStatus::Suspect if attempts.trial.is_some() => return Ok(()),
-        CaseStatus::Suspect => {}
+) -> Result<Admission, Refusal> {
+    let Verdict { refused, suspects } = shared.verdict(ctx);
+    if let Some(digest) = refused {
+        return Err(quarantined(shared, ctx, digest));
+    }
+    let is_on_trial = attempts.trial.as_ref().is_some_and(|t| t.covers(&suspects));
+    if suspects.is_empty() || is_on_trial {
+        return Ok(Admission::Send);
+    }
+    if ask_trial(shared, ctx, &suspects).await {
+        metrics::counter!("suspects_tried_total").increment(1);
+        let shared = shared.clone();
+        attempts.trial = Some(Trial { shared, suspects });
+        return Ok(Admission::Send);
+    }
+    let now = shared.now();
+    let hold_time = HOLD_TIME.min(ctx.remaining(now) / 3);
+    let hold_until = *attempts.hold_until.get_or_insert(now + hold_time);
+    let all_shared = suspects.iter().all(|d| Kind::of(*d).is_shared());
+    if all_shared && now < hold_until {
+        return Ok(Admission::Hold);
+    }
+    let retry_delay = placement::retry_delay(shared, ctx);
+    Err(Refusal::retryable(ON_TRIAL, retry_delay))
+}
+
+/// Asks the leader for a trial. Of the requests here that share suspects, one at a time asks.
+async fn ask_trial(shared: &Shared, ctx: &RequestContext, suspects: &[Digest]) -> bool {
+    let now = shared.now();
+    let all_shared = suspects.iter().all(|d| Kind::of(*d).is_shared());
+    let mut is_due = |digest: &Digest| shared.state().trials_asked.is_due(now, *digest);
+    if all_shared && !suspects.iter().all(&mut is_due) {
+        return false;
     }
-    let digest = ctx.digest();
+    let remaining = ctx.remaining(now);
+    let time = match all_shared {
+        true => remaining.min(SHARED_TRIAL_TIME),
+        false => remaining,
+    };
     let (reply, answer) = oneshot::channel();
-    shared.report(Report::TrialRequest(
-        digest,
-        ctx.remaining(shared.now()),
-        reply,
-    ));
-    let granted = matches!(
-        tokio::time::timeout(TRIAL_TIMEOUT, answer).await,
-        Ok(Ok(true))
-    );
+    shared.report(Report::TrialRequest(suspects.to_vec(), time, reply));
+    let answer = tokio::time::timeout(TRIAL_TIMEOUT, answer).await;
+    let granted = matches!(answer, Ok(Ok(true)));
+    let digests: Vec<String> = suspects.iter().map(|d| to_text(*d)).collect();
     shared.lines.put(
         "suspect_asked",
-        json!({ "request": ctx.id, "digest": to_text(digest), "granted": granted }),
+        json!({
+            "request": ctx.id, "digest": digests.first(), "digests": digests, "granted": granted,
+        }),
     );
-    if !granted {
-        return Err(Refusal::retryable(
-            ON_TRIAL,
-            placement::retry_delay(shared, ctx),
-        ));
+    granted
+}
+
+/// Waits until something is received about a case, for a moment at most.
+pub(crate) async fn hold(shared: &Shared) {
+    let received = shared.cases_changed.notified();
+    let _ = tokio::time::timeout(HOLD_POLL_INTERVAL, received).await;
+}
+
+/// A backend server has begun to answer: nothing that the request shares with others terminates
+/// it.
+pub(crate) fn on_begun(shared: &Shared, ctx: &RequestContext, attempts: &mut Attempts) {
+    let open: Vec<Digest> = {
+        let state = shared.state();
+        if !state.cases.has_shared() {
+            return;
+        }
+        let attributes = ctx.shared_attributes();
+        attributes.filter(|d| state.cases.is_open(*d)).collect()
+    };
+    let now = shared.now();
+    for digest in open {
+        let suspects = attempts.trial.as_mut().map(|t| &mut t.suspects);
+        let on_trial = suspects.and_then(|s| {
+            s.iter()
+                .position(|d| *d == digest)
+                .map(|n| s.swap_remove(n))
+        });
+        let is_due = shared.state().cleared.is_due(now, digest);
+        if on_trial.is_some() || is_due {
+            shared.report(Report::RunFinished(digest, true));
+        }
     }
-    metrics::counter!("suspects_tried_total").increment(1);
-    let shared = shared.clone();
-    attempts.trial = Some(Trial { shared, digest });
-    Ok(())
 }
 
 /// A request got a complete response: it terminates no backend server.
 pub(crate) fn on_complete(shared: &Shared, ctx: &RequestContext) {
     let is_open = {
         let state = shared.state();
-        !state.cases.is_empty() && state.cases.is_open(ctx.digest())
+        state.cases.has_requests() && state.cases.is_open(ctx.digest())
     };
     if is_open {
         shared.report(Report::RunFinished(ctx.digest(), true));
@@ -187,26 +300,50 @@
     loss: Loss,
 ) {
     let now = shared.now();
-    let lost = LostRun {
-        digest: ctx.digest(),
-        sole_trial: attempts.trial.is_some(),
-        abandoned: loss.abandoned,
-    };
-    let next = {
+    let steps: Vec<NextStep> = {
         let mut state = shared.state();
         // A backend server that is leaving or gone ends with its runs: no request caused that.
         let server = state.fleet.get(&run.start.id);
         if server.is_none_or(|s| s.leaving || s.start_time != run.start.start_time) {
             return;
         }
-        state.losses.on_lost(now, &run.start, run.address, lost)
+        let blamed = ctx.attributes();
+        let blamed = blamed.filter(|d| !(loss.begun && Kind::of(*d).is_shared()));
+        let blamed = blamed.map(|digest| LostRun {
+            digest,
+            sole_trial: is_sole_trial(&state.cases, attempts, digest),
+            abandoned: loss.abandoned,
+        });
+        let blamed: Vec<LostRun> = blamed.collect();
+        let losses = &mut state.losses;
+        let steps = blamed.into_iter();
+        let steps = steps.map(|lost| losses.on_lost(now, &run.start, run.address, lost));
+        steps.collect()
     };
     log_run_lost(shared, ctx, attempts, run, loss);
-    match next {
-        NextStep::Wait => {}
-        NextStep::Probe => probe(shared.clone(), run.clone()),
-        NextStep::Report(termination) => report_termination(shared, termination, "refused"),
+    let mut known: Option<Termination> = None;
+    for step in steps {
+        match step {
+            NextStep::Wait => {}
+            NextStep::Probe => probe(shared.clone(), run.clone()),
+            NextStep::Report(termination) => match &mut known {
+                Some(known) => known.runs.extend(termination.runs),
+                None => known = Some(termination),
+            },
+        }
     }
+    // In one report: what was on trial together is recognized by it.
+    if let Some(termination) = known {
+        report_termination(shared, termination, "refused");
+    }
+}
+
+/// Whether this was the only run with an attribute in the fleet. Of one that was shown to be harmless
+/// meanwhile, others run.
+fn is_sole_trial(cases: &Table, attempts: &Attempts, digest: Digest) -> bool {
+    let is_blamed = attempts.trial.as_ref().is_some_and(|t| t.blames(digest));
+    let is_free = cases.status(digest) == CaseStatus::Free;
+    is_blamed && !(Kind::of(digest).is_shared() && is_free)
 }
 
 /// Logs a lost run with everything of the request that may be to blame.
@@ -298,5 +435,18 @@
         }),
     );
     metrics::counter!("backend_server_ends_total").increment(1);
+    count_here(shared, &termination);
     shared.report(Report::Terminated(termination));
 }
+
+/// Counts a termination against shared attributes at this gateway at once: it may be cut off from
+/// the coordinators.
+fn count_here(shared: &Shared, termination: &Termination) {
+    let now = shared.now();
+    let cases = &mut shared.state().cases;
+    for (digest, sole_trial) in &termination.runs {
+        if Kind::of(*digest).is_shared() {
+            cases.add_termination(now, *digest, &termination.start, *sole_trial);
+        }
+    }
+}
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -1,5 +1,6 @@
-//! What is known of one request that was running where backend servers terminated.
+//! What is known of one attribute of the requests that were running where backend servers terminated.
 
+use crate::{Digest, Kind};
 use indexmap::IndexSet;
 
 /// One start of a backend server: its id, and its start time in Unix milliseconds (0 if it does not
@@ -29,10 +30,13 @@
 /// dozen requests of some thousand, where backend servers terminate every few seconds), so a
 /// suspect still gets a trial.
 const SUSPECT_AFTER: usize = 2;
+/// Terminations from which on a shared attribute can be refused. Its trial runs beside other
+/// requests, so one of them may be the cause of a single termination.
+const REFUSE_SHARED_AFTER: usize = 3;
 /// Terminations that are kept of a case: more add no information.
 const MAX_TERMINATIONS: usize = 8;
 
-/// The case of one request. Any two processes' views of it merge to the same, in whatever order and
+/// The case of one attribute. Any two processes' views of it merge to the same, in whatever order and
 /// however often they are received: the later round wins, and within a round the views are united.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Case {
@@ -40,14 +44,24 @@
     pub round: u64,
     /// Starts of backend servers that terminated while they ran the request.
     pub terminations: IndexSet<Start>,
-    /// One of them terminated during a trial of the request.
+    /// One of them terminated during a trial of the attribute.
     pub refused: bool,
+    /// Other attributes that were in all these trials: any of them may be the cause instead, so only
+    /// requests that have all of them are refused.
+    pub partners: IndexSet<Digest>,
 }
 
 impl Case {
-    /// What may be done with the request.
+    /// What may be done with a request, if this is its own case.
     pub fn status(&self) -> CaseStatus {
-        match (self.refused, self.terminations.len() >= SUSPECT_AFTER) {
+        self.status_as(Kind::Request)
+    }
+
+    /// What may be done with requests that have an attribute of this kind.
+    pub fn status_as(&self, kind: Kind) -> CaseStatus {
+        let terminations = self.terminations.len();
+        let refusable = !kind.is_shared() || terminations >= REFUSE_SHARED_AFTER;
+        match (self.refused && refusable, terminations >= SUSPECT_AFTER) {
             (true, _) => CaseStatus::Refused,
             (false, true) => CaseStatus::Suspect,
             (false, false) => CaseStatus::Free,
@@ -64,7 +78,19 @@
         if self.terminations.len() < MAX_TERMINATIONS {
             self.terminations.insert(start);
         }
-        self.refused |= sole_trial;
+        if sole_trial {
+            self.refuse(&IndexSet::new());
+        }
+    }
+
+    /// Refuses requests with the attribute and all of `partners`, which were in its trial.
+    pub(crate) fn refuse(&mut self, partners: &IndexSet<Digest>) {
+        if self.refused {
+            self.partners.retain(|d| partners.contains(d));
+        } else {
+            self.refused = true;
+            self.partners.clone_from(partners);
+        }
     }
 
     /// Closes the case: the evidence so far is void, also if it is received again later.
@@ -75,7 +101,14 @@
         };
     }
 
-    /// Merges another process's view of the same request.
+    /// Ends a refusal: the attribute is a suspect again, and its next trial decides.
+    pub(crate) fn parole(&mut self) {
+        self.round += 1;
+        self.refused = false;
+        self.partners.clear();
+    }
+
+    /// Merges another process's view of the same attribute.
     pub(crate) fn merge(&mut self, other: &Case) {
         if other.round > self.round {
             self.clone_from(other);
@@ -83,7 +116,9 @@
             for start in &other.terminations {
                 self.add(start.clone(), false);
             }
-            self.refused |= other.refused;
+            if other.refused {
+                self.refuse(&other.partners);
+            }
         }
     }
 }
--- a/crates/quarantine/src/losses.rs
+++ b/crates/quarantine/src/losses.rs
@@ -17,15 +17,15 @@
 const ABANDONED_WINDOW: Duration = Duration::from_secs(1);
 /// Maximum number of tracked starts: a rack of 24, and some that terminate besides.
 const MAX_STARTS: usize = 256;
-/// Maximum number of lost runs kept per start.
-const MAX_RUNS: usize = 64;
+/// Maximum number of lost runs kept per start, each counted once for each of its attributes.
+const MAX_RUNS: usize = 512;
 
-/// A run without a complete response.
+/// A run without a complete response, by one attribute of its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LostRun {
-    /// The request.
+    /// The attribute.
     pub digest: Digest,
-    /// It was the request's only trial in the fleet.
+    /// It was the attribute's only trial in the fleet.
     pub sole_trial: bool,
     /// It was abandoned by this gateway, and did not break off at the backend server.
     pub abandoned: bool,
@@ -36,7 +36,7 @@
 pub struct Termination {
     /// The start that terminated.
     pub start: Start,
-    /// Requests that were running there, and whether that was their only trial.
+    /// Attributes of the requests that were running there, and whether that was their only trial.
     pub runs: Vec<(Digest, bool)>,
 }
 
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,6 +1,6 @@
 //! All cases that a process knows: coordinators own them, and gateways follow.
 
-use crate::{Case, CaseStatus, Digest, Start};
+use crate::{Case, CaseStatus, Digest, Kind, Start};
 use indexmap::IndexMap;
 use std::time::Duration;
 
@@ -15,6 +15,12 @@
 /// deployed by then; one that does not costs one more run.
 const REFUSED_RETENTION: Duration = Duration::from_secs(24 * 3600);
 
+/// How long the refusal of a shared attribute lasts after three terminations: sound requests may
+/// share it. Each further one multiplies it, up to `REFUSED_RETENTION`.
+const SHARED_RETENTION: Duration = Duration::from_secs(600);
+const SHARED_FACTOR: u32 = 4;
+const SHARED_TERMINATIONS: usize = 3;
+
 /// Position in a table's sequence of changes.
 pub type Cursor = u64;
 
@@ -36,11 +42,22 @@
     cursor: Cursor,
 }
 
+/// What may be done with a request, by all its attributes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// The attribute because of which it is refused.
+    pub refused: Option<Digest>,
+    /// Its attributes that are suspects.
+    pub suspects: Vec<Digest>,
+}
+
 /// The cases of a process.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     rows: IndexMap<Digest, Row>,
     cursor: Cursor,
+    /// Whether there are open cases of requests, and of shared attributes.
+    open: (bool, bool),
 }
 
 impl Table {
@@ -54,13 +71,60 @@
         self.cursor
     }
 
-    /// What may be done with a request.
+    /// Whether a case of some request is open.
+    pub fn has_requests(&self) -> bool {
+        self.open.0
+    }
+
+    /// Whether a case of some shared attribute is open.
+    pub fn has_shared(&self) -> bool {
+        self.open.1
+    }
+
+    /// What may be done with requests of whose attributes only this one is known.
     pub fn status(&self, digest: Digest) -> CaseStatus {
-        let row = self.rows.get(&digest);
-        row.map_or(CaseStatus::Free, |r| r.case.status())
+        self.status_with(digest, &[])
+    }
+
+    /// What may be done because of one attribute with requests that have `attributes`.
+    fn status_with(&self, digest: Digest, attributes: &[Digest]) -> CaseStatus {
+        let Some(row) = self.rows.get(&digest) else {
+            return CaseStatus::Free;
+        };
+        let status = row.case.status_as(Kind::of(digest));
+        let may_be_cause = |d: &Digest| self.rows.get(d).is_some_and(|r| r.case.refused);
+        let mut absent = row
+            .case
+            .partners
+            .iter()
+            .filter(|d| !attributes.contains(*d));
+        match status {
+            CaseStatus::Refused if absent.any(may_be_cause) => CaseStatus::Suspect,
+            status => status,
+        }
+    }
+
+    /// Whether each of these attributes was on trial where a backend server terminated.
+    pub fn all_tried(&self, digests: &[Digest]) -> bool {
+        let is_tried = |d: &Digest| self.rows.get(d).is_some_and(|r| r.case.refused);
+        digests.iter().all(is_tried)
+    }
+
+    /// What may be done with a request that has these attributes.
+    pub fn verdict(&self, attributes: impl IntoIterator<Item = Digest>) -> Verdict {
+        let attributes: Vec<Digest> = attributes.into_iter().collect();
+        let mut verdict = Verdict::default();
+        for digest in attributes.iter().copied() {
+            match self.status_with(digest, &attributes) {
+                CaseStatus::Free => {}
+                CaseStatus::Suspect => verdict.suspects.push(digest),
+                CaseStatus::Refused => verdict.refused = verdict.refused.or(Some(digest)),
+            }
+        }
+        verdict
     }
 
-    /// Whether there is evidence against a request.
+    /// Whether there is evidence against an attribute.
     pub fn is_open(&self, digest: Digest) -> bool {
         self.rows.get(&digest).is_some_and(|r| r.case.is_open())
     }
@@ -100,6 +164,14 @@
         self.change(now, digest, |case| case.add(start.clone(), sole_trial))
     }
 
+    /// A backend server terminated during a trial of a request with all of these attributes.
+    pub fn refuse_jointly(&mut self, now: Duration, digests: &[Digest]) {
+        for digest in digests {
+            let partners = digests.iter().filter(|d| *d != digest).copied().collect();
+            self.change(now, *digest, |case| case.refuse(&partners));
+        }
+    }
+
     /// Closes the case of a request that got a complete response, or that an operator declares
     /// harmless. A request without an open case is left as it is.
     pub fn close(&mut self, now: Duration, digest: Digest) -> bool {
@@ -111,6 +183,16 @@
         self.change(now, update.digest, |case| case.merge(&update.case))
     }
 
+    /// An operator declares an attribute harmless. Those that were on trial with it are tried again,
+    /// too: otherwise the blame would pass to them.
+    pub fn pardon(&mut self, now: Duration, digest: Digest) -> Vec<Digest> {
+        let partners = self.get(digest).map(|c| c.partners.clone());
+        let mut closed = partners.unwrap_or_default();
+        closed.insert(digest);
+        closed.retain(|d| self.close(now, *d));
+        closed.into_iter().collect()
+    }
+
     fn change(&mut self, now: Duration, digest: Digest, apply: impl FnOnce(&mut Case)) -> bool {
         let row = self.rows.entry(digest).or_default();
         let before = row.case.clone();
@@ -122,9 +204,20 @@
             row.cursor = self.cursor;
         }
         self.evict();
+        if changed {
+            self.note_open();
+        }
         changed
     }
 
+    fn note_open(&mut self) {
+        let open = self.rows.iter().filter(|(_, r)| r.case.is_open());
+        self.open = open.fold((false, false), |(requests, shared), (digest, _)| {
+            let is_shared = Kind::of(*digest).is_shared();
+            (requests || !is_shared, shared || is_shared)
+        });
+    }
+
     /// Drops the oldest case if there are too many. Refused requests go last: learning them again
     /// would cost backend servers.
     fn evict(&mut self) {
@@ -144,17 +237,41 @@
         }
     }
 
-    /// Drops cases past their retention; returns how many.
+    /// Drops cases past their retention, and ends refusals of shared attributes past theirs; returns
+    /// how many.
     pub fn expire(&mut self, now: Duration) -> usize {
         let before = self.rows.len();
-        self.rows.retain(|_, r| {
-            let retention = if r.case.refused {
-                REFUSED_RETENTION
-            } else {
-                OPEN_RETENTION
+        let mut paroled = Vec::new();
+        self.rows.retain(|digest, row| {
+            let case = &row.case;
+            let is_shared = Kind::of(*digest).is_shared();
+            let retention = match (case.refused, is_shared) {
+                (true, true) => shared_retention(case.terminations.len()),
+                (true, false) => REFUSED_RETENTION,
+                (false, _) => OPEN_RETENTION,
             };
-            now.saturating_sub(r.updated_at) < retention
+            let is_due = now.saturating_sub(row.updated_at) >= retention;
+            if is_due && case.refused && is_shared {
+                paroled.push(*digest);
+                return true;
+            }
+            !is_due
         });
-        before - self.rows.len()
+        let dropped = before - self.rows.len();
+        for digest in &paroled {
+            self.change(now, *digest, Case::parole);
+        }
+        if dropped > 0 {
+            self.note_open();
+        }
+        dropped + paroled.len()
     }
 }
+
+fn shared_retention(terminations: usize) -> Duration {
+    let further = terminations.saturating_sub(SHARED_TERMINATIONS) as u32;
+    let factor = SHARED_FACTOR.saturating_pow(further);
+    SHARED_RETENTION
+        .saturating_mul(factor)
+        .min(REFUSED_RETENTION)
+}
--- a/crates/quarantine/src/wire.rs
+++ b/crates/quarantine/src/wire.rs
@@ -18,6 +18,10 @@
     Ok(Digest::from_be_bytes(bytes))
 }
 
+fn bytes(digest: &Digest) -> Vec<u8> {
+    digest.to_be_bytes().to_vec()
+}
+
 impl From<&Start> for wire::ServerStart {
     fn from(start: &Start) -> Self {
         wire::ServerStart {
@@ -40,10 +44,11 @@
     fn from(update: &CaseUpdate) -> Self {
         let case = &update.case;
         wire::Case {
-            digest: update.digest.to_be_bytes().to_vec(),
+            digest: bytes(&update.digest),
             round: case.round,
             ends: case.terminations.iter().map(Into::into).collect(),
             refused: case.refused,
+            partners: case.partners.iter().map(bytes).collect(),
         }
     }
 }
@@ -52,10 +57,12 @@
     type Error = InvalidMessage;
 
     fn try_from(raw: wire::Case) -> Result<Self> {
+        let partners = raw.partners.iter().map(|d| read_digest(d));
         let case = Case {
             round: raw.round,
             terminations: raw.ends.into_iter().map(Into::into).collect(),
             refused: raw.refused,
+            partners: partners.collect::<Result<_>>()?,
         };
         let digest = read_digest(&raw.digest)?;
         Ok(CaseUpdate { digest, case })
@@ -66,7 +73,7 @@
     fn from(termination: &Termination) -> Self {
         let runs = termination.runs.iter();
         let runs = runs.map(|(digest, sole_trial)| wire::LostRun {
-            digest: digest.to_be_bytes().to_vec(),
+            digest: bytes(digest),
             alone: *sole_trial,
         });
         wire::Ended {
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -1069,7 +1069,7 @@
 /// What is known of a request that ran where backend servers ended.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Case {
-    /// of caller, method, path and body; 16 bytes
+    /// of caller, method, path and body, or of a part of prompts; 16 bytes
     #[prost(bytes = "vec", tag = "1")]
     pub digest: ::prost::alloc::vec::Vec<u8>,
     /// counts how often it was closed
@@ -1080,6 +1080,9 @@
     /// it is sent no more
     #[prost(bool, tag = "4")]
     pub refused: bool,
+    /// only requests with all of these are refused
+    #[prost(bytes = "vec", repeated, tag = "5")]
+    pub partners: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
 }
 /// A run that was lost with its backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1108,6 +1111,9 @@
     /// that the try takes at the most
     #[prost(uint64, tag = "3")]
     pub time_ms: u64,
+    /// further digests that the same try is of
+    #[prost(bytes = "vec", repeated, tag = "4")]
+    pub others: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TrialAnswer {
