quarantine tests: parts of prompts in simulated fleets of 1 to 320 gateways, alone and grouped

The world of the fleets test learns requests with parts, first events, holds, groups that stand still, and trials of several suspects.

--- a/crates/quarantine/tests/fleets.rs
+++ b/crates/quarantine/tests/fleets.rs
@@ -27,6 +27,7 @@
         servers,
         loss: 0.03,
         seed,
+        grouped: false,
     }
 }
 
--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -2,8 +2,8 @@
 //! are delayed and lost.
 
 use bn_quarantine::{
-    Case, CaseStatus, CaseUpdate, Digest, LossTracker, LostRun, NextStep, Start, Table,
-    Termination, Trials,
+    Case, CaseStatus, CaseUpdate, Digest, Kind, LossTracker, LostRun, NextStep, Start, Table,
+    Termination, Trials, Verdict,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -18,6 +18,13 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(270);
 /// How long a stopped coordinator stays absent.
 const ABSENCE: Duration = Duration::from_millis(900);
+/// Time from the start of a run to its first event, or to the termination by a deadly one.
+const BEGIN_TIME: Duration = Duration::from_millis(100);
+/// How long a request waits for others' trials, and how often it looks.
+const HOLD_TIME: Duration = Duration::from_millis(500);
+const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a trial of a shared attribute blocks others.
+const SHARED_TRIAL_TIME: Duration = Duration::from_secs(1);
 
 /// The sizes of a fleet, and its message loss.
 #[derive(Debug, Clone)]
@@ -28,17 +35,58 @@
     /// Fraction of messages that are lost.
     pub(crate) loss: f64,
     pub(crate) seed: u64,
+    /// All backend servers are one group: it stands still while one of them is down.
+    pub(crate) grouped: bool,
+}
+
+/// A request: what identifies it, and what it shares with others.
+#[derive(Debug, Clone)]
+pub(crate) struct Request {
+    pub(crate) digest: Digest,
+    pub(crate) parts: Vec<Digest>,
+}
+
+impl From<Digest> for Request {
+    fn from(digest: Digest) -> Request {
+        let parts = Vec::new();
+        Request { digest, parts }
+    }
+}
+
+impl Request {
+    fn attributes(&self) -> impl Iterator<Item = Digest> {
+        std::iter::once(self.digest).chain(self.parts.iter().copied())
+    }
+}
+
+/// A request at a gateway.
+#[derive(Debug, Clone)]
+struct Arrival {
+    gateway: usize,
+    request: Request,
+    work: Duration,
+    /// Until when it waits for others' trials.
+    hold_until: Option<Duration>,
+}
+
+/// A gateway's question for a trial.
+#[derive(Debug, Clone)]
+struct Ask {
+    arrival: Arrival,
+    suspects: Vec<Digest>,
+    time: Duration,
 }
 
 #[derive(Debug, Clone)]
 enum Event {
-    Arrive(usize, Digest, Duration),
-    TrialReply(usize, Digest, Duration, bool),
+    Arrive(Arrival),
+    TrialReply(Ask, bool),
+    RunBegun(u64),
     RunFinished(u64),
     ProbeRefused(usize, Start),
     RestartServer(usize),
     TerminationReport(usize, Termination),
-    TrialRequest(usize, usize, Digest, Duration, Duration),
+    TrialRequest(usize, Ask),
     RunReport(usize, Digest, bool),
     Push(usize, CaseUpdate),
     Poll(usize),
@@ -59,8 +107,10 @@
     gateway: usize,
     server: usize,
     start: Start,
-    digest: Digest,
-    sole_trial: bool,
+    request: Request,
+    /// Suspects of which it is the only trial.
+    suspects: Vec<Digest>,
+    begun: bool,
 }
 
 #[derive(Default)]
@@ -92,6 +142,10 @@
     /// Ordinary requests that were refused for good, or asked to retry later.
     pub(crate) ordinary_refused: usize,
     pub(crate) ordinary_deferred: usize,
+    /// When ordinary requests were refused or deferred.
+    pub(crate) ordinary_turned: Vec<Duration>,
+    /// Ordinary requests that arrived while no backend server could run them.
+    pub(crate) ordinary_stalled: usize,
     pub(crate) messages: usize,
 }
 
@@ -150,9 +204,14 @@
     }
 
     /// A request arrives at some gateway at the time `at`, and takes `work`.
-    pub(crate) fn arrive(&mut self, at: Duration, digest: Digest, work: Duration) {
-        let gateway = self.rng.random_range(0..self.gateways.len());
-        self.schedule(at, Event::Arrive(gateway, digest, work));
+    pub(crate) fn arrive(&mut self, at: Duration, request: impl Into<Request>, work: Duration) {
+        let arrival = Arrival {
+            gateway: self.rng.random_range(0..self.gateways.len()),
+            request: request.into(),
+            work,
+            hold_until: None,
+        };
+        self.schedule(at, Event::Arrive(arrival));
     }
 
     /// Some backend servers terminate at once, whatever they run.
@@ -207,17 +266,23 @@
         }
     }
 
-    fn is_deadly(&self, digest: Digest) -> bool {
-        self.deadly.contains(&digest)
+    fn is_deadly(&self, request: &Request) -> bool {
+        request.attributes().any(|d| self.deadly.contains(&d))
     }
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Arrive(gateway, digest, work) => self.on_arrival(gateway, digest, work),
-            Event::TrialReply(gateway, digest, work, granted) => match granted {
-                true => self.start_run(gateway, digest, work, true),
-                false => self.defer(digest),
+            Event::Arrive(arrival) => {
+                if arrival.hold_until.is_none() && !self.is_deadly(&arrival.request) {
+                    self.record.ordinary += usize::from(self.gateways[arrival.gateway].ready);
+                }
+                self.on_arrival(arrival);
+            }
+            Event::TrialReply(ask, granted) => match granted {
+                true => self.start_run(ask.arrival, ask.suspects),
+                false => self.hold_or_defer(ask.arrival, &ask.suspects),
             },
+            Event::RunBegun(run) => self.on_run_begun(run),
             Event::RunFinished(run) => self.on_run_finished(run),
             Event::ProbeRefused(gateway, start) => self.on_probe_refused(gateway, &start),
             Event::RestartServer(server) => {
@@ -225,9 +290,7 @@
                 (server.up, server.start) = (true, server.start + 1);
             }
             Event::TerminationReport(to, termination) => self.on_termination(to, &termination),
-            Event::TrialRequest(to, gateway, digest, time, work) => {
-                self.on_trial_request(to, gateway, digest, time, work);
-            }
+            Event::TrialRequest(to, ask) => self.on_trial_request(to, ask),
             Event::RunReport(to, digest, complete) => self.on_run_report(to, digest, complete),
             Event::Push(gateway, update) => {
                 self.gateways[gateway].table.merge(self.now, &update);
@@ -249,64 +312,103 @@
         }
     }
 
-    fn on_arrival(&mut self, gateway: usize, digest: Digest, work: Duration) {
-        if !self.gateways[gateway].ready {
+    fn on_arrival(&mut self, arrival: Arrival) {
+        let gateway = &self.gateways[arrival.gateway];
+        if !gateway.ready {
             return;
         }
-        if !self.is_deadly(digest) {
-            self.record.ordinary += 1;
-        }
-        match self.gateways[gateway].table.status(digest) {
-            CaseStatus::Free => self.start_run(gateway, digest, work, false),
-            CaseStatus::Refused => {
-                if !self.is_deadly(digest) {
-                    self.record.ordinary_refused += 1;
-                }
+        let attributes = arrival.request.attributes();
+        let Verdict { refused, suspects } = gateway.table.verdict(attributes);
+        if refused.is_some() {
+            if !self.is_deadly(&arrival.request) {
+                self.record.ordinary_refused += 1;
+                self.record.ordinary_turned.push(self.now);
             }
-            CaseStatus::Suspect if self.coordinators[self.leader].absent => self.defer(digest),
-            CaseStatus::Suspect => {
-                let time = work + Duration::from_secs(1);
-                self.send(Event::TrialRequest(
-                    self.leader,
-                    gateway,
-                    digest,
-                    time,
-                    work,
-                ));
+            return;
+        }
+        // A slot comes first.
+        if self.running_servers().is_empty() {
+            if !self.is_deadly(&arrival.request) {
+                self.record.ordinary_stalled += 1;
             }
+            return;
         }
+        if suspects.is_empty() {
+            return self.start_run(arrival, suspects);
+        }
+        if self.coordinators[self.leader].absent {
+            return self.hold_or_defer(arrival, &suspects);
+        }
+        let time = match all_shared(&suspects) {
+            true => SHARED_TRIAL_TIME,
+            false => arrival.work + Duration::from_secs(1),
+        };
+        let ask = Ask {
+            arrival,
+            suspects,
+            time,
+        };
+        self.send(Event::TrialRequest(self.leader, ask));
     }
 
-    fn defer(&mut self, digest: Digest) {
-        if !self.is_deadly(digest) {
+    fn hold_or_defer(&mut self, mut arrival: Arrival, suspects: &[Digest]) {
+        let hold_until = *arrival.hold_until.get_or_insert(self.now + HOLD_TIME);
+        if all_shared(suspects) && self.now < hold_until {
+            return self.schedule_after(HOLD_POLL_INTERVAL, Event::Arrive(arrival));
+        }
+        if !self.is_deadly(&arrival.request) {
             self.record.ordinary_deferred += 1;
+            self.record.ordinary_turned.push(self.now);
         }
     }
 
-    fn start_run(&mut self, gateway: usize, digest: Digest, work: Duration, sole_trial: bool) {
-        let up: Vec<usize> = (0..self.servers.len())
-            .filter(|s| self.servers[*s].up)
-            .collect();
+    /// Backend servers that can run requests.
+    fn running_servers(&self) -> Vec<usize> {
+        if self.setup.grouped && self.servers.iter().any(|s| !s.up) {
+            return Vec::new();
+        }
+        let servers = 0..self.servers.len();
+        servers.filter(|s| self.servers[*s].up).collect()
+    }
+
+    fn start_run(&mut self, arrival: Arrival, suspects: Vec<Digest>) {
+        let up = self.running_servers();
         if up.is_empty() {
             return;
         }
         let server = up[self.rng.random_range(0..up.len())];
-        let start = self.start_of(server);
+        let deadly = self.is_deadly(&arrival.request);
         let run = Run {
-            gateway,
+            gateway: arrival.gateway,
             server,
-            start,
-            digest,
-            sole_trial,
+            start: self.start_of(server),
+            request: arrival.request,
+            suspects,
+            begun: false,
         };
         self.last_number += 1;
         let number = self.last_number;
         self.runs.insert(number, run);
-        if self.is_deadly(digest) {
+        if deadly {
             self.record.deadly_runs.push(self.now);
-            self.schedule_after(Duration::from_millis(100), Event::TerminateServer(server));
+            self.schedule_after(BEGIN_TIME, Event::TerminateServer(server));
         } else {
-            self.schedule_after(work, Event::RunFinished(number));
+            self.schedule_after(BEGIN_TIME, Event::RunBegun(number));
+            self.schedule_after(arrival.work, Event::RunFinished(number));
+        }
+    }
+
+    fn on_run_begun(&mut self, number: u64) {
+        let Some(run) = self.runs.get_mut(&number) else {
+            return;
+        };
+        run.begun = true;
+        let table = &self.gateways[run.gateway].table;
+        let parts = run.request.parts.iter().copied();
+        let open: Vec<Digest> = parts.filter(|d| table.is_open(*d)).collect();
+        run.suspects.retain(|d| !open.contains(d));
+        for digest in open {
+            self.report_finished(digest, true);
         }
     }
 
@@ -322,8 +424,8 @@
             return;
         };
         let table = &self.gateways[run.gateway].table;
-        if table.is_open(run.digest) {
-            self.report_finished(run.digest, true);
+        if table.is_open(run.request.digest) {
+            self.report_finished(run.request.digest, true);
         }
     }
 
@@ -339,14 +441,18 @@
         }
         self.servers[server].up = false;
         self.schedule_after(RESTART_TIME, Event::RestartServer(server));
+        // A group cuts off the runs of all.
+        let grouped = self.setup.grouped;
         let lost: Vec<u64> = {
-            let runs = self.runs.iter().filter(|(_, r)| r.server == server);
+            let runs = self.runs.iter();
+            let runs = runs.filter(|(_, r)| r.server == server || grouped);
             let mut numbers: Vec<u64> = runs.map(|(n, _)| *n).collect();
             numbers.sort_unstable();
             numbers
         };
         let lost: Vec<Run> = lost.iter().filter_map(|n| self.runs.remove(n)).collect();
-        if lost.iter().any(|r| self.is_deadly(r.digest)) {
+        let lost: Vec<Run> = lost.into_iter().filter(|r| r.server == server).collect();
+        if lost.iter().any(|r| self.is_deadly(&r.request)) {
             self.record.terminations.push(self.now);
         }
         for run in lost {
@@ -355,34 +461,51 @@
     }
 
     fn on_lost(&mut self, run: &Run) {
-        let lost = LostRun {
-            digest: run.digest,
-            sole_trial: run.sole_trial,
-            abandoned: false,
-        };
         let address = SocketAddr::from(([127, 0, 0, 1], run.server as u16 + 1));
-        let losses = &mut self.gateways[run.gateway].losses;
-        match losses.on_lost(self.now, &run.start, address, lost) {
-            NextStep::Wait => {}
-            NextStep::Probe => {
-                let delay = Duration::from_millis(2) + self.draw(Duration::from_millis(10));
-                self.schedule_after(delay, Event::ProbeRefused(run.gateway, run.start.clone()));
+        let blamed = run.request.attributes();
+        let blamed = blamed.filter(|d| !(run.begun && Kind::of(*d).is_shared()));
+        let mut known: Option<Termination> = None;
+        for digest in blamed {
+            let is_sole = run.suspects.len() == 1 || !Kind::of(digest).is_shared();
+            let lost = LostRun {
+                digest,
+                sole_trial: is_sole && run.suspects.contains(&digest),
+                abandoned: false,
+            };
+            let losses = &mut self.gateways[run.gateway].losses;
+            match losses.on_lost(self.now, &run.start, address, lost) {
+                NextStep::Wait => {}
+                NextStep::Probe => {
+                    let delay = Duration::from_millis(2) + self.draw(Duration::from_millis(10));
+                    self.schedule_after(delay, Event::ProbeRefused(run.gateway, run.start.clone()));
+                }
+                NextStep::Report(termination) => match &mut known {
+                    Some(known) => known.runs.extend(termination.runs),
+                    None => known = Some(termination),
+                },
             }
-            NextStep::Report(termination) => self.report_termination(&termination),
         }
-        if run.sole_trial {
-            self.report_finished(run.digest, false);
+        if let Some(termination) = known {
+            self.report_termination(run.gateway, &termination);
+        }
+        for digest in &run.suspects {
+            self.report_finished(*digest, false);
         }
     }
 
     fn on_probe_refused(&mut self, gateway: usize, start: &Start) {
         let losses = &mut self.gateways[gateway].losses;
         if let Some(termination) = losses.on_terminated(self.now, start) {
-            self.report_termination(&termination);
+            self.report_termination(gateway, &termination);
         }
     }
 
-    fn report_termination(&mut self, termination: &Termination) {
+    fn report_termination(&mut self, gateway: usize, termination: &Termination) {
+        let shared = termination.runs.iter();
+        for (digest, sole_trial) in shared.filter(|(d, _)| Kind::of(*d).is_shared()) {
+            let table = &mut self.gateways[gateway].table;
+            table.add_termination(self.now, *digest, &termination.start, *sole_trial);
+        }
         for to in 0..self.coordinators.len() {
             self.send(Event::TerminationReport(to, termination.clone()));
         }
@@ -399,6 +522,14 @@
             let table = &mut coordinator.table;
             table.add_termination(now, *digest, start, *sole_trial);
         }
+        let digests: Vec<Digest> = termination.runs.iter().map(|(d, _)| *d).collect();
+        if let Some(suspects) = coordinator
+            .trials
+            .joint_of(&digests)
+            .filter(|s| all_shared(s))
+        {
+            coordinator.table.refuse_jointly(now, suspects);
+        }
         self.publish(to);
     }
 
@@ -406,10 +537,14 @@
     fn publish(&mut self, to: usize) {
         let coordinator = &mut self.coordinators[to];
         coordinator.disk = coordinator.table.refused();
-        let acted_on = |c: &Case| c.status() != CaseStatus::Free || c.round > 0;
+        let acted_on = |d: Digest, c: &Case| {
+            let kind = Kind::of(d);
+            let is_watched = kind.is_shared() && c.is_open();
+            is_watched || c.status_as(kind) != CaseStatus::Free || c.round > 0
+        };
         let mut updates = coordinator.table.since(coordinator.pushed);
         coordinator.pushed = coordinator.table.cursor();
-        updates.retain(|u| acted_on(&u.case));
+        updates.retain(|u| acted_on(u.digest, &u.case));
         let own = (0..self.gateways.len()).filter(|g| g % self.setup.coordinators == to);
         for gateway in own.collect::<Vec<_>>() {
             for update in &updates {
@@ -418,22 +553,20 @@
         }
     }
 
-    fn on_trial_request(
-        &mut self,
-        to: usize,
-        gateway: usize,
-        digest: Digest,
-        time: Duration,
-        work: Duration,
-    ) {
+    fn on_trial_request(&mut self, to: usize, ask: Ask) {
         let now = self.now;
         let coordinator = &mut self.coordinators[to];
         if coordinator.absent || to != self.leader {
             return;
         }
-        let refused = coordinator.table.status(digest) == CaseStatus::Refused;
-        let granted = !refused && coordinator.trials.grant(now, digest, time);
-        self.send(Event::TrialReply(gateway, digest, work, granted));
+        let (table, trials) = (&coordinator.table, &mut coordinator.trials);
+        let is_refused = table
+            .verdict(ask.suspects.iter().copied())
+            .refused
+            .is_some();
+        let tried = table.all_tried(&ask.suspects);
+        let granted = !is_refused && trials.grant_all(now, &ask.suspects, ask.time, tried);
+        self.send(Event::TrialReply(ask, granted));
     }
 
     fn on_run_report(&mut self, to: usize, digest: Digest, complete: bool) {
@@ -502,3 +635,7 @@
         }
     }
 }
+
+fn all_shared(digests: &[Digest]) -> bool {
+    digests.iter().all(|d| Kind::of(*d).is_shared())
+}
