quarantine: shared suspects where no leader answers, and lost grants

By reading, then by the simulated fleets: what a cut-off gateway can't do is get a trial, and what it hears of nobody is that a hot part is harmless.

Change: a gateway counts ends and begun answers of shared attributes here at once, as well as reporting them. Once no leader has answered for a second it tries shared suspects itself, one at a time (Asks). A request's own case waits for the leader as before.

--- a/crates/coordinator/src/cases.rs
+++ b/crates/coordinator/src/cases.rs
@@ -8,8 +8,8 @@
 
 use crate::core::Core;
 use bn_quarantine::{
-    Case, CaseStatus, CaseUpdate, Digest, Kind, Start, Table, Termination, Trials, read_digest,
-    to_text,
+    Case, CaseStatus, CaseUpdate, Digest, Kind, Start, Table, Termination, Trials, part_text,
+    read_digest, to_text,
 };
 use bn_quorum::Role;
 use bn_store::{AtomicFile, Disk};
@@ -110,14 +110,6 @@
     is_watched || case.status_as(kind) != CaseStatus::Free || case.round > 0
 }
 
-/// Id of the part that a digest is of, as logs and operators write it.
-fn part_text(digest: Digest) -> Option<String> {
-    match Kind::of(digest) {
-        Kind::Request => None,
-        Kind::Part(id) => Some(format!("{id:x}")),
-    }
-}
-
 impl Core {
     /// A gateway reports that a backend server terminated.
     pub(crate) fn on_ended(&mut self, now: Duration, inbox: SocketAddr, raw: wire::Ended) {
@@ -150,8 +142,7 @@
         let Some(suspects) = self.cases.trials.joint_of(&digests) else {
             return;
         };
-        let is_shared = |d: &Digest| Kind::of(*d).is_shared();
-        if suspects.iter().all(is_shared) {
+        if bn_quarantine::all_shared(suspects) {
             let suspects = suspects.to_vec();
             self.cases.table.refuse_jointly(now, &suspects);
         }
@@ -206,7 +197,7 @@
         let is_refused = verdict.refused.is_some();
         let tried = self.cases.table.all_tried(&digests);
         let trials = &mut self.cases.trials;
-        let granted = !is_refused && trials.grant_all(now, &digests, time, tried);
+        let granted = !is_refused && trials.grant_all(now, Some(inbox), &digests, time, tried);
         let texts: Vec<String> = digests.iter().map(|d| to_text(*d)).collect();
         self.lines.put(
             "trial_asked",
--- a/crates/gateway/src/cases.rs
+++ b/crates/gateway/src/cases.rs
@@ -81,6 +81,7 @@
     }
 
     pub(crate) fn on_trial_answer(&mut self, answer: &wire::TrialAnswer) {
+        self.shared.state().asks.on_answer();
         let Some((suspects, reply)) = self.pending_trials.swap_remove(&answer.call) else {
             return;
         };
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,11 +1,11 @@
 //! State shared by all requests of a gateway. It is locked only briefly, never across an await.
 
 use crate::buffer_guard::Buffers;
-use crate::suspects::{Report, Throttle};
+use crate::suspects::Report;
 use crate::urgency::ServiceAdmission;
 use bn_directory::GatewaySelection;
 use bn_limit::Queue;
-use bn_quarantine::{LossTracker, Table};
+use bn_quarantine::{Asks, LossTracker, Table};
 use bn_route::{
     FillRule, Fleet, PauseBounds, ResponseTimer, RetryAllowance, RetryBudget, RetryDetector,
     Server, Unit, UnitController,
@@ -82,10 +82,8 @@
     pub(crate) selection: GatewaySelection,
     /// Requests under which backend servers terminated, as reported by coordinators.
     pub(crate) cases: Table,
-    /// When this gateway last asked for a trial of shared attributes.
-    pub(crate) trials_asked: Throttle,
-    /// When this gateway last reported that shared attributes are harmless.
-    pub(crate) cleared: Throttle,
+    /// This gateway's questions for trials of suspects.
+    pub(crate) asks: Asks,
     /// Runs that were lost at this gateway.
     pub(crate) losses: LossTracker,
 }
@@ -131,8 +129,7 @@
             gateway_count: 1,
             selection: GatewaySelection::default(),
             cases: Table::default(),
-            trials_asked: Throttle::default(),
-            cleared: Throttle::default(),
+            asks: Asks::default(),
             losses: LossTracker::default(),
         };
         Shared(Arc::new(Inner {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -7,11 +7,11 @@
 use crate::placement;
 use crate::shared::{Inner, Shared};
 use bn_quarantine::{
-    CaseStatus, Digest, Kind, LostRun, NextStep, Start, Table, Termination, Verdict, to_text,
+    AskStep, CaseStatus, Digest, Kind, LostRun, NextStep, Start, Table, Termination, Verdict,
+    all_shared, part_text, to_text,
 };
 use bn_route::Server;
 use bn_serve::client::{self, Connection};
-use indexmap::IndexMap;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,10 +28,6 @@
 const HOLD_TIME: Duration = Duration::from_millis(500);
 /// Interval between looks at a trial's outcome, if nothing is received of it.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// How long a trial of a shared attribute blocks others: its gateway, or its group, may be gone.
-const SHARED_TRIAL_TIME: Duration = Duration::from_secs(1);
-/// Interval between two messages of this gateway about one shared attribute.
-const MESSAGE_INTERVAL: Duration = Duration::from_millis(100);
 /// Why a request is not sent any more.
 pub(crate) const QUARANTINED: &str = "backend servers ended under this request";
 /// Why a suspect has to wait.
@@ -102,11 +98,17 @@
         suspects.iter().all(|d| self.suspects.contains(d))
     }
 
-    /// Whether it says something of each suspect: all have been shown to be harmless otherwise.
+    /// Whether a suspect is left that was not shown to be harmless.
     pub(crate) fn is_pending(&self) -> bool {
         !self.suspects.is_empty()
     }
 
+    /// Takes the suspects that the request shares with others.
+    fn take_shared(&mut self) -> Vec<Digest> {
+        let is_shared = |d: &mut Digest| Kind::of(*d).is_shared();
+        self.suspects.extract_if(.., is_shared).collect()
+    }
+
     /// Whether a termination during the trial is blamed on this attribute alone. A request that was
     /// at several terminations is more likely the cause than what it shares with others; of several
     /// that it shares, the leader knows that they were tried together.
@@ -118,7 +120,9 @@
 
 impl Drop for Trial {
     fn drop(&mut self) {
+        let now = self.shared.now();
         for digest in &self.suspects {
+            self.shared.state().asks.finish(now, *digest, false);
             self.shared.report(Report::RunFinished(*digest, false));
         }
     }
@@ -151,23 +155,6 @@
     }
 }
 
-/// Limits the messages of this gateway about each shared attribute.
-#[derive(Default)]
-pub(crate) struct Throttle(IndexMap<Digest, Duration>);
-
-impl Throttle {
-    /// Whether a message is due. If so, the next one is due after `MESSAGE_INTERVAL`.
-    fn is_due(&mut self, now: Duration, digest: Digest) -> bool {
-        self.0
-            .retain(|_, sent_at| now < *sent_at + MESSAGE_INTERVAL);
-        let is_due = !self.0.contains_key(&digest);
-        if is_due {
-            self.0.insert(digest, now);
-        }
-        is_due
-    }
-}
-
 /// Refuses a request that is known to terminate backend servers, before it waits for a slot.
 pub(crate) fn refuse_quarantined(shared: &Shared, ctx: &RequestContext) -> Result<(), Refusal> {
     match shared.verdict(ctx).refused {
@@ -178,10 +165,7 @@
 
 /// Not run this time, and without a time to retry: nothing says that a retry would help.
 fn quarantined(shared: &Shared, ctx: &RequestContext, refused: Digest) -> Refusal {
-    let part = match Kind::of(refused) {
-        Kind::Request => None,
-        Kind::Part(id) => Some(format!("{id:x}")),
-    };
+    let part = part_text(refused);
     let fields = json!({ "request": ctx.id, "digest": to_text(refused), "part": part });
     shared.lines.put("quarantined", fields);
     metrics::counter!("requests_quarantined_total").increment(1);
@@ -203,7 +187,7 @@
     if suspects.is_empty() || is_on_trial {
         return Ok(Admission::Send);
     }
-    if ask_trial(shared, ctx, &suspects).await {
+    if get_trial(shared, ctx, &suspects).await {
         metrics::counter!("suspects_tried_total").increment(1);
         let shared = shared.clone();
         attempts.trial = Some(Trial { shared, suspects });
@@ -211,42 +195,70 @@
     }
     let now = shared.now();
     let hold_time = HOLD_TIME.min(ctx.remaining(now) / 3);
-    let hold_until = *attempts.hold_until.get_or_insert(now + hold_time);
-    let all_shared = suspects.iter().all(|d| Kind::of(*d).is_shared());
-    if all_shared && now < hold_until {
+    let hold_until = *attempts.hold_until.get_or_insert_with(|| {
+        metrics::counter!("requests_held_total").increment(1);
+        now + hold_time
+    });
+    if all_shared(&suspects) && now < hold_until {
         return Ok(Admission::Hold);
     }
     let retry_delay = placement::retry_delay(shared, ctx);
     Err(Refusal::retryable(ON_TRIAL, retry_delay))
 }
 
-/// Asks the leader for a trial. Of the requests here that share suspects, one at a time asks.
-async fn ask_trial(shared: &Shared, ctx: &RequestContext, suspects: &[Digest]) -> bool {
+/// Whether the request may be the trial of its suspects.
+async fn get_trial(shared: &Shared, ctx: &RequestContext, suspects: &[Digest]) -> bool {
     let now = shared.now();
-    let all_shared = suspects.iter().all(|d| Kind::of(*d).is_shared());
-    let mut is_due = |digest: &Digest| shared.state().trials_asked.is_due(now, *digest);
-    if all_shared && !suspects.iter().all(&mut is_due) {
+    let time = ctx.remaining(now);
+    let step = {
+        let mut state = shared.state();
+        let tried = state.cases.all_tried(suspects);
+        state.asks.next_step(now, suspects, time, tried)
+    };
+    if step == AskStep::Hold {
         return false;
     }
-    let remaining = ctx.remaining(now);
-    let time = match all_shared {
-        true => remaining.min(SHARED_TRIAL_TIME),
-        false => remaining,
-    };
     let (reply, answer) = oneshot::channel();
     shared.report(Report::TrialRequest(suspects.to_vec(), time, reply));
-    let answer = tokio::time::timeout(TRIAL_TIMEOUT, answer).await;
-    let granted = matches!(answer, Ok(Ok(true)));
+    let granted = match step {
+        AskStep::AskLeader => await_answer(shared, now, suspects, time, answer).await,
+        AskStep::TryHere => true,
+        AskStep::Hold | AskStep::HoldHere => false,
+    };
     let digests: Vec<String> = suspects.iter().map(|d| to_text(*d)).collect();
     shared.lines.put(
         "suspect_asked",
         json!({
             "request": ctx.id, "digest": digests.first(), "digests": digests, "granted": granted,
+            "here": step != AskStep::AskLeader,
+            "after_ms": (shared.now() - ctx.arrived).as_millis() as u64,
         }),
     );
     granted
 }
 
+/// Waits for the leader's answer to a question of the time `asked_at`, for a trial of `time`.
+async fn await_answer(
+    shared: &Shared,
+    asked_at: Duration,
+    suspects: &[Digest],
+    time: Duration,
+    answer: oneshot::Receiver<bool>,
+) -> bool {
+    let answer = tokio::time::timeout(TRIAL_TIMEOUT, answer).await;
+    let now = shared.now();
+    let asks = &mut shared.state().asks;
+    match answer {
+        Ok(Ok(true)) => asks.on_granted(now, suspects, time),
+        Ok(_) => return false,
+        Err(_) => {
+            asks.on_timeout(asked_at);
+            return false;
+        }
+    }
+    true
+}
+
 /// Waits until something is received about a case, for a moment at most.
 pub(crate) async fn hold(shared: &Shared) {
     let received = shared.cases_changed.notified();
@@ -254,28 +266,30 @@
 }
 
 /// A backend server has begun to answer: nothing that the request shares with others terminates
-/// it.
+/// it. Counts here at once: this gateway may be cut off from the coordinators.
 pub(crate) fn on_begun(shared: &Shared, ctx: &RequestContext, attempts: &mut Attempts) {
-    let open: Vec<Digest> = {
-        let state = shared.state();
-        if !state.cases.has_shared() {
-            return;
-        }
-        let attributes = ctx.shared_attributes();
-        attributes.filter(|d| state.cases.is_open(*d)).collect()
-    };
     let now = shared.now();
-    for digest in open {
-        let suspects = attempts.trial.as_mut().map(|t| &mut t.suspects);
-        let on_trial = suspects.and_then(|s| {
-            s.iter()
-                .position(|d| *d == digest)
-                .map(|n| s.swap_remove(n))
-        });
-        let is_due = shared.state().cleared.is_due(now, digest);
-        if on_trial.is_some() || is_due {
-            shared.report(Report::RunFinished(digest, true));
+    let mut harmless = attempts
+        .trial
+        .as_mut()
+        .map_or(Vec::new(), Trial::take_shared);
+    {
+        let mut state = shared.state();
+        for digest in &harmless {
+            state.asks.finish(now, *digest, true);
         }
+        if state.cases.has_shared() {
+            let cases = &mut state.cases;
+            harmless.extend(ctx.shared_attributes().filter(|d| cases.is_open(*d)));
+            harmless.sort_unstable();
+            harmless.dedup();
+            for digest in &harmless {
+                cases.close(now, *digest);
+            }
+        }
+    }
+    for digest in harmless {
+        shared.report(Report::RunFinished(digest, true));
     }
 }
 
--- a/crates/quarantine/src/attribute.rs
+++ b/crates/quarantine/src/attribute.rs
@@ -49,3 +49,11 @@
     let service = digest(&[service.as_bytes()]) as u32;
     PART_TAG << TAG_SHIFT | Digest::from(service) << SERVICE_SHIFT | Digest::from(part)
 }
+
+/// The id of the part that a digest is of, as logs and operators write it.
+pub fn part_text(digest: Digest) -> Option<String> {
+    match Kind::of(digest) {
+        Kind::Request => None,
+        Kind::Part(id) => Some(format!("{id:x}")),
+    }
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -9,6 +9,7 @@
 //! beginning of one); a termination during that trial refuses requests with the attribute from then
 //! on, everywhere.
 
+mod asks;
 mod attribute;
 mod case;
 mod digest;
@@ -17,7 +18,8 @@
 mod trials;
 mod wire;
 
-pub use attribute::{Kind, PartId, part_digest};
+pub use asks::{AskStep, Asks, all_shared};
+pub use attribute::{Kind, PartId, part_digest, part_text};
 pub use case::{Case, CaseStatus, Start};
 pub use digest::{Digest, digest, from_text, to_text};
 pub use losses::{LossTracker, LostRun, NextStep, Termination};
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -188,3 +188,44 @@
         expect_that!(turned * 1_000, lt(total), "{size:?} {grouped}");
     }
 }
+
+/// Failure: a gateway that is cut off from the coordinators refuses all requests with a hot part: two
+/// backend servers that it used terminate at once, nobody grants a trial, and so nothing clears it.
+#[googletest::test]
+fn a_cut_off_gateway_goes_on_sending_requests_with_hot_parts() {
+    let size = (6, 3, 16);
+    for (seed, grouped) in (0..seeds()).flat_map(|s| [(s, false), (s, true)]) {
+        let mut world = World::new(setup(size, seed, grouped));
+        for n in 0..SIMULATED_TIME.as_secs() * 400 {
+            world.arrive(ms(n * 1_000 / 400), request(n, &[FIRST]), ms(1_000));
+        }
+        world.cut_off(0, ms(20_000), ms(100_000));
+        for n in 0..15 {
+            world.terminate_servers(ms(22_000 + n * 5_000), 6);
+        }
+
+        world.run(SIMULATED_TIME);
+
+        let turned = world.record.ordinary_turned.len();
+        println!("grouped: {grouped}, seed {seed}: {turned} turned away");
+        expect_that!(world.record.ordinary_refused, eq(0));
+        // A sixth of 400 requests a second for 80 s arrive there: fewer than one in 100.
+        expect_that!(turned, lt(50), "grouped: {grouped}, seed {seed}");
+    }
+}
+
+/// Failure: a cut-off gateway sends deadly requests for as long as it is cut off.
+#[googletest::test]
+fn a_cut_off_gateway_finds_a_deadly_part_by_itself() {
+    for (seed, grouped) in (0..seeds()).flat_map(|s| [(s, false), (s, true)]) {
+        let mut world = World::new(setup((1, 3, 8), seed, grouped));
+        sound(&mut world);
+        bad(&mut world, 3, &[&[FIRST, BAD]], SIMULATED_TIME);
+        world.cut_off(0, ms(0), SIMULATED_TIME);
+
+        world.run(SIMULATED_TIME);
+
+        expect_that!(late_runs(&world), le(MAX_LATE_RUNS), "{grouped} {seed}");
+        expect_that!(turned_late(&world), eq(0), "{grouped} {seed}");
+    }
+}
--- a/crates/quarantine/tests/shared.rs
+++ b/crates/quarantine/tests/shared.rs
@@ -3,9 +3,11 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use bn_quarantine::{
-    CaseStatus, CaseUpdate, Digest, Kind, Start, Table, Trials, Verdict, digest, part_digest,
+    AskStep, Asks, CaseStatus, CaseUpdate, Digest, Kind, Start, Table, Trials, Verdict, digest,
+    part_digest,
 };
 use googletest::prelude::*;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 fn seconds(n: u64) -> Duration {
@@ -183,11 +185,11 @@
     let (time, both) = (seconds(1), [part(1), part(2)]);
     let at = |ms: u64| Duration::from_millis(ms);
 
-    expect_false!(trials.grant_all(at(0), &both, time, false));
+    expect_false!(trials.grant_all(at(0), None, &both, time, false));
     expect_true!(trials.grant(at(100), part(1), time));
-    expect_false!(trials.grant_all(at(1_100), &both, time, false));
+    expect_false!(trials.grant_all(at(1_100), None, &both, time, false));
     trials.finish(at(1_200), part(1), false);
-    expect_true!(trials.grant_all(at(2_200), &both, time, false));
+    expect_true!(trials.grant_all(at(2_200), None, &both, time, false));
     expect_that!(trials.joint_of(&[part(2), 5, part(1)]), some(eq(&both)));
     expect_that!(trials.joint_of(&[part(2), 5]), none());
     // Neither runs elsewhere meanwhile.
@@ -202,6 +204,66 @@
 
     let tried = table.all_tried(&some_of_them);
 
-    expect_true!(trials.grant_all(seconds(5), &some_of_them, seconds(1), tried));
+    expect_true!(trials.grant_all(seconds(5), None, &some_of_them, seconds(1), tried));
     expect_false!(table.all_tried(&[part(1), part(4)]));
 }
+
+/// Failure: a gateway that no leader answers sends nothing with a hot part, or everything.
+#[googletest::test]
+fn a_gateway_tries_shared_suspects_itself_once_no_leader_has_answered_for_a_second() {
+    let mut asks = Asks::default();
+    let at = |ms: u64| Duration::from_millis(ms);
+    let step = |asks: &mut Asks, ms: u64, suspects: &[Digest]| {
+        asks.next_step(at(ms), suspects, seconds(8), false)
+    };
+
+    expect_that!(step(&mut asks, 0, &[part(1)]), eq(AskStep::AskLeader));
+    // One question at a time about the same suspects.
+    expect_that!(step(&mut asks, 50, &[part(1)]), eq(AskStep::Hold));
+    expect_that!(
+        step(&mut asks, 60, &[part(1), part(2)]),
+        eq(AskStep::AskLeader)
+    );
+    asks.on_timeout(at(0));
+    expect_that!(step(&mut asks, 900, &[part(1)]), eq(AskStep::AskLeader));
+    expect_that!(step(&mut asks, 1_100, &[part(1)]), eq(AskStep::TryHere));
+    expect_that!(step(&mut asks, 1_300, &[part(1)]), eq(AskStep::Hold));
+    asks.finish(at(1_350), part(1), true);
+    expect_that!(step(&mut asks, 1_400, &[part(1)]), eq(AskStep::TryHere));
+    expect_that!(
+        step(&mut asks, 1_450, &[part(3), part(4)]),
+        eq(AskStep::HoldHere)
+    );
+    asks.finish(at(1_500), part(1), true);
+    // A request's own case waits for the leader.
+    expect_that!(step(&mut asks, 1_400, &[77]), eq(AskStep::AskLeader));
+    asks.on_answer();
+    expect_that!(step(&mut asks, 1_600, &[part(1)]), eq(AskStep::AskLeader));
+}
+
+/// Failure: requests with a hot part are held for seconds, because the answer that grants a trial to a
+/// gateway is lost.
+#[googletest::test]
+fn a_gateway_that_asks_again_gets_the_trial_whose_grant_was_lost() {
+    let mut trials = Trials::default();
+    let holder = |port: u16| Some(SocketAddr::from(([127, 0, 0, 1], port)));
+    let mut grant =
+        |port: u16| trials.grant_all(seconds(1), holder(port), &[part(1)], seconds(1), false);
+
+    expect_true!(grant(1));
+    expect_false!(grant(2));
+    expect_true!(grant(1));
+}
+
+#[googletest::test]
+fn a_gateway_with_a_trial_does_not_ask_for_the_same_suspects() {
+    let mut asks = Asks::default();
+    asks.on_granted(seconds(1), &[part(1)], seconds(1));
+    let mut step =
+        |ms: u64, suspect| asks.next_step(Duration::from_millis(ms), &[suspect], seconds(8), false);
+
+    expect_that!(step(1_500, part(1)), eq(AskStep::Hold));
+    expect_that!(step(1_500, part(2)), eq(AskStep::AskLeader));
+    // Its gateway may have missed the end of it.
+    expect_that!(step(2_900, part(1)), eq(AskStep::AskLeader));
+}
--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -2,8 +2,8 @@
 //! are delayed and lost.
 
 use bn_quarantine::{
-    Case, CaseStatus, CaseUpdate, Digest, Kind, LossTracker, LostRun, NextStep, Start, Table,
-    Termination, Trials, Verdict,
+    AskStep, Asks, Case, CaseStatus, CaseUpdate, Digest, Kind, LossTracker, LostRun, NextStep,
+    Start, Table, Termination, Trials, Verdict, all_shared,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -20,11 +20,15 @@
 const ABSENCE: Duration = Duration::from_millis(900);
 /// Time from the start of a run to its first event, or to the termination by a deadly one.
 const BEGIN_TIME: Duration = Duration::from_millis(100);
+/// Time after a termination within which other members of its group may terminate under what they
+/// run, and from which on they cut off all runs.
+const GROUP_TERMINATIONS: Duration = Duration::from_millis(80);
+const GROUP_STALL: Duration = Duration::from_millis(1_500);
 /// How long a request waits for others' trials, and how often it looks.
 const HOLD_TIME: Duration = Duration::from_millis(500);
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// How long a trial of a shared attribute blocks others.
-const SHARED_TRIAL_TIME: Duration = Duration::from_secs(1);
+/// How long a gateway waits for the leader's answer.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The sizes of a fleet, and its message loss.
 #[derive(Debug, Clone)]
@@ -72,6 +76,7 @@
 /// A gateway's question for a trial.
 #[derive(Debug, Clone)]
 struct Ask {
+    number: u64,
     arrival: Arrival,
     suspects: Vec<Digest>,
     time: Duration,
@@ -81,6 +86,7 @@
 enum Event {
     Arrive(Arrival),
     TrialReply(Ask, bool),
+    AskTimeout(u64, Duration),
     RunBegun(u64),
     RunFinished(u64),
     ProbeRefused(usize, Start),
@@ -92,6 +98,8 @@
     Poll(usize),
     Sync(usize),
     TerminateServer(usize),
+    DeadlyWrite(u64),
+    CutOffRuns,
     StopCoordinators,
     StopGateways,
     RestartCoordinator(usize),
@@ -117,6 +125,9 @@
 struct Gateway {
     table: Table,
     losses: LossTracker,
+    asks: Asks,
+    /// Questions that wait for the leader's answer.
+    pending: HashMap<u64, Ask>,
     cursors: Vec<u64>,
     /// It has polled a coordinator since its start; it serves no requests before.
     ready: bool,
@@ -163,6 +174,9 @@
     runs: HashMap<u64, Run>,
     deadly: Vec<Digest>,
     leader: usize,
+    last_terminated: Duration,
+    /// A gateway that no coordinator reaches, and from when until when.
+    cut: Option<(usize, Duration, Duration)>,
 }
 
 impl World {
@@ -184,6 +198,8 @@
             runs: HashMap::new(),
             deadly: Vec::new(),
             leader: 0,
+            last_terminated: Duration::ZERO,
+            cut: None,
             setup,
         };
         for gateway in 0..world.gateways.len() {
@@ -214,6 +230,17 @@
         self.schedule(at, Event::Arrive(arrival));
     }
 
+    /// Cuts a gateway off from all coordinators.
+    #[allow(dead_code)] // Not by every test target.
+    pub(crate) fn cut_off(&mut self, gateway: usize, from: Duration, until: Duration) {
+        self.cut = Some((gateway, from, until));
+    }
+
+    fn is_cut_off(&self, gateway: usize) -> bool {
+        let is_now = |(g, from, until)| g == gateway && from <= self.now && self.now < until;
+        self.cut.is_some_and(is_now)
+    }
+
     /// Some backend servers terminate at once, whatever they run.
     pub(crate) fn terminate_servers(&mut self, at: Duration, count: usize) {
         let first = self.rng.random_range(0..self.servers.len());
@@ -266,6 +293,13 @@
         }
     }
 
+    /// Sends a message between a gateway and a coordinator.
+    fn send_over(&mut self, gateway: usize, event: Event) {
+        if !self.is_cut_off(gateway) {
+            self.send(event);
+        }
+    }
+
     fn is_deadly(&self, request: &Request) -> bool {
         request.attributes().any(|d| self.deadly.contains(&d))
     }
@@ -278,10 +312,8 @@
                 }
                 self.on_arrival(arrival);
             }
-            Event::TrialReply(ask, granted) => match granted {
-                true => self.start_run(ask.arrival, ask.suspects),
-                false => self.hold_or_defer(ask.arrival, &ask.suspects),
-            },
+            Event::TrialReply(ask, granted) => self.on_trial_reply(&ask, granted),
+            Event::AskTimeout(number, asked_at) => self.on_ask_timeout(number, asked_at),
             Event::RunBegun(run) => self.on_run_begun(run),
             Event::RunFinished(run) => self.on_run_finished(run),
             Event::ProbeRefused(gateway, start) => self.on_probe_refused(gateway, &start),
@@ -298,6 +330,8 @@
             Event::Poll(gateway) => self.on_poll(gateway),
             Event::Sync(coordinator) => self.on_sync(coordinator),
             Event::TerminateServer(server) => self.terminate_server(server),
+            Event::DeadlyWrite(run) => self.on_deadly_write(run),
+            Event::CutOffRuns => self.runs.clear(),
             Event::StopCoordinators => self.on_coordinators_stop(),
             Event::StopGateways => {
                 for gateway in &mut self.gateways {
@@ -336,19 +370,56 @@
         if suspects.is_empty() {
             return self.start_run(arrival, suspects);
         }
-        if self.coordinators[self.leader].absent {
-            return self.hold_or_defer(arrival, &suspects);
+        let time = arrival.work + Duration::from_secs(1);
+        let gateway = &mut self.gateways[arrival.gateway];
+        let tried = gateway.table.all_tried(&suspects);
+        match gateway.asks.next_step(self.now, &suspects, time, tried) {
+            AskStep::Hold | AskStep::HoldHere => self.hold_or_defer(arrival, &suspects),
+            AskStep::TryHere => self.start_run(arrival, suspects),
+            AskStep::AskLeader => self.ask_leader(arrival, suspects, time),
         }
-        let time = match all_shared(&suspects) {
-            true => SHARED_TRIAL_TIME,
-            false => arrival.work + Duration::from_secs(1),
-        };
+    }
+
+    fn ask_leader(&mut self, arrival: Arrival, suspects: Vec<Digest>, time: Duration) {
+        self.last_number += 1;
+        let number = self.last_number;
+        let gateway = arrival.gateway;
         let ask = Ask {
+            number,
             arrival,
             suspects,
             time,
         };
-        self.send(Event::TrialRequest(self.leader, ask));
+        let pending = &mut self.gateways[gateway].pending;
+        pending.insert(number, ask.clone());
+        self.schedule_after(TRIAL_TIMEOUT, Event::AskTimeout(number, self.now));
+        self.send_over(gateway, Event::TrialRequest(self.leader, ask));
+    }
+
+    fn on_trial_reply(&mut self, ask: &Ask, granted: bool) {
+        let gateway = &mut self.gateways[ask.arrival.gateway];
+        gateway.asks.on_answer();
+        let is_pending = gateway.pending.remove(&ask.number);
+        match (is_pending, granted) {
+            (Some(ask), true) => {
+                gateway.asks.on_granted(self.now, &ask.suspects, ask.time);
+                self.start_run(ask.arrival, ask.suspects);
+            }
+            (Some(ask), false) => self.hold_or_defer(ask.arrival, &ask.suspects),
+            (None, _) => {}
+        }
+    }
+
+    fn on_ask_timeout(&mut self, number: u64, asked_at: Duration) {
+        let gateways = self.gateways.iter_mut();
+        let mut gateways = gateways.filter(|g| g.pending.contains_key(&number));
+        let Some(gateway) = gateways.next() else {
+            return;
+        };
+        gateway.asks.on_timeout(asked_at);
+        if let Some(ask) = gateway.pending.remove(&number) {
+            self.hold_or_defer(ask.arrival, &ask.suspects);
+        }
     }
 
     fn hold_or_defer(&mut self, mut arrival: Arrival, suspects: &[Digest]) {
@@ -391,7 +462,7 @@
         self.runs.insert(number, run);
         if deadly {
             self.record.deadly_runs.push(self.now);
-            self.schedule_after(BEGIN_TIME, Event::TerminateServer(server));
+            self.schedule_after(BEGIN_TIME, Event::DeadlyWrite(number));
         } else {
             self.schedule_after(BEGIN_TIME, Event::RunBegun(number));
             self.schedule_after(arrival.work, Event::RunFinished(number));
@@ -399,16 +470,26 @@
     }
 
     fn on_run_begun(&mut self, number: u64) {
+        if self.running_servers().is_empty() {
+            return;
+        }
         let Some(run) = self.runs.get_mut(&number) else {
             return;
         };
         run.begun = true;
-        let table = &self.gateways[run.gateway].table;
-        let parts = run.request.parts.iter().copied();
-        let open: Vec<Digest> = parts.filter(|d| table.is_open(*d)).collect();
-        run.suspects.retain(|d| !open.contains(d));
-        for digest in open {
-            self.report_finished(digest, true);
+        let (suspects, own): (Vec<Digest>, Vec<Digest>) =
+            run.suspects.iter().partition(|d| Kind::of(**d).is_shared());
+        run.suspects = own;
+        let (gateway, parts) = (run.gateway, run.request.parts.clone());
+        let Gateway { table, asks, .. } = &mut self.gateways[gateway];
+        for digest in &suspects {
+            asks.finish(self.now, *digest, true);
+        }
+        let is_known = |d: &Digest| table.is_open(*d) || suspects.contains(d);
+        let harmless: Vec<Digest> = parts.into_iter().filter(is_known).collect();
+        for digest in harmless {
+            self.gateways[gateway].table.close(self.now, digest);
+            self.report_finished(gateway, digest, true);
         }
     }
 
@@ -419,19 +500,32 @@
         }
     }
 
+    fn on_deadly_write(&mut self, number: u64) {
+        let stalled = self.running_servers().is_empty();
+        if stalled && self.now > self.last_terminated + GROUP_TERMINATIONS {
+            return;
+        }
+        if let Some(server) = self.runs.get(&number).map(|r| r.server) {
+            self.terminate_server(server);
+        }
+    }
+
     fn on_run_finished(&mut self, number: u64) {
+        if self.running_servers().is_empty() {
+            return;
+        }
         let Some(run) = self.runs.remove(&number) else {
             return;
         };
         let table = &self.gateways[run.gateway].table;
         if table.is_open(run.request.digest) {
-            self.report_finished(run.request.digest, true);
+            self.report_finished(run.gateway, run.request.digest, true);
         }
     }
 
-    fn report_finished(&mut self, digest: Digest, complete: bool) {
+    fn report_finished(&mut self, gateway: usize, digest: Digest, complete: bool) {
         for to in 0..self.coordinators.len() {
-            self.send(Event::RunReport(to, digest, complete));
+            self.send_over(gateway, Event::RunReport(to, digest, complete));
         }
     }
 
@@ -441,17 +535,17 @@
         }
         self.servers[server].up = false;
         self.schedule_after(RESTART_TIME, Event::RestartServer(server));
-        // A group cuts off the runs of all.
-        let grouped = self.setup.grouped;
+        self.last_terminated = self.now;
+        if self.setup.grouped {
+            self.schedule_after(GROUP_STALL, Event::CutOffRuns);
+        }
         let lost: Vec<u64> = {
-            let runs = self.runs.iter();
-            let runs = runs.filter(|(_, r)| r.server == server || grouped);
+            let runs = self.runs.iter().filter(|(_, r)| r.server == server);
             let mut numbers: Vec<u64> = runs.map(|(n, _)| *n).collect();
             numbers.sort_unstable();
             numbers
         };
         let lost: Vec<Run> = lost.iter().filter_map(|n| self.runs.remove(n)).collect();
-        let lost: Vec<Run> = lost.into_iter().filter(|r| r.server == server).collect();
         if lost.iter().any(|r| self.is_deadly(&r.request)) {
             self.record.terminations.push(self.now);
         }
@@ -489,7 +583,9 @@
             self.report_termination(run.gateway, &termination);
         }
         for digest in &run.suspects {
-            self.report_finished(*digest, false);
+            let asks = &mut self.gateways[run.gateway].asks;
+            asks.finish(self.now, *digest, false);
+            self.report_finished(run.gateway, *digest, false);
         }
     }
 
@@ -507,7 +603,8 @@
             table.add_termination(self.now, *digest, &termination.start, *sole_trial);
         }
         for to in 0..self.coordinators.len() {
-            self.send(Event::TerminationReport(to, termination.clone()));
+            let report = Event::TerminationReport(to, termination.clone());
+            self.send_over(gateway, report);
         }
     }
 
@@ -548,7 +645,7 @@
         let own = (0..self.gateways.len()).filter(|g| g % self.setup.coordinators == to);
         for gateway in own.collect::<Vec<_>>() {
             for update in &updates {
-                self.send(Event::Push(gateway, update.clone()));
+                self.send_over(gateway, Event::Push(gateway, update.clone()));
             }
         }
     }
@@ -565,8 +662,12 @@
             .refused
             .is_some();
         let tried = table.all_tried(&ask.suspects);
-        let granted = !is_refused && trials.grant_all(now, &ask.suspects, ask.time, tried);
-        self.send(Event::TrialReply(ask, granted));
+        let holder = Some(SocketAddr::from((
+            [127, 0, 0, 1],
+            ask.arrival.gateway as u16 + 1,
+        )));
+        let granted = !is_refused && trials.grant_all(now, holder, &ask.suspects, ask.time, tried);
+        self.send_over(ask.arrival.gateway, Event::TrialReply(ask, granted));
     }
 
     fn on_run_report(&mut self, to: usize, digest: Digest, complete: bool) {
@@ -584,7 +685,7 @@
     fn on_poll(&mut self, gateway: usize) {
         self.schedule_after(POLL_INTERVAL, Event::Poll(gateway));
         let to = self.rng.random_range(0..self.coordinators.len());
-        if self.coordinators[to].absent {
+        if self.coordinators[to].absent || self.is_cut_off(gateway) {
             return;
         }
         let known = self.gateways[gateway].cursors[to];
@@ -635,7 +736,3 @@
         }
     }
 }
-
-fn all_shared(digests: &[Digest]) -> bool {
-    digests.iter().all(|d| Kind::of(*d).is_shared())
-}
