--- a/crates/gateway/src/cases.rs
+++ b/crates/gateway/src/cases.rs
@@ -2,7 +2,8 @@
 //! it receives from them.
 
 use crate::link::Link;
-use crate::suspects::{self, Report};
+use crate::lost_runs;
+use crate::suspects::Report;
 use bn_quarantine::{CaseUpdate, Digest, Start, to_text};
 use bn_registry::{Condition, Record};
 use bn_wire::messages::envelope::Body;
@@ -40,11 +41,11 @@
 
     /// Another gateway saw a backend server terminate. Runs that were lost here count at once.
     pub(crate) fn on_remote_termination(&self, start: &Start) {
-        suspects::mark_terminated(&self.shared, start, "told");
+        lost_runs::mark_terminated(&self.shared, start, "told");
         let now = self.shared.now();
         let termination = self.shared.state().losses.on_terminated(now, start);
         if let Some(termination) = termination {
-            suspects::report_termination(&self.shared, termination, "told");
+            lost_runs::report_termination(&self.shared, termination, "told");
         }
     }
 
@@ -109,7 +110,7 @@
             .losses
             .on_start(now, &next, record.address);
         for termination in terminations {
-            suspects::report_termination(&self.shared, termination, "followed");
+            lost_runs::report_termination(&self.shared, termination, "followed");
         }
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,10 +4,11 @@
 use crate::answer::{Refusal, Verdict};
 use crate::attempt::{self, Head, NotRunReason, Outcome};
 use crate::context::RequestContext;
+use crate::lost_runs::{self, Loss, Run};
 use crate::placement;
 use crate::shared::Shared;
 use crate::silence::{self, Awaited};
-use crate::suspects::{self, Admission, Loss, Run, Trial};
+use crate::suspects::{self, Admission, Trial};
 use bn_quarantine::to_text;
 use bn_route::{Server, ServerId};
 use serde_json::json;
@@ -120,7 +121,7 @@
             outcome = sending => outcome,
             head = fail_over(shared, ctx, attempts, &server, last_event) => {
                 attempts.abandon_beyond(in_flight);
-                suspects::on_run_lost(shared, ctx, attempts, &run, Loss::ABANDONED);
+                lost_runs::on_run_lost(shared, ctx, attempts, &run, Loss::ABANDONED);
                 return Ok(head);
             }
         };
@@ -155,7 +156,7 @@
                 on_not_run(shared, ctx, attempts, &id, reason)?;
             }
             Outcome::ConnectionLost => {
-                suspects::on_run_lost(shared, ctx, attempts, &run, Loss::BROKEN);
+                lost_runs::on_run_lost(shared, ctx, attempts, &run, Loss::BROKEN);
                 on_unknown(
                     shared,
                     ctx,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod frontend;
 mod link;
 mod liveness;
+mod lost_runs;
 mod placement;
 mod plain;
 mod shared;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -7,8 +7,9 @@
 use crate::buffers::{Phase, Stalled};
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
+use crate::lost_runs::{self, Loss, Run};
 use crate::shared::Shared;
-use crate::suspects::{self, Loss, Run};
+use crate::suspects;
 use bn_platform::header;
 use bn_route::ServerId;
 use bn_serve::Body;
@@ -52,7 +53,7 @@
             Ok(answer) => answer,
             Err(error) => {
                 if let CollectError::Incomplete(loss) = error {
-                    suspects::on_run_lost(shared, ctx, attempts, &run, loss);
+                    lost_runs::on_run_lost(shared, ctx, attempts, &run, loss);
                 }
                 dispatch::log_failure(shared, ctx, &id, "cut", "the answer broke off");
                 dispatch::record_failure(shared, &id, false);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,10 +9,11 @@
 use crate::context::{RequestContext, strip_hop_by_hop};
 use crate::dispatch::{self, Attempts};
 use crate::events::{MAX_EVENT_BYTES, Splitter};
+use crate::lost_runs::{self, Loss, Run};
 use crate::plain;
 use crate::shared::{InFlightGuard, Shared};
 use crate::silence::{self, Awaited};
-use crate::suspects::{self, Loss, Run};
+use crate::suspects;
 use bn_platform::header;
 use bn_route::{Server, ServerId};
 use bn_serve::Body;
@@ -72,7 +73,7 @@
             .map(|a| plain::response(shared, ctx, a))
             .map_err(|error| {
                 if let plain::CollectError::Incomplete(loss) = error {
-                    suspects::on_run_lost(shared, ctx, &attempts, &run, loss);
+                    lost_runs::on_run_lost(shared, ctx, &attempts, &run, loss);
                 }
                 Refusal::unknown(502, "the answer broke off")
             });
@@ -353,7 +354,7 @@
     fn on_run_lost(&mut self, run: &Run, abandoned: bool) {
         let begun = std::mem::take(&mut self.begun);
         let loss = Loss { abandoned, begun };
-        suspects::on_run_lost(&self.shared, &self.ctx, &self.attempts, run, loss);
+        lost_runs::on_run_lost(&self.shared, &self.ctx, &self.attempts, run, loss);
     }
 
     /// Forwards events; `first_frame` was already read.
