quarantine: a trial's end says less where other runs may have caused it; the core's silence counts

And a bad request that was sent before its part was a suspect can end a sound one's trial in the same way.

Change: a case keeps the starts that ended in its trials; parts that were on trial at all the same ones are refused only together, and the next trial tells them apart (the sound one clears itself). A trial begins 0.3 s after the last end under its part at the earliest, and others wait 0.75 s for it, not 0.5.

--- a/crates/coordinator/src/cases.rs
+++ b/crates/coordinator/src/cases.rs
@@ -196,8 +196,10 @@
         let verdict = self.cases.table.verdict(digests.iter().copied());
         let is_refused = verdict.refused.is_some();
         let tried = self.cases.table.all_tried(&digests);
+        let is_settled = self.cases.table.is_settled(now, &digests);
         let trials = &mut self.cases.trials;
-        let granted = !is_refused && trials.grant_all(now, Some(inbox), &digests, time, tried);
+        let granted =
+            !is_refused && is_settled && trials.grant_all(now, Some(inbox), &digests, time, tried);
         let texts: Vec<String> = digests.iter().map(|d| to_text(*d)).collect();
         self.lines.put(
             "trial_asked",
@@ -235,16 +237,17 @@
     /// Lists refused and suspect requests for operators.
     pub(crate) fn show_cases(&self) -> String {
         let updates = self.cases.table.since(0).into_iter();
+        let table = &self.cases.table;
         let status = |u: &CaseUpdate| u.case.status_as(Kind::of(u.digest));
         let updates = updates.filter(|u| status(u) != CaseStatus::Free);
         let rows = updates.map(|u| {
             let terminations: Vec<&str> =
                 u.case.terminations.iter().map(|s| s.id.as_str()).collect();
-            let partners: Vec<String> = u.case.partners.iter().map(|d| to_text(*d)).collect();
+            let partners = table.partners(u.digest, &u.case).into_iter().map(to_text);
             json!({
                 "digest": to_text(u.digest), "part": part_text(u.digest),
                 "standing": format!("{:?}", status(&u)), "ended": terminations,
-                "only_with": partners,
+                "only_with": partners.collect::<Vec<_>>(),
             })
         });
         json!({ "requests": rows.collect::<Vec<_>>() }).to_string()
@@ -256,12 +259,14 @@
             return;
         };
         let terminations: Vec<&str> = case.terminations.iter().map(|s| s.id.as_str()).collect();
+        let partners = self.cases.table.partners(digest, case);
+        let partners = partners.into_iter().map(to_text);
         self.lines.put(
             "request_case",
             json!({
                 "digest": to_text(digest), "part": part_text(digest),
                 "standing": format!("{:?}", case.status_as(Kind::of(digest))),
-                "only_with": case.partners.iter().map(|d| to_text(*d)).collect::<Vec<_>>(),
+                "only_with": partners.collect::<Vec<_>>(),
                 "ended": terminations, "round": case.round, "source": source,
             }),
         );
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -75,6 +75,8 @@
     usage: UsageReporter,
     /// Maximum inbox length since the last usage event.
     max_inbox: usize,
+    /// When the last update of a coordinator was received.
+    heard_at: Duration,
     /// Suspects that wait for the leader's trial answer, by call number.
     pub(crate) pending_trials: IndexMap<u64, (Vec<Digest>, oneshot::Sender<bool>)>,
     pub(crate) last_call: u64,
@@ -103,6 +105,7 @@
             accounts_sent: IndexMap::new(),
             usage: UsageReporter::default(),
             max_inbox: 0,
+            heard_at: Duration::ZERO,
             pending_trials: IndexMap::new(),
             last_call: 0,
         }
@@ -155,6 +158,7 @@
         metrics::gauge!("backend_servers_held").set(throttled as f64);
         let cold = self.shared.state().fleet.cold_count(now);
         metrics::gauge!("backend_servers_cold").set(cold as f64);
+        self.shared.state().asks.on_poll(now, self.heard_at);
         self.report_limits();
         if let Some(inbox) = self.sources.next_poll() {
             self.poll(inbox);
@@ -236,6 +240,7 @@
             Some(Body::TrialAnswer(answer)) => return self.on_trial_answer(&answer),
             _ => return,
         };
+        self.heard_at = self.shared.now();
         let range = UpdateRange {
             incarnation: envelope.incarnation,
             cursor: update.mark,
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -14,9 +14,9 @@
 /// How long a suspect waits for permission to be tried. The leader answers in a few milliseconds;
 /// if none does, one is being elected, which takes half a second and more.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long a request waits while what it shares with others is on trial: a trial takes as long as
-/// a first event.
-const HOLD_TIME: Duration = Duration::from_millis(500);
+/// How long a request waits while what it shares with others is on trial: a trial begins some 0.3 s
+/// after a termination, and takes as long as a first event.
+const HOLD_TIME: Duration = Duration::from_millis(750);
 /// Interval between looks at a trial's outcome, if nothing is received of it.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Why a request is not sent any more.
@@ -175,9 +175,11 @@
     let now = shared.now();
     let time = ctx.remaining(now);
     let step = {
-        let mut state = shared.state();
-        let tried = state.cases.all_tried(suspects);
-        state.asks.next_step(now, suspects, time, tried)
+        let State { cases, asks, .. } = &mut *shared.state();
+        match cases.is_settled(now, suspects) {
+            true => asks.next_step(now, suspects, time, cases.all_tried(suspects)),
+            false => AskStep::Hold,
+        }
     };
     if step == AskStep::Hold {
         return false;
--- a/crates/quarantine/src/asks.rs
+++ b/crates/quarantine/src/asks.rs
@@ -12,6 +12,9 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
 /// A leader that has not answered for this long is absent: elections take half of it.
 const ABSENT_AFTER: Duration = Duration::from_secs(1);
+/// Gateways poll coordinators at least each second: if none answers for this long, there is no leader
+/// here either.
+const SILENT_AFTER: Duration = Duration::from_secs(2);
 
 /// What a gateway does with a request that has suspects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,6 +84,13 @@
         self.unanswered_since.get_or_insert(asked_at);
     }
 
+    /// The last message of any coordinator came at the time `heard_at`.
+    pub fn on_poll(&mut self, now: Duration, heard_at: Duration) {
+        if now >= heard_at + SILENT_AFTER {
+            self.unanswered_since.get_or_insert(heard_at);
+        }
+    }
+
     /// A trial is over; `harmless` if it has shown that.
     pub fn finish(&mut self, now: Duration, digest: Digest, harmless: bool) {
         self.trials.finish(now, digest, harmless);
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -46,8 +46,10 @@
     pub terminations: IndexSet<Start>,
     /// One of them terminated during a trial of the attribute.
     pub refused: bool,
-    /// Other attributes that were in all these trials: any of them may be the cause instead, so only
-    /// requests that have all of them are refused.
+    /// Those that terminated during a trial of this attribute alone.
+    pub tried: IndexSet<Start>,
+    /// If there are none, other attributes that were in all its trials: any of them may be the cause
+    /// instead, so only requests that have all of them are refused.
     pub partners: IndexSet<Digest>,
 }
 
@@ -76,13 +78,20 @@
     /// Adds a termination under the request; `sole_trial` if that was its only trial in the fleet.
     pub(crate) fn add(&mut self, start: Start, sole_trial: bool) {
         if self.terminations.len() < MAX_TERMINATIONS {
-            self.terminations.insert(start);
+            self.terminations.insert(start.clone());
         }
         if sole_trial {
-            self.refuse(&IndexSet::new());
+            self.add_tried(start);
         }
     }
 
+    fn add_tried(&mut self, start: Start) {
+        if self.tried.len() < MAX_TERMINATIONS {
+            self.tried.insert(start);
+        }
+        self.refuse(&IndexSet::new());
+    }
+
     /// Refuses requests with the attribute and all of `partners`, which were in its trial.
     pub(crate) fn refuse(&mut self, partners: &IndexSet<Digest>) {
         if self.refused {
@@ -105,6 +114,7 @@
     pub(crate) fn parole(&mut self) {
         self.round += 1;
         self.refused = false;
+        self.tried.clear();
         self.partners.clear();
     }
 
@@ -116,6 +126,9 @@
             for start in &other.terminations {
                 self.add(start.clone(), false);
             }
+            for start in &other.tried {
+                self.add_tried(start.clone());
+            }
             if other.refused {
                 self.refuse(&other.partners);
             }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,7 +1,7 @@
 //! All cases that a process knows: coordinators own them, and gateways follow.
 
 use crate::{Case, CaseStatus, Digest, Kind, Start};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
 /// Maximum number of cases. A rack of 24 backend servers with 12 requests each is 288 at once.
@@ -20,6 +20,9 @@
 const SHARED_RETENTION: Duration = Duration::from_secs(600);
 const SHARED_FACTOR: u32 = 4;
 const SHARED_TERMINATIONS: usize = 3;
+/// Time after a termination under a shared attribute within which no trial of it begins: runs that
+/// were sent before it was a suspect may still terminate the backend server of the trial.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 /// Position in a table's sequence of changes.
 pub type Cursor = u64;
@@ -38,6 +41,8 @@
     case: Case,
     /// Its last update, on this process's clock.
     updated_at: Duration,
+    /// When its last termination became known.
+    terminated_at: Duration,
     /// Position of its last change.
     cursor: Cursor,
 }
@@ -92,16 +97,34 @@
             return CaseStatus::Free;
         };
         let status = row.case.status_as(Kind::of(digest));
+        if status != CaseStatus::Refused {
+            return status;
+        }
+        let partners = self.partners(digest, &row.case);
+        match partners.iter().all(|d| attributes.contains(d)) {
+            true => CaseStatus::Refused,
+            false => CaseStatus::Suspect,
+        }
+    }
+
+    /// Attributes any of which may be the cause instead of this refused one: those that were tried
+    /// together with it, and those that were on trial wherever it was.
+    pub fn partners(&self, digest: Digest, case: &Case) -> IndexSet<Digest> {
         let may_be_cause = |d: &Digest| self.rows.get(d).is_some_and(|r| r.case.refused);
-        let mut absent = row
-            .case
-            .partners
-            .iter()
-            .filter(|d| !attributes.contains(*d));
-        match status {
-            CaseStatus::Refused if absent.any(may_be_cause) => CaseStatus::Suspect,
-            status => status,
+        if case.tried.is_empty() {
+            return case.partners.iter().copied().filter(may_be_cause).collect();
         }
+        let is_other = |d: &Digest| *d != digest && Kind::of(*d).is_shared();
+        let others = self.rows.iter().filter(|(d, _)| is_other(d));
+        let everywhere = others.filter(|(_, r)| case.tried.is_subset(&r.case.tried));
+        everywhere.map(|(d, _)| *d).collect()
+    }
+
+    /// Whether a trial of these may begin: those that are shared have had no termination just now.
+    pub fn is_settled(&self, now: Duration, digests: &[Digest]) -> bool {
+        let shared = digests.iter().filter(|d| Kind::of(**d).is_shared());
+        let mut rows = shared.filter_map(|d| self.rows.get(d));
+        rows.all(|r| now >= r.terminated_at + SETTLE_TIME)
     }
 
     /// Whether each of these attributes was on trial where a backend server terminated.
@@ -186,7 +209,7 @@
     /// An operator declares an attribute harmless. Those that were on trial with it are tried again,
     /// too: otherwise the blame would pass to them.
     pub fn pardon(&mut self, now: Duration, digest: Digest) -> Vec<Digest> {
-        let partners = self.get(digest).map(|c| c.partners.clone());
+        let partners = self.get(digest).map(|c| self.partners(digest, c));
         let mut closed = partners.unwrap_or_default();
         closed.insert(digest);
         closed.retain(|d| self.close(now, *d));
@@ -198,6 +221,9 @@
         let before = row.case.clone();
         apply(&mut row.case);
         let changed = row.case != before;
+        if row.case.terminations.len() > before.terminations.len() {
+            row.terminated_at = now;
+        }
         if changed {
             self.cursor += 1;
             row.updated_at = now;
--- a/crates/quarantine/src/wire.rs
+++ b/crates/quarantine/src/wire.rs
@@ -49,6 +49,7 @@
             ends: case.terminations.iter().map(Into::into).collect(),
             refused: case.refused,
             partners: case.partners.iter().map(bytes).collect(),
+            tried: case.tried.iter().map(Into::into).collect(),
         }
     }
 }
@@ -63,6 +64,7 @@
             terminations: raw.ends.into_iter().map(Into::into).collect(),
             refused: raw.refused,
             partners: partners.collect::<Result<_>>()?,
+            tried: raw.tried.into_iter().map(Into::into).collect(),
         };
         let digest = read_digest(&raw.digest)?;
         Ok(CaseUpdate { digest, case })
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -12,7 +12,11 @@
 use world::{Request, Setup, World};
 
 /// Numbers of gateways, coordinators and backend servers.
-const SIZES: [(usize, usize, usize); 4] = [(1, 3, 8), (6, 3, 16), (147, 5, 192), (320, 9, 640)];
+type Size = (usize, usize, usize);
+const SIZES: [Size; 4] = [(1, 3, 8), (6, 3, 16), (147, 5, 192), (320, 9, 640)];
+/// Size, whether grouped, seed and copies that once failed: the trials of a sound part and of the bad
+/// one were at one backend server, and both were refused.
+const FAILED: [(Size, bool, u64, u64); 2] = [((1, 3, 8), false, 9, 8), ((1, 3, 8), false, 32, 8)];
 /// The users' bounds: at most `MAX_LATE_RUNS` runs later than `KNOWN_WITHIN` after the fifth
 /// termination, and the time after it from which on sound requests are served as usual.
 const TERMINATIONS: usize = 5;
@@ -28,7 +32,7 @@
 const COMMON: u64 = 3;
 const RARE: u64 = 4;
 
-fn setup(size: (usize, usize, usize), seed: u64, grouped: bool) -> Setup {
+fn setup(size: Size, seed: u64, grouped: bool) -> Setup {
     let (gateways, coordinators, servers) = size;
     Setup {
         gateways,
@@ -107,18 +111,13 @@
 /// are alike; all coordinators stop, and all gateways. Blame had one key, the whole request.
 #[googletest::test]
 fn a_deadly_part_is_no_longer_sent_and_sound_requests_are_served() {
-    let prompts: [&[u64]; 3] = [&[FIRST, BAD], &[FIRST, COMMON, BAD], &[BAD, RARE]];
     for (size, grouped) in SIZES.iter().flat_map(|s| [(*s, false), (*s, true)]) {
         let mut worst = (0, 0, 0);
-        for (seed, copies) in (0..seeds()).flat_map(|s| [(s, 1), (s, 3), (s, 8)]) {
-            let mut world = World::new(setup(size, seed, grouped));
-            sound(&mut world);
-            bad(&mut world, copies, &prompts, SIMULATED_TIME);
-            world.stop_coordinators(ms(30_000 + seed * 100));
-            world.stop_gateways(ms(60_000));
-            world.stop_coordinators(ms(60_000));
-
-            world.run(SIMULATED_TIME);
+        let failed = FAILED.iter().filter(|f| (f.0, f.1) == (size, grouped));
+        let failed = failed.map(|f| (f.2, f.3));
+        let drawn = (0..seeds()).flat_map(|s| [(s, 1), (s, 3), (s, 8)]);
+        for (seed, copies) in failed.chain(drawn) {
+            let world = play_mixed(size, grouped, seed, copies);
 
             let case = format!("{size:?} grouped: {grouped}, seed {seed}, {copies} copies");
             expect_that!(late_runs(&world), le(MAX_LATE_RUNS), "{case}");
@@ -142,6 +141,19 @@
     }
 }
 
+/// Bad requests with several kinds of prompts, and all coordinators and gateways stopped on the way.
+fn play_mixed(size: Size, grouped: bool, seed: u64, copies: u64) -> World {
+    let prompts: [&[u64]; 3] = [&[FIRST, BAD], &[FIRST, COMMON, BAD], &[BAD, RARE]];
+    let mut world = World::new(setup(size, seed, grouped));
+    sound(&mut world);
+    bad(&mut world, copies, &prompts, SIMULATED_TIME);
+    world.stop_coordinators(ms(30_000 + seed * 100));
+    world.stop_gateways(ms(60_000));
+    world.stop_coordinators(ms(60_000));
+    world.run(SIMULATED_TIME);
+    world
+}
+
 /// Failure: sound requests are refused because the bad ones always hold a second part that they
 /// hold, too.
 #[googletest::test]
--- a/crates/quarantine/tests/shared.rs
+++ b/crates/quarantine/tests/shared.rs
@@ -267,3 +267,47 @@
     // Its gateway may have missed the end of it.
     expect_that!(step(2_900, part(1)), eq(AskStep::AskLeader));
 }
+
+#[googletest::test]
+fn a_gateway_that_hears_of_no_coordinator_does_not_wait_for_a_leader() {
+    let step = |heard_at, polled_at| {
+        let mut asks = Asks::default();
+        asks.on_poll(seconds(polled_at), seconds(heard_at));
+        asks.next_step(seconds(polled_at), &[part(1)], seconds(8), false)
+    };
+
+    expect_that!(step(10, 11), eq(AskStep::AskLeader));
+    expect_that!(step(10, 12), eq(AskStep::TryHere));
+}
+
+/// Failure: a sound part is refused because its trial ran where another part's did, and that one ended
+/// the backend server.
+#[googletest::test]
+fn parts_whose_only_trials_were_at_one_backend_server_are_refused_only_together() {
+    let mut table = Table::default();
+    terminate(&mut table, &[part(1), part(2)], 0, 2, false);
+    terminate(&mut table, &[part(1), part(2)], 2, 3, true);
+
+    let one_of_them = table.status(part(1));
+    let both = table.verdict([part(1), part(2)]);
+    // A second trial of one, elsewhere, tells.
+    terminate(&mut table, &[part(2)], 3, 4, true);
+
+    expect_that!(one_of_them, eq(CaseStatus::Suspect));
+    expect_that!(both.refused, some(anything()));
+    expect_that!(table.status(part(2)), eq(CaseStatus::Refused));
+    expect_that!(table.status(part(1)), eq(CaseStatus::Suspect));
+}
+
+/// Failure: the trial of a sound part is ended by a bad request that was sent before its part was a
+/// suspect.
+#[googletest::test]
+fn no_trial_of_a_part_begins_just_after_a_termination_under_it() {
+    let mut table = Table::default();
+    terminate(&mut table, &[part(1)], 0, 2, false);
+    let at = |ms: u64| Duration::from_millis(ms);
+
+    expect_false!(table.is_settled(at(1_299), &[part(1)]));
+    expect_true!(table.is_settled(at(1_300), &[part(1)]));
+    expect_true!(table.is_settled(at(1_000), &[77, part(2)]));
+}
--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -25,7 +25,7 @@
 const GROUP_TERMINATIONS: Duration = Duration::from_millis(80);
 const GROUP_STALL: Duration = Duration::from_millis(1_500);
 /// How long a request waits for others' trials, and how often it looks.
-const HOLD_TIME: Duration = Duration::from_millis(500);
+const HOLD_TIME: Duration = Duration::from_millis(750);
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a gateway waits for the leader's answer.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -129,6 +129,7 @@
     /// Questions that wait for the leader's answer.
     pending: HashMap<u64, Ask>,
     cursors: Vec<u64>,
+    heard_at: Duration,
     /// It has polled a coordinator since its start; it serves no requests before.
     ready: bool,
 }
@@ -372,6 +373,9 @@
         }
         let time = arrival.work + Duration::from_secs(1);
         let gateway = &mut self.gateways[arrival.gateway];
+        if !gateway.table.is_settled(self.now, &suspects) {
+            return self.hold_or_defer(arrival, &suspects);
+        }
         let tried = gateway.table.all_tried(&suspects);
         match gateway.asks.next_step(self.now, &suspects, time, tried) {
             AskStep::Hold | AskStep::HoldHere => self.hold_or_defer(arrival, &suspects),
@@ -666,7 +670,10 @@
             [127, 0, 0, 1],
             ask.arrival.gateway as u16 + 1,
         )));
-        let granted = !is_refused && trials.grant_all(now, holder, &ask.suspects, ask.time, tried);
+        let is_settled = table.is_settled(now, &ask.suspects);
+        let granted = !is_refused
+            && is_settled
+            && trials.grant_all(now, holder, &ask.suspects, ask.time, tried);
         self.send_over(ask.arrival.gateway, Event::TrialReply(ask, granted));
     }
 
@@ -685,6 +692,8 @@
     fn on_poll(&mut self, gateway: usize) {
         self.schedule_after(POLL_INTERVAL, Event::Poll(gateway));
         let to = self.rng.random_range(0..self.coordinators.len());
+        let own = &mut self.gateways[gateway];
+        own.asks.on_poll(self.now, own.heard_at);
         if self.coordinators[to].absent || self.is_cut_off(gateway) {
             return;
         }
@@ -694,6 +703,7 @@
         // The cursor restarts from zero with the coordinator.
         let updates = if cursor < known { table.since(0) } else { new };
         self.gateways[gateway].cursors[to] = cursor;
+        self.gateways[gateway].heard_at = self.now;
         self.gateways[gateway].ready = true;
         for update in updates {
             self.gateways[gateway].table.merge(self.now, &update);
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -1083,6 +1083,9 @@
     /// only requests with all of these are refused
     #[prost(bytes = "vec", repeated, tag = "5")]
     pub partners: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+    /// of `ends`: during a try of this alone
+    #[prost(message, repeated, tag = "6")]
+    pub tried: ::prost::alloc::vec::Vec<ServerStart>,
 }
 /// A run that was lost with its backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
