--- a/crates/cli/tests/fatal_parts.rs
+++ b/crates/cli/tests/fatal_parts.rs
@@ -93,6 +93,18 @@
     (fleet, record)
 }
 
+fn kill_and_restart(fleet: &mut Fleet) {
+    for id in ["g4", "g5", "g6", "c1", "c2", "c3"] {
+        fleet.kill(id);
+    }
+    for n in 1..=3 {
+        fleet.run_coordinator(n, false);
+    }
+    for n in GATEWAYS {
+        fleet.run_gateway(n);
+    }
+}
+
 fn wait_served(fleet: &Fleet) {
     fleet.wait("served", |f| {
         let gateways = GATEWAYS.iter();
@@ -203,15 +215,7 @@
     });
     let arrivals = record.lock().unwrap().arrivals.len();
 
-    for id in ["g4", "g5", "g6", "c1", "c2", "c3"] {
-        fleet.kill(id);
-    }
-    for n in 1..=3 {
-        fleet.run_coordinator(n, false);
-    }
-    for n in GATEWAYS {
-        fleet.run_gateway(n);
-    }
+    kill_and_restart(&mut fleet);
     wait_served(&fleet);
     let responses = bad(&fleet, 1_000);
 
@@ -221,6 +225,31 @@
     expect_true!(sound.into_iter().all(|r| is_served(&r)));
 }
 
+/// Guards against the same among sound requests that go on: late attempts came after the kill.
+#[googletest::test]
+fn a_part_stays_known_while_all_processes_are_killed_among_other_requests() {
+    let (mut fleet, record) = start(85, |_| Duration::MAX);
+    let (addresses, others) = (callers(&fleet), callers(&fleet));
+    let end = Instant::now() + Duration::from_secs(18);
+    let sound = thread::spawn(move || send_all(&others, SOUND, end));
+    let bad = thread::spawn(move || send_all(&addresses, BAD, end));
+    fleet.wait("refusal", |_| {
+        record.lock().unwrap().terminations.len() >= 3
+    });
+    // The end of the trial is known some tenths of a second later.
+    thread::sleep(Duration::from_secs(2));
+    kill_and_restart(&mut fleet);
+    wait_served(&fleet);
+    let back_at = Instant::now();
+
+    bad.join().unwrap();
+    let sound = sound.join().unwrap().into_iter();
+    let later = sound.filter(|(at, _)| *at > back_at + Duration::from_secs(1));
+    let later: Vec<Message> = later.map(|(_, response)| response).collect();
+
+    expect_known_and_others_served(&record.lock().unwrap(), &later);
+}
+
 /// Guards against parts that are taken for the cause where backend servers terminate by themselves:
 /// every request holds them, so they are there at each termination.
 #[googletest::test]
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -179,7 +179,7 @@
 #[googletest::test]
 fn hot_parts_are_not_blamed_if_backend_servers_terminate_by_themselves() {
     for (size, grouped) in SIZES.iter().flat_map(|s| [(*s, false), (*s, true)]) {
-        let (mut turned, mut total, mut refused) = (0, 0, 0);
+        let (mut turned, mut total, mut refused, mut messages) = (0, 0, 0, 0);
         for seed in 0..seeds() {
             let mut world = World::new(setup(size, seed, grouped));
             sound(&mut world);
@@ -193,8 +193,12 @@
             refused += world.record.ordinary_refused;
             turned += world.record.ordinary_turned.len();
             total += world.record.ordinary;
+            messages += world.record.messages;
         }
-        println!("{size:?} grouped: {grouped}: {turned} of {total} deferred");
+        println!(
+            "{size:?} grouped: {grouped}: {turned} of {total} deferred, {} messages a play",
+            messages as u64 / seeds()
+        );
         expect_that!(refused, eq(0), "{size:?} {grouped}");
         // Not noticeable to callers: fewer than one in a thousand is asked to retry later.
         expect_that!(turned * 1_000, lt(total), "{size:?} {grouped}");
