quarantine: plainer names and comments; all lines of the header that names parts

By reading: OpenKinds for a pair of flags, comments that said request where an attribute is meant, an unused Table::is_empty gone. Two small changes of behaviour: parts named on several header lines are all looked at (the rest was skipped), and a joint trial with a whole request among its suspects no longer hides a later one of shared suspects from the leader.

--- a/crates/coordinator/src/cases.rs
+++ b/crates/coordinator/src/cases.rs
@@ -142,10 +142,8 @@
         let Some(suspects) = self.cases.trials.joint_of(&digests) else {
             return;
         };
-        if bn_quarantine::all_shared(suspects) {
-            let suspects = suspects.to_vec();
-            self.cases.table.refuse_jointly(now, &suspects);
-        }
+        let suspects = suspects.to_vec();
+        self.cases.table.refuse_jointly(now, &suspects);
     }
 
     /// Pushes a termination to gateways once: those that had no request on that backend server
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -151,8 +151,9 @@
     /// The parts of its prompt that other requests may share, each once.
     pub(crate) fn parts(&self) -> &[PartId] {
         self.parts.get_or_init(|| {
-            let named = text(&self.headers, header::PARTS).unwrap_or_default();
-            let parts = bn_platform::parse_shared_parts(named).into_iter();
+            let lines = self.headers.get_all(header::PARTS).iter();
+            let lines: Vec<&str> = lines.filter_map(|v| v.to_str().ok()).collect();
+            let parts = bn_platform::parse_shared_parts(&lines.join(",")).into_iter();
             let distinct: IndexSet<PartId> = parts.take(MAX_PARTS).collect();
             distinct.into_iter().collect()
         })
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -40,9 +40,9 @@
 /// however often they are received: the later round wins, and within a round the views are united.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Case {
-    /// How often the case was closed, by a complete response or by an operator.
+    /// How often the case was closed, by a response or by an operator, or its refusal ended.
     pub round: u64,
-    /// Starts of backend servers that terminated while they ran the request.
+    /// Starts of backend servers that terminated while they ran a request with the attribute.
     pub terminations: IndexSet<Start>,
     /// One of them terminated during a trial of the attribute.
     pub refused: bool,
@@ -70,12 +70,12 @@
         }
     }
 
-    /// Whether there is evidence against the request.
+    /// Whether there is evidence against the attribute.
     pub fn is_open(&self) -> bool {
         self.refused || !self.terminations.is_empty()
     }
 
-    /// Adds a termination under the request; `sole_trial` if that was its only trial in the fleet.
+    /// Adds a termination under the attribute; `sole_trial` if that was its only trial in the fleet.
     pub(crate) fn add(&mut self, start: Start, sole_trial: bool) {
         if self.terminations.len() < MAX_TERMINATIONS {
             self.terminations.insert(start.clone());
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -1,4 +1,4 @@
-//! Identifies equal requests by caller, path and body, in 128 bits.
+//! Identifies equal requests by caller, path and body, or another attribute of them, in 128 bits.
 //!
 //! SHA-256 truncated to 128 bits: callers choose the input, so it must be infeasible for them to
 //! find two requests with one digest. That takes no secret, so gateways need not share one.
@@ -6,7 +6,7 @@
 use sha2::Digest as _;
 use sha2::Sha256;
 
-/// Identity of a request, whoever forwards it and however often.
+/// Identity of a request, or of another attribute, whoever forwards it and however often.
 pub type Digest = u128;
 
 /// The digest of a request's parts. Each is prefixed with its length, so that no two lists of parts
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -6,7 +6,7 @@
 
 /// Maximum number of cases. A rack of 24 backend servers with 12 requests each is 288 at once.
 const MAX_CASES: usize = 4096;
-/// Maximum number of refused requests; beyond it the least recently updated one is dropped.
+/// Maximum number of refused attributes; beyond it the least recently updated one is dropped.
 const MAX_REFUSED: usize = 256;
 /// A case without an update for this long is closed: the callers of its runs are long gone, and a
 /// request that arrives again after that starts a new case.
@@ -14,7 +14,6 @@
 /// How long a refusal lasts. A build of the backend servers that survives the request may be
 /// deployed by then; one that does not costs one more run.
 const REFUSED_RETENTION: Duration = Duration::from_secs(24 * 3600);
-
 /// How long the refusal of a shared attribute lasts after three terminations: sound requests may
 /// share it. Each further one multiplies it, up to `REFUSED_RETENTION`.
 const SHARED_RETENTION: Duration = Duration::from_secs(600);
@@ -30,7 +29,7 @@
 /// A case as one process sends it to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CaseUpdate {
-    /// The request.
+    /// The attribute.
     pub digest: Digest,
     /// What is known of it.
     pub case: Case,
@@ -61,16 +60,17 @@
 pub struct Table {
     rows: IndexMap<Digest, Row>,
     cursor: Cursor,
-    /// Whether there are open cases of requests, and of shared attributes.
-    open: (bool, bool),
+    open: OpenKinds,
 }
 
-impl Table {
-    /// Whether no case is known.
-    pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
-    }
+/// Whether there are open cases of requests, and of shared attributes.
+#[derive(Debug, Clone, Copy, Default)]
+struct OpenKinds {
+    requests: bool,
+    shared: bool,
+}
 
+impl Table {
     /// Position of the latest change.
     pub fn cursor(&self) -> Cursor {
         self.cursor
@@ -78,12 +78,12 @@
 
     /// Whether a case of some request is open.
     pub fn has_requests(&self) -> bool {
-        self.open.0
+        self.open.requests
     }
 
     /// Whether a case of some shared attribute is open.
     pub fn has_shared(&self) -> bool {
-        self.open.1
+        self.open.shared
     }
 
     /// What may be done with requests of whose attributes only this one is known.
@@ -152,7 +152,7 @@
         self.rows.get(&digest).is_some_and(|r| r.case.is_open())
     }
 
-    /// The case of a request.
+    /// The case of an attribute.
     pub fn get(&self, digest: Digest) -> Option<&Case> {
         self.rows.get(&digest).map(|r| &r.case)
     }
@@ -162,7 +162,7 @@
         self.select(|r| r.cursor > cursor)
     }
 
-    /// Cases of requests that are refused.
+    /// Cases of attributes because of which requests are refused.
     pub fn refused(&self) -> Vec<CaseUpdate> {
         self.select(|r| r.case.refused)
     }
@@ -195,8 +195,8 @@
         }
     }
 
-    /// Closes the case of a request that got a complete response, or that an operator declares
-    /// harmless. A request without an open case is left as it is.
+    /// Closes the case of an attribute that was shown to be harmless. One without an open case is left
+    /// as it is.
     pub fn close(&mut self, now: Duration, digest: Digest) -> bool {
         self.is_open(digest) && self.change(now, digest, Case::close)
     }
@@ -238,10 +238,13 @@
 
     fn note_open(&mut self) {
         let open = self.rows.iter().filter(|(_, r)| r.case.is_open());
-        self.open = open.fold((false, false), |(requests, shared), (digest, _)| {
-            let is_shared = Kind::of(*digest).is_shared();
-            (requests || !is_shared, shared || is_shared)
-        });
+        self.open = OpenKinds::default();
+        for (digest, _) in open {
+            match Kind::of(*digest).is_shared() {
+                true => self.open.shared = true,
+                false => self.open.requests = true,
+            }
+        }
     }
 
     /// Drops the oldest case if there are too many. Refused requests go last: learning them again
--- a/crates/quarantine/src/trials.rs
+++ b/crates/quarantine/src/trials.rs
@@ -4,7 +4,7 @@
 //! terminates backend servers would terminate as many more as there are gateways before the first
 //! one is known.
 
-use crate::{Digest, Kind};
+use crate::{Digest, Kind, all_shared};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,6 +25,7 @@
 /// How long it is known that a suspect was asked for.
 const ASK_RETENTION: Duration = Duration::from_secs(10);
 
+/// A trial of one suspect, alone or with others.
 #[derive(Debug, Clone)]
 struct Running {
     /// The gateway, by its inbox, if it is not this process.
@@ -39,7 +40,7 @@
     running: IndexMap<Digest, Running>,
     /// First time that each suspect was asked for.
     asked: IndexMap<Digest, Duration>,
-    /// Trials of several suspects, and until when terminations are blamed on them.
+    /// Trials of several shared suspects, and until when terminations are blamed on them.
     joint: Vec<(Vec<Digest>, Duration)>,
 }
 
@@ -85,7 +86,7 @@
             let until = until(max);
             self.running.insert(*digest, Running { holder, until });
         }
-        if digests.len() > 1 {
+        if digests.len() > 1 && all_shared(digests) {
             self.joint.push((digests.to_vec(), until(MAX_SHARED_TRIAL)));
         }
         true
--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -624,11 +624,7 @@
             table.add_termination(now, *digest, start, *sole_trial);
         }
         let digests: Vec<Digest> = termination.runs.iter().map(|(d, _)| *d).collect();
-        if let Some(suspects) = coordinator
-            .trials
-            .joint_of(&digests)
-            .filter(|s| all_shared(s))
-        {
+        if let Some(suspects) = coordinator.trials.joint_of(&digests) {
             coordinator.table.refuse_jointly(now, suspects);
         }
         self.publish(to);
