--- a/review/3/run.py
+++ b/review/3/run.py
@@ -17,8 +17,10 @@
 # The replica leaves this long after the start, and serves this much longer than `drain-ms`.
 LEAVE_S = float(os.environ.get("LEAVE_S", "72"))
 LONGER_S = 4.0
-# Requests a second, from two clients in turn.
-RATE = 27
+# `scale_in` takes away a share of 0.134 at most on the sheet: one replica of these.
+REPLICAS = 8
+# Requests a second, from four clients, two at each gateway.
+RATE, CLIENTS = 54, 4
 SERVICE, PORT = "duka-app", 8120
 HOST, KEY, DEADLINE_MS = "app.example", "key-1", 2500
 
@@ -160,7 +162,7 @@
         return acknowledged
 
 
-def client(address, number, record, counts, stop):
+def client(address, counts, stop):
     """Sends requests on a kept connection, one in four of them a read."""
     import http.client
 
@@ -190,7 +192,7 @@
             connection.close()
             connection = None
         counts[result] = counts.get(result, 0) + 1
-        time.sleep(max(0.0, start + 2 / RATE - common.now()))
+        time.sleep(max(0.0, start + CLIENTS / RATE - common.now()))
 
 
 def case(system, record):
@@ -201,13 +203,14 @@
         system.start("core-%d" % number)
     for number, zone in zip((11, 12), "ab"):
         system.gateway("edge-%d" % number, number, zone, seeds)
+        system.settings["edge-%d" % number]["gateway"].update(retry_slack=230, memory_mb=400)
         system.start("edge-%d" % number)
     nodes = [system.control(n) for n in cores]
     if not common.put_config(document(), nodes, 10, record):
         raise RuntimeError("the system did not start")
     replicas = [
-        Replica("replica-%d" % n, (system.ip(20 + n), PORT), "abc"[n], nodes, record)
-        for n in range(3)
+        Replica("replica-%d" % n, (system.ip(20 + n), PORT), "abc"[n % 3], nodes, record)
+        for n in range(REPLICAS)
     ]
     time.sleep(STABLE_S)
     counts, stop = {}, threading.Event()
@@ -215,9 +218,8 @@
         if common.call((system.ip(number), 8220), "GET", common.READY)[0] != 200:
             raise RuntimeError("a gateway is not ready")
         address = (system.ip(number), 8227)
-        threading.Thread(
-            target=client, args=(address, number, record, counts, stop), daemon=True
-        ).start()
+        for _ in range(CLIENTS // 2):
+            threading.Thread(target=client, args=(address, counts, stop), daemon=True).start()
     time.sleep(LEAVE_S - common.now())
     leaver = replicas[0]
     before = len(leaver.arrivals)
