--- a/review/common.py
+++ b/review/common.py
@@ -46,6 +46,12 @@
             self.file.write(line)
             self.file.flush()
 
+    def quiet(self, text):
+        """Writes to the record only."""
+        with self.lock:
+            self.file.write("            %s\n" % text)
+            self.file.flush()
+
 
 class System:
     """The processes that a script has started, and their settings."""
