--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -17,6 +17,7 @@
 mod http;
 mod members;
 mod pages;
+mod peer_cursor;
 mod proposals;
 mod pushes;
 mod reads;
@@ -33,6 +34,7 @@
 pub use self::evacuations::EvacuationCall;
 pub use self::events::{Event, EventReceiver, EventSender, event_queue};
 pub use self::pages::{EVACUATIONS, LIMITS, MEMBERS, QUARANTINE, pages};
+pub use self::peer_cursor::{AnswerRange, PeerCursor};
 pub use self::relays::{
     GroupId, PendingRequest, Relays, RequestKind, batch_size, batches, reports_counts,
 };
--- a/crates/coordinator/src/updates.rs
+++ b/crates/coordinator/src/updates.rs
@@ -6,6 +6,7 @@
 
 use crate::announcements::Source;
 use crate::core::Core;
+use crate::peer_cursor::{AnswerRange, PeerCursor};
 use bn_admission::{Demand, DemandSum, ReceivedDemand};
 use bn_directory::{Gateway, GatewaySelection};
 use bn_registry::{Condition, Record};
@@ -30,9 +31,7 @@
 /// Progress of the updates from another coordinator.
 #[derive(Debug, Clone, Default)]
 struct Peer {
-    incarnation: u64,
-    cursor: u64,
-    case_cursor: u64,
+    known: PeerCursor,
     unanswered: u32,
 }
 
@@ -256,17 +255,14 @@
         self.record_coordinators(&update.coordinators);
         let peer = self.peers.by_inbox.entry(inbox).or_default();
         peer.unanswered = 0;
-        // Pushes from there have no cursor: they do not say up to where registrations are known.
-        if update.mark > 0 {
-            if peer.incarnation != incarnation {
-                // Another incarnation counts its changes anew.
-                peer.case_cursor = 0;
-            }
-            peer.incarnation = incarnation;
-            peer.cursor = update.mark;
-        }
-        if update.cases_mark > 0 {
-            peer.case_cursor = update.cases_mark;
+        // Pushes from there have no cursors: they do not say up to where anything is known.
+        if update.mark > 0 || update.cases_mark > 0 {
+            peer.known.on_answer(AnswerRange {
+                incarnation,
+                after: update.after,
+                cursor: update.mark,
+                case_cursor: update.cases_mark,
+            });
         }
         self.merge_cases(now, inbox, update.cases);
         for raw in update.changed {
@@ -303,9 +299,9 @@
             }
             peer.unanswered += 1;
             let poll = wire::NewsAsk {
-                source: peer.incarnation,
-                mark: peer.cursor,
-                cases: peer.case_cursor,
+                source: peer.known.incarnation,
+                mark: peer.known.cursor,
+                cases: peer.known.case_cursor,
                 unheard: lost,
                 ..wire::NewsAsk::default()
             };
