--- a/crates/coordinator/src/announcements.rs
+++ b/crates/coordinator/src/announcements.rs
@@ -3,8 +3,10 @@
 use crate::core::{Core, count_unwanted};
 use crate::pushes::Waiter;
 use bn_backpressure::ServerLimit;
-use bn_registry::{Change, Record};
+use bn_registry::{Change, Condition, Record, SharedRecord};
+use bn_settle::Document;
 use bn_wire::messages as wire;
+use bn_wire::messages::envelope::Body;
 use indexmap::IndexSet;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -56,7 +58,7 @@
             return count_unwanted(reply.send(false));
         }
         let id = record.id.clone();
-        let change = self.registry.merge(now, record);
+        let change = self.registry.announce(now, record);
         self.publish_change(&id, change, Source::Announced);
         self.pushes.answer_after_push(Waiter::Announced(reply));
     }
@@ -84,17 +86,18 @@
     }
 
     fn service_names(&self) -> IndexSet<String> {
+        let document = self.parse_committed();
+        document.map_or_else(IndexSet::new, |d| d.services().keys().cloned().collect())
+    }
+
+    fn parse_committed(&self) -> Option<Document> {
         let bytes = bn_wire::decompress(&self.committed.document).map_err(|e| e.to_string());
         let document =
             bytes.and_then(|d| bn_platform::parse_document(&d).map_err(|e| e.to_string()));
-        match document {
-            Ok(document) => document.services().keys().cloned().collect(),
-            Err(e) => {
-                // The document was validated before it was proposed, so this is a bug.
-                log::error!("cannot read document {}: {e}", self.committed.version);
-                IndexSet::new()
-            }
-        }
+        // The document was validated before it was proposed, so an error is a bug.
+        document
+            .map_err(|e| log::error!("cannot read document {}: {e}", self.committed.version))
+            .ok()
     }
 
     /// A backend server reported its lock-step group or its slowdown to this leader.
@@ -113,7 +116,7 @@
             rank_version,
             ..record.clone()
         };
-        let change = self.registry.merge(now, record);
+        let change = self.registry.update(now, record);
         self.publish_change(id, change, Source::Rank);
     }
 
@@ -146,7 +149,7 @@
             limit,
             ..known.clone()
         };
-        let change = self.registry.merge(now, record);
+        let change = self.registry.update(now, record);
         self.publish_change(&reported.id, change, Source::Limit);
     }
 
@@ -163,9 +166,58 @@
         json!({ "backend_servers": rows.collect::<Vec<_>>() }).to_string()
     }
 
+    /// Asks another process what it knows of a backend server. Nobody waits for the answer to call
+    /// 0, which is merged like any other.
+    pub(crate) fn request_registration(&self, inbox: SocketAddr, call: u64, id: &str) {
+        let id = id.into();
+        let body = Body::RegistrationAsk(wire::RegistrationAsk { call, id });
+        self.net.send(inbox, body);
+    }
+
+    pub(crate) fn on_registration_request(
+        &mut self,
+        now: Duration,
+        inbox: SocketAddr,
+        request: &wire::RegistrationAsk,
+    ) {
+        let known = self.registry.get(&request.id);
+        let answer = wire::RegistrationAnswer {
+            call: request.call,
+            registration: known.map(|r| self.registry.to_wire(now, r)),
+        };
+        self.net.send(inbox, Body::RegistrationAnswer(answer));
+    }
+
+    pub(crate) fn on_registration_answer(
+        &mut self,
+        now: Duration,
+        answer: wire::RegistrationAnswer,
+    ) {
+        if let Some(raw) = answer.registration {
+            self.merge_registration(now, raw);
+        }
+    }
+
+    /// Merges what another process knows of a backend server.
+    pub(crate) fn merge_registration(&mut self, now: Duration, raw: wire::Registration) {
+        let Ok(shared) = SharedRecord::try_from(raw) else {
+            metrics::counter!("registrations_undecodable_total").increment(1);
+            return;
+        };
+        let id = shared.record.id.clone();
+        let gone = shared.record.condition == Condition::Gone;
+        let change = self.registry.merge(now, shared);
+        // Departures are passed on at once: the coordinator that received it may be cut off from
+        // gateways that this one reaches.
+        if gone {
+            self.publish_change(&id, change, Source::Coordinator);
+        }
+    }
+
     /// Records that a backend server has left for good.
     pub(crate) fn on_leave(&mut self, now: Duration, id: &str, reply: oneshot::Sender<()>) {
-        let change = self.registry.record_departure(now, id);
+        let start_time = self.registry.get(id).map_or(0, |r| r.start_time);
+        let change = self.registry.record_departure(now, id, start_time);
         self.publish_change(id, change, Source::Left);
         self.pushes.answer_after_push(Waiter::Left(reply));
     }
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -324,6 +324,12 @@
             Some(Body::TrialAsk(request)) => self.on_trial_request(now, inbox, &request),
             Some(Body::RunDone(run)) => self.on_run_done(now, inbox, &run),
             Some(Body::LimitsHeard(report)) => self.on_limits(now, inbox, report),
+            Some(Body::RegistrationAsk(request)) => {
+                self.on_registration_request(now, inbox, &request);
+            }
+            Some(Body::RegistrationAnswer(answer)) => {
+                self.on_registration_answer(now, answer);
+            }
             Some(Body::EngineAnswers(answers)) => self.on_engine_answers(now, answers),
             _ => {}
         }
--- a/crates/coordinator/src/events.rs
+++ b/crates/coordinator/src/events.rs
@@ -67,7 +67,13 @@
             Event::Announce(..) | Event::Leave(..) | Event::Resolve(..) => true,
             Event::Message(m) => matches!(
                 m.body,
-                Some(Body::NewsAsk(_) | Body::News(_) | Body::LimitsHeard(_))
+                Some(
+                    Body::NewsAsk(_)
+                        | Body::News(_)
+                        | Body::LimitsHeard(_)
+                        | Body::RegistrationAsk(_)
+                        | Body::RegistrationAnswer(_)
+                )
             ),
             _ => false,
         }
--- a/crates/coordinator/src/pushes.rs
+++ b/crates/coordinator/src/pushes.rs
@@ -5,7 +5,7 @@
 //! group report. So changes are batched, and sent to the gateways that subscribe here.
 
 use crate::core::{Core, count_unwanted};
-use bn_registry::{BackendId, Condition, Record};
+use bn_registry::{BackendId, CONTACT_INTERVAL, Condition, Record};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Registration};
 use indexmap::IndexSet;
@@ -35,6 +35,7 @@
     urgent: bool,
     waiters: Vec<Waiter>,
     due: Duration,
+    contacts_due: Duration,
 }
 
 impl PendingPushes {
@@ -79,6 +80,27 @@
                 Waiter::Left(reply) => count_unwanted(reply.send(())),
             }
         }
+        self.push_contacts(now);
+    }
+
+    /// Reports to the other coordinators what announced itself here. That waits until they have been
+    /// sent all changes: a contact with a start that they do not know makes them ask for it.
+    fn push_contacts(&mut self, now: Duration) {
+        if now < self.pushes.contacts_due || !self.pushes.changed.is_empty() {
+            return;
+        }
+        self.pushes.contacts_due = now + CONTACT_INTERVAL;
+        let contacts = self.registry.take_contacts(now);
+        if contacts.is_empty() {
+            return;
+        }
+        let update = wire::News {
+            contacts: contacts.iter().map(Into::into).collect(),
+            ..self.base_update()
+        };
+        for inbox in self.others() {
+            self.net.send(inbox, Body::News(update.clone()));
+        }
     }
 
     /// Pushes departures to gateways that subscribe to other coordinators. Those that subscribe
--- a/crates/coordinator/src/updates.rs
+++ b/crates/coordinator/src/updates.rs
@@ -9,7 +9,7 @@
 use crate::peer_cursor::{AnswerRange, PeerCursor};
 use bn_admission::{Demand, DemandSum, ReceivedDemand};
 use bn_directory::{Gateway, GatewaySelection};
-use bn_registry::{Condition, Record};
+use bn_registry::{Change, Contact, ContactEffect, Record};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Registration};
 use indexmap::IndexMap;
@@ -25,6 +25,8 @@
 const HELP_DELAY: Duration = Duration::from_millis(600);
 /// Time for which the common part of all updates is cached.
 const COMMON_TTL: Duration = Duration::from_millis(200);
+/// Interval between two questions about backend servers that will be forgotten otherwise.
+const DOUBT_INTERVAL: Duration = Duration::from_secs(5);
 /// Unanswered polls after which the link is considered dead: 1.5 s.
 const MAX_UNANSWERED: u32 = 3;
 
@@ -64,6 +66,7 @@
     by_inbox: IndexMap<SocketAddr, Peer>,
     lag: GatewayLag,
     due: Duration,
+    doubted_due: Duration,
     /// Common part of all updates, valid until `common_due`: coordinators and number of gateways.
     common: wire::News,
     /// Gateways that callers are sent to, valid as long.
@@ -165,8 +168,13 @@
             (true, false) => self.subscribers.record_sent(inbox, self.registry.cursor()),
             (false, _) => {}
         }
-        let changed = changed.iter().map(|r| self.registry.to_wire(now, r));
+        // Each coordinator forgets by itself; one that still knows a backend server has heard of it.
+        let tells = |r: &&Record| is_gateway || !self.registry.is_forgotten(&r.id);
+        let changed = changed.iter().filter(tells);
+        let changed = changed.map(|r| self.registry.to_wire(now, r));
         let changed: Vec<Registration> = changed.collect();
+        let doubted: Vec<String> = poll.doubted.iter().map(|d| d.id.clone()).collect();
+        let contacts = self.registry.contacts_of(now, &doubted);
         let demand = self.record_demand(now, inbox, poll);
         let base = self.base_update();
         let gateways = match is_gateway && poll.named != self.peers.selection.checksum() {
@@ -187,6 +195,7 @@
             cases: self.cases.updates_since(known_cases, is_gateway),
             cases_mark: self.cases.table.cursor(),
             demand,
+            contacts: contacts.iter().map(Into::into).collect(),
             ..base
         };
         self.net.send(inbox, Body::News(update));
@@ -266,19 +275,33 @@
         }
         self.merge_cases(now, inbox, update.cases);
         for raw in update.changed {
-            let Ok(record) = Record::try_from(raw) else {
-                metrics::counter!("registrations_undecodable_total").increment(1);
-                continue;
-            };
-            let id = record.id.clone();
-            let gone = record.condition == Condition::Gone;
-            let change = self.registry.merge(now, record);
-            // Departures are passed on at once: the coordinator that received it may be cut off
-            // from gateways that this one reaches.
-            if gone {
-                self.publish_change(&id, change, Source::Coordinator);
+            self.merge_registration(now, raw);
+        }
+        for contact in update.contacts {
+            self.merge_contact(now, inbox, &contact.into());
+        }
+    }
+
+    /// Merges what another coordinator heard of a backend server; if it is not known here, requests
+    /// it.
+    fn merge_contact(&mut self, now: Duration, inbox: SocketAddr, contact: &Contact) {
+        match self.registry.record_contact(now, contact) {
+            ContactEffect::Known => {}
+            ContactEffect::Revived => {
+                self.publish_change(&contact.id, Change::Updated, Source::Coordinator);
             }
+            ContactEffect::Unknown => self.request_registration(inbox, 0, &contact.id),
+        }
+    }
+
+    /// Backend servers about which the others are asked with this poll.
+    fn take_doubted(&mut self, now: Duration) -> Vec<wire::ServerStart> {
+        if now < self.peers.doubted_due {
+            return Vec::new();
         }
+        self.peers.doubted_due = now + DOUBT_INTERVAL;
+        let start = |id| wire::ServerStart { id, began: 0 };
+        self.registry.doubted(now).into_iter().map(start).collect()
     }
 
     /// Polls every other coordinator for updates, and evicts expired gateways and registrations.
@@ -287,6 +310,7 @@
             return;
         }
         self.peers.due = now + POLL_INTERVAL;
+        let doubted = self.take_doubted(now);
         for inbox in self.others() {
             let peer = self.peers.by_inbox.entry(inbox).or_default();
             let lost = peer.unanswered >= MAX_UNANSWERED;
@@ -303,6 +327,7 @@
                 mark: peer.known.cursor,
                 cases: peer.known.case_cursor,
                 unheard: lost,
+                doubted: doubted.clone(),
                 ..wire::NewsAsk::default()
             };
             self.net.send(inbox, Body::NewsAsk(poll));
@@ -313,10 +338,10 @@
             self.subscribers.remove(gone);
             self.lines.put("gateway_lost", json!({ "inbox": gone }));
         }
-        let evicted = self.registry.evict_expired(now);
-        if evicted > 0 {
-            self.lines
-                .put("backend_servers_forgotten", json!({ "count": evicted }));
+        let forgotten = self.registry.evict_expired(now, self.current);
+        if !forgotten.is_empty() {
+            let fields = json!({ "count": forgotten.len(), "ids": forgotten });
+            self.lines.put("backend_servers_forgotten", fields);
         }
     }
 }
--- a/crates/fleet/src/gateway.rs
+++ b/crates/fleet/src/gateway.rs
@@ -2,8 +2,9 @@
 
 use crate::simulation::gateway_inbox;
 use crate::traffic::Traffic;
-use bn_gateway::{PollState, Sources, UpdateRange};
-use bn_registry::{BackendId, Record};
+use bn_gateway::{PollState, Registrations, Sources, UpdateRange};
+use bn_registry::{BackendId, Condition, SharedRecord};
+use bn_wire::messages::Registration;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,6 +15,7 @@
     next_poll: Duration,
     /// Backend servers that it has learned of.
     pub(crate) known: IndexMap<BackendId, KnownServer>,
+    pub(crate) registrations: Registrations,
     pub(crate) traffic: Traffic,
 }
 
@@ -36,6 +38,7 @@
             sources: Sources::new(seeds, random),
             next_poll,
             known: IndexMap::new(),
+            registrations: Registrations::default(),
             traffic: Traffic::default(),
         }
     }
@@ -46,6 +49,8 @@
             return None;
         }
         self.next_poll = now + self.sources.poll_interval();
+        // No requests are simulated, so nothing answers here.
+        self.registrations.evict_expired(now, |_| None);
         let to = self.sources.next_poll()?;
         Some((to, self.sources.on_poll(to)))
     }
@@ -56,16 +61,35 @@
         now: Duration,
         from: SocketAddr,
         range: UpdateRange,
-        records: &[Record],
+        changed: &[Registration],
     ) {
         self.sources.on_update(from, range);
-        for record in records {
+        for raw in changed {
             let new = KnownServer {
                 copies: 0,
                 first_received: now,
             };
-            let known = self.known.entry(record.id.clone()).or_insert(new);
+            let known = self.known.entry(raw.id.clone()).or_insert(new);
             known.copies += 1;
+            self.merge(now, raw);
         }
     }
+
+    fn merge(&mut self, now: Duration, raw: &Registration) {
+        let Ok(shared) = SharedRecord::try_from(raw.clone()) else {
+            return;
+        };
+        if shared.forgotten {
+            return self.registrations.mark_unheard(&shared);
+        }
+        if let Some(record) = self.registrations.merged(&shared.record) {
+            self.registrations.insert(now, record);
+        }
+    }
+
+    /// Whether it may send requests to a backend server.
+    pub(crate) fn uses(&self, id: &str) -> bool {
+        let held = self.registrations.get(id);
+        held.is_some_and(|r| r.condition != Condition::Gone)
+    }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,12 +2,14 @@
 //! about registrations and exchange the resulting messages on a manual clock, without network or
 //! processes.
 //!
-//! CPU time, documents, consensus and groups are not modelled.
+//! Backend servers may announce themselves again and again, crash, restart and depart. CPU time,
+//! documents, consensus and groups are not modelled.
 
 mod coordinator;
 mod gateway;
 mod messages;
 mod scenario;
+mod server;
 mod simulation;
 mod traffic;
 
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -1,7 +1,8 @@
 //! Messages between the simulated processes, and their encoded sizes.
 
+use crate::coordinator::{PeerPoll, PeerUpdate};
 use bn_gateway::{PollState, UpdateRange};
-use bn_registry::Record;
+use bn_registry::BackendId;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{Envelope, News, NewsAsk, Registration, Role};
 use prost::Message;
@@ -22,16 +23,40 @@
         coordinator: usize,
         gateway: usize,
         range: UpdateRange,
-        changed: Rc<[Record]>,
+        changed: Rc<[Registration]>,
     },
-    /// One coordinator pushes records to another.
+    /// One coordinator polls another.
+    PeerPoll {
+        from: usize,
+        to: usize,
+        poll: PeerPoll,
+    },
+    /// One coordinator pushes to another, or answers its poll.
     PeerUpdate {
         from: usize,
         to: usize,
-        changed: Rc<[Record]>,
+        update: PeerUpdate,
+    },
+    /// A coordinator asks what is known of a backend server.
+    Ask {
+        from: usize,
+        to: Process,
+        id: BackendId,
+    },
+    /// The answer to it.
+    Answer {
+        from: Process,
+        to: usize,
+        registration: Option<Registration>,
     },
 }
 
+/// A process that coordinators ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Process {
+    Coordinator(usize),
+}
+
 /// Encoded size of a poll in bytes.
 pub(crate) fn poll_size(gateway: SocketAddr, poll_state: &PollState) -> u64 {
     let poll = NewsAsk {
@@ -53,19 +78,41 @@
     from: SocketAddr,
     coordinators: &[SocketAddr],
     range: &UpdateRange,
-    changed: &[Record],
+    changed: &[Registration],
 ) -> u64 {
     let news = News {
-        version: 1,
         mark: range.cursor,
         after: range.after,
+        changed: changed.to_vec(),
+        ..common_news(coordinators)
+    };
+    envelope_size(from, Role::Coordinator, Body::News(news))
+}
+
+/// Encoded size of a report of contacts in bytes; 0 if an update contains none.
+pub(crate) fn contacts_size(
+    from: SocketAddr,
+    coordinators: &[SocketAddr],
+    update: &PeerUpdate,
+) -> u64 {
+    if update.contacts.is_empty() {
+        return 0;
+    }
+    let news = News {
+        contacts: update.contacts.iter().map(Into::into).collect(),
+        ..common_news(coordinators)
+    };
+    envelope_size(from, Role::Coordinator, Body::News(news))
+}
+
+fn common_news(coordinators: &[SocketAddr]) -> News {
+    News {
+        version: 1,
         coordinators: coordinators.iter().map(ToString::to_string).collect(),
         gateways: 24,
         current: true,
-        changed: changed.iter().map(Registration::from).collect(),
         ..News::default()
-    };
-    envelope_size(from, Role::Coordinator, Body::News(news))
+    }
 }
 
 fn envelope_size(from: SocketAddr, role: Role, body: Body) -> u64 {
--- a/crates/fleet/src/simulation.rs
+++ b/crates/fleet/src/simulation.rs
@@ -1,12 +1,12 @@
 //! The simulated processes and their clock.
 
-use crate::coordinator::Coordinator;
+use crate::coordinator::{Coordinator, PeerPoll};
 use crate::gateway::Gateway;
-use crate::messages::{Packet, poll_size, update_size};
+use crate::messages::{Packet, Process, contacts_size, poll_size, update_size};
+use crate::server::{Server, record, server_id};
 use crate::traffic::{Traffic, TrafficRate, peak_rate};
-use bn_backpressure::Limit;
 use bn_gateway::PollState;
-use bn_registry::{Condition, Record};
+use bn_registry::{BackendId, StartTime};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -39,6 +39,7 @@
     inboxes: Vec<SocketAddr>,
     coordinators: Vec<Coordinator>,
     gateways: Vec<Gateway>,
+    servers: IndexMap<usize, Server>,
     by_inbox: IndexMap<SocketAddr, usize>,
     in_transit: Vec<(Duration, Packet)>,
     announced: IndexMap<String, Duration>,
@@ -67,6 +68,7 @@
             inboxes,
             coordinators,
             gateways,
+            servers: IndexMap::new(),
             in_transit: Vec::new(),
             announced: IndexMap::new(),
             counting_since: Duration::ZERO,
@@ -84,7 +86,7 @@
 
     /// Announces a backend server at a random running coordinator.
     pub fn announce(&mut self, number: usize) {
-        let record = record(number);
+        let record = record(number, 1);
         self.announced.insert(record.id.clone(), self.now);
         let count = self.coordinators.len();
         let first = self.rng.random_range(0..count);
@@ -96,6 +98,45 @@
         }
     }
 
+    /// Starts a backend server that announces itself to one coordinator again and again; a later
+    /// start replaces it.
+    pub fn start_server(&mut self, number: usize, start_time: StartTime, coordinator: usize) {
+        let server = Server::new(number, start_time, coordinator);
+        self.servers.insert(number, server);
+    }
+
+    /// A backend server crashes: it announces itself no more.
+    pub fn crash_server(&mut self, number: usize) {
+        if let Some(server) = self.servers.get_mut(&number) {
+            server.announces = false;
+        }
+    }
+
+    /// Cuts a coordinator off from the other coordinators and from gateways, or ends that.
+    pub fn cut_off(&mut self, coordinator: usize, cut_off: bool) {
+        if let Some(coordinator) = self.coordinators.get_mut(coordinator) {
+            coordinator.cut_off = cut_off;
+        }
+    }
+
+    /// Starts one more gateway.
+    pub fn start_gateway(&mut self) {
+        let seeds: Vec<SocketAddr> = self.inboxes.iter().copied().take(SEED_COUNT).collect();
+        let n = self.gateways.len();
+        let gateway = Gateway::new(n, seeds, self.rng.random_range(0..1 << 16), self.now);
+        self.by_inbox.insert(gateway.inbox, n);
+        self.gateways.push(gateway);
+    }
+
+    /// Numbers of coordinators and of gateways that know a backend server as present.
+    pub fn knowing(&self, number: usize) -> (usize, usize) {
+        let id = server_id(number);
+        let lists = |c: &&Coordinator| c.registry.present().any(|r| r.id == id);
+        let coordinators = self.coordinators.iter().filter(lists).count();
+        let gateways = self.gateways.iter().filter(|g| g.uses(&id)).count();
+        (coordinators, gateways)
+    }
+
     /// Stops one coordinator for good.
     pub fn stop(&mut self, coordinator: usize) {
         if let Some(coordinator) = self.coordinators.get_mut(coordinator) {
@@ -115,7 +156,7 @@
         self.counting_since = self.now;
         self.coordinators
             .iter_mut()
-            .for_each(|c| c.traffic = Traffic::default());
+            .for_each(|c| (c.traffic, c.contact_traffic) = Default::default());
         self.gateways
             .iter_mut()
             .for_each(|g| g.traffic = Traffic::default());
@@ -129,6 +170,12 @@
         (peak_rate(coordinators, time), peak_rate(gateways, time))
     }
 
+    /// Peak rate of a coordinator's reports of contacts since the last reset of the counts.
+    pub fn contact_rate(&self) -> TrafficRate {
+        let time = self.now.saturating_sub(self.counting_since);
+        peak_rate(self.coordinators.iter().map(|c| c.contact_traffic), time)
+    }
+
     /// Mean number of copies of one change that one gateway received.
     pub fn mean_copies(&self) -> f64 {
         let all = self.gateways.iter().flat_map(|g| g.known.values());
@@ -158,7 +205,9 @@
         for (_, packet) in due {
             self.deliver(packet);
         }
+        self.announce_servers();
         for at in 0..self.coordinators.len() {
+            self.poll_peers(at);
             self.push(at);
         }
         for at in 0..self.gateways.len() {
@@ -197,27 +246,94 @@
                 changed: push.changed.clone(),
             }));
         }
-        if let Some(changed) = coordinator.push_to_peers(now) {
+        if let Some(update) = coordinator.push_to_peers(now) {
             let others = (0..self.inboxes.len()).filter(|to| *to != at);
             packets.extend(others.map(|to| Packet::PeerUpdate {
                 from: at,
                 to,
-                changed: changed.clone(),
+                update: update.clone(),
             }));
         }
         packets.into_iter().for_each(|m| self.send(m));
     }
 
+    fn announce_servers(&mut self) {
+        let now = self.now;
+        let count = self.coordinators.len().max(1);
+        for server in self.servers.values_mut() {
+            let Some(record) = server.announce(now) else {
+                continue;
+            };
+            for _ in 0..count {
+                let coordinator = self.coordinators.get_mut(server.coordinator);
+                if let Some(coordinator) = coordinator.filter(|c| !c.stopped) {
+                    coordinator.announce(now, record);
+                    break;
+                }
+                server.coordinator = (server.coordinator + 1) % count;
+            }
+        }
+    }
+
+    fn poll_peers(&mut self, at: usize) {
+        let now = self.now;
+        let running = |c: &&Coordinator| !c.stopped && !c.cut_off;
+        let majority =
+            self.coordinators.iter().filter(running).count() > self.spec.coordinators / 2;
+        let Some(coordinator) = self.coordinators.get_mut(at).filter(|c| !c.stopped) else {
+            return;
+        };
+        let in_touch = majority && !coordinator.cut_off;
+        let Some(doubted) = coordinator.poll_peers(now, in_touch) else {
+            return;
+        };
+        for to in (0..self.inboxes.len()).filter(|to| *to != at) {
+            let known = self.coordinators.get(at).map(|c| c.known_of(to));
+            let poll = PeerPoll {
+                known: known.unwrap_or_default(),
+                doubted: doubted.clone(),
+            };
+            self.send(Packet::PeerPoll { from: at, to, poll });
+        }
+    }
+
+    fn ask(&mut self, from: usize, to: Process, id: &str) {
+        let id = id.into();
+        self.send(Packet::Ask { from, to, id });
+    }
+
     fn send(&mut self, packet: Packet) {
         self.count_traffic(&packet);
-        if !self.rng.random_bool(self.spec.loss_rate) {
+        if !self.is_cut(&packet) && !self.rng.random_bool(self.spec.loss_rate) {
             let latency = Duration::from_millis(self.rng.random_range(1..4));
             self.in_transit.push((self.now + latency, packet));
         }
     }
 
-    /// Counts a message at both ends. Updates between coordinators are left out, since the polls
-    /// that make up for lost ones are not modelled.
+    /// Whether a cut is between the ends of a message.
+    fn is_cut(&self, packet: &Packet) -> bool {
+        let cut = |c: &usize| self.coordinators.get(*c).is_some_and(|c| c.cut_off);
+        match packet {
+            Packet::Poll { coordinator, .. } | Packet::Update { coordinator, .. } => {
+                cut(coordinator)
+            }
+            Packet::PeerPoll { from, to, .. } | Packet::PeerUpdate { from, to, .. } => {
+                cut(from) || cut(to)
+            }
+            Packet::Ask { from, to, .. }
+            | Packet::Answer {
+                to: from, from: to, ..
+            } => {
+                cut(from) || {
+                    let Process::Coordinator(to) = to;
+                    cut(to)
+                }
+            }
+        }
+    }
+
+    /// Counts a message at both ends. Of what coordinators exchange, only reports of contacts are
+    /// counted, apart from the rest.
     fn count_traffic(&mut self, packet: &Packet) {
         let (coordinator, gateway, bytes) = match packet {
             Packet::Poll {
@@ -238,7 +354,15 @@
                 let bytes = update_size(inbox, &self.inboxes, range, changed);
                 (*coordinator, *gateway, bytes)
             }
-            Packet::PeerUpdate { .. } => return,
+            Packet::PeerUpdate { from, to, update } => {
+                let bytes = contacts_size(coordinator_inbox(*from), &self.inboxes, update);
+                for end in [*from, *to] {
+                    let end = self.coordinators.get_mut(end).filter(|_| bytes > 0);
+                    end.into_iter().for_each(|c| c.contact_traffic.add(bytes));
+                }
+                return;
+            }
+            Packet::PeerPoll { .. } | Packet::Ask { .. } | Packet::Answer { .. } => return,
         };
         if let Some(coordinator) = self.coordinators.get_mut(coordinator) {
             coordinator.traffic.add(bytes);
@@ -251,10 +375,25 @@
     fn deliver(&mut self, packet: Packet) {
         let now = self.now;
         match packet {
-            Packet::PeerUpdate { from, to, changed } => {
-                let running = self.coordinators.get(from).is_some_and(|c| !c.stopped);
-                if let Some(to) = self.coordinators.get_mut(to).filter(|_| running) {
-                    to.receive(now, &changed);
+            Packet::PeerPoll { from, to, poll } => {
+                let update = self.running(to).map(|c| c.answer_peer(now, &poll));
+                if let Some(update) = update {
+                    let (from, to) = (to, from);
+                    self.send(Packet::PeerUpdate { from, to, update });
+                }
+            }
+            Packet::PeerUpdate { from, to, update } => {
+                let unknown = self.running(to).map(|c| c.receive(now, from, &update));
+                for id in unknown.unwrap_or_default() {
+                    self.ask(to, Process::Coordinator(from), &id);
+                }
+            }
+            Packet::Ask { from, to, id } => self.answer_ask(from, to, &id),
+            Packet::Answer {
+                to, registration, ..
+            } => {
+                if let Some(coordinator) = self.running(to) {
+                    registration.iter().for_each(|r| coordinator.merge(now, r));
                 }
             }
             Packet::Poll {
@@ -277,11 +416,31 @@
         }
     }
 
+    fn running(&mut self, at: usize) -> Option<&mut Coordinator> {
+        self.coordinators.get_mut(at).filter(|c| !c.stopped)
+    }
+
+    fn answer_ask(&mut self, asker: usize, asked: Process, id: &BackendId) {
+        let now = self.now;
+        let registration = match asked {
+            Process::Coordinator(at) => match self.running(at) {
+                Some(coordinator) => coordinator.registration(now, id),
+                None => return,
+            },
+        };
+        self.send(Packet::Answer {
+            from: asked,
+            to: asker,
+            registration,
+        });
+    }
+
     fn answer(&mut self, gateway: usize, at: usize, poll_state: PollState) {
+        let now = self.now;
         let Some(coordinator) = self.coordinators.get_mut(at).filter(|c| !c.stopped) else {
             return;
         };
-        let (range, changed) = coordinator.answer_poll(gateway_inbox(gateway), poll_state);
+        let (range, changed) = coordinator.answer_poll(now, gateway_inbox(gateway), poll_state);
         self.send(Packet::Update {
             coordinator: at,
             gateway,
@@ -298,21 +457,3 @@
 pub(crate) fn gateway_inbox(n: usize) -> SocketAddr {
     ([10, 1, (n >> 8) as u8, n as u8], PORT).into()
 }
-
-fn record(number: usize) -> Record {
-    Record {
-        id: format!("server-{number:08}"),
-        start_time: 1,
-        service: "service".into(),
-        address: Some(([10, 2, (number >> 8) as u8, number as u8], 8_000).into()),
-        domain: "domain-1".into(),
-        slots: 6,
-        condition: Condition::Ready,
-        sequence: 1,
-        group: "group-1".into(),
-        slowdown: 0,
-        rank_version: 1 << 32,
-        limit: Limit::default(),
-        cold_left: None,
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod lost_runs;
 mod placement;
 mod plain;
+mod registrations;
 mod shared;
 mod silence;
 mod sources;
@@ -31,6 +32,7 @@
 
 pub use buffers::{BufferUsage, HolderId, MAX_STALL, Phase, Stalled};
 pub use events::Splitter;
+pub use registrations::Registrations;
 pub use sources::{PollState, Receipt, Sources, UpdateRange};
 pub use start::{Handle, start};
 
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -4,6 +4,7 @@
 //! it is newer. A gateway that reaches no coordinator continues with its current state.
 
 use crate::feedback::{self, ColdAllowance};
+use crate::registrations::Registrations;
 use crate::shared::Shared;
 use crate::sources::{Sources, UpdateRange};
 use crate::suspects::Report;
@@ -13,14 +14,13 @@
 use bn_evacuation::Evacuations;
 use bn_net::{Net, UsageReporter};
 use bn_quarantine::{CaseUpdate, Digest};
-use bn_registry::{Condition, Record};
-use bn_route::{ColdRegistration, Server};
+use bn_registry::SharedRecord;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{self as wire, Envelope};
 use indexmap::IndexMap;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 /// Time over which the request rate is averaged: some seconds, so that noise is not reported.
@@ -28,8 +28,6 @@
 /// Minimum interval between two reports of the work of accounts to one coordinator: below the age at
 /// which coordinators forget them.
 const ACCOUNTS_INTERVAL: Duration = Duration::from_millis(1_400);
-/// Slowdown of a sound backend server, and of one whose slowdown is not known.
-const BASELINE_SLOWDOWN: u32 = 100;
 /// Requests per second below which a gateway counts as receiving none.
 const MIN_RATE: f64 = 0.05;
 
@@ -66,7 +64,7 @@
     cold_allowance: ColdAllowance,
     /// Last readiness reported to coordinators: whether callers may be sent here.
     reported_ready: bool,
-    registrations: IndexMap<String, Record>,
+    pub(crate) registrations: Registrations,
     /// Evacuations in force here; none until they are known.
     evacuations: Option<Evacuations>,
     rate: RequestRate,
@@ -99,7 +97,7 @@
             cold_allowance,
             sources: Sources::new(seeds, rand::random_range(0..1 << 16)),
             reported_ready: false,
-            registrations: IndexMap::new(),
+            registrations: Registrations::default(),
             evacuations: None,
             rate: RequestRate::default(),
             accounts_sent: IndexMap::new(),
@@ -154,6 +152,7 @@
     fn poll_next(&mut self) {
         let now = self.shared.now();
         self.shared.pool.evict_expired(now);
+        self.evict_registrations(now);
         let throttled = self.shared.state().fleet.throttled_count(now);
         metrics::gauge!("backend_servers_held").set(throttled as f64);
         let cold = self.shared.state().fleet.cold_count(now);
@@ -213,6 +212,7 @@
             brief: poll.omit_registrations,
             demand,
             evacuations: self.evacuations.as_ref().map(|e| e.revision),
+            doubted: Vec::new(),
         };
         self.net.send(inbox, Body::NewsAsk(request));
     }
@@ -238,6 +238,9 @@
         let mut update = match envelope.body {
             Some(Body::News(update)) => update,
             Some(Body::TrialAnswer(answer)) => return self.on_trial_answer(&answer),
+            Some(Body::RegistrationAsk(request)) => {
+                return self.answer_registration(inbox, &request);
+            }
             _ => return,
         };
         self.heard_at = self.shared.now();
@@ -267,8 +270,8 @@
         self.adopt_document(inbox, &update);
         self.update_selection(update.named);
         for raw in update.changed {
-            match Record::try_from(raw) {
-                Ok(record) => self.on_registration(record, inbox),
+            match SharedRecord::try_from(raw) {
+                Ok(shared) => self.on_registration(shared, inbox),
                 Err(e) => log::warn!("invalid registration from {inbox}: {e}"),
             }
         }
@@ -395,67 +398,4 @@
             Err(e) => log::warn!("invalid selection of gateways: {e}"),
         }
     }
-
-    /// `source` is the coordinator that sent it.
-    fn on_registration(&mut self, record: Record, source: SocketAddr) {
-        let known = self.registrations.get(&record.id);
-        let newer = known.is_none_or(|held| {
-            (record.start_time, record.sequence) > (held.start_time, held.sequence)
-        });
-        let cold = ColdRegistration {
-            left: record.cold_left.filter(|_| newer),
-            wall_ms: wall_ms(),
-        };
-        let Some(record) = known.map_or(Some(record.clone()), |held| record.merged_over(held))
-        else {
-            return;
-        };
-        let restarted = known.is_some_and(|held| held.start_time != record.start_time);
-        if restarted || known.is_none() {
-            self.report_predecessors(&record);
-        }
-        let mut state = self.shared.state();
-        if restarted {
-            // It has no state from before the restart: its load, its failures and the connections
-            // to it belong to the earlier start.
-            state.fleet.remove(&record.id);
-        }
-        match (record.condition, record.address) {
-            (Condition::Gone, _) | (_, None) => state.fleet.remove(&record.id),
-            (condition, Some(address)) => {
-                let (id, service) = (&record.id, &record.service);
-                let mut server = Server::new(id, service, address, &record.domain, record.slots);
-                server.start_time = record.start_time;
-                server.join_group(&record.group);
-                server.leaving = condition == Condition::Draining;
-                server.slowdown = f64::from(record.slowdown.max(BASELINE_SLOWDOWN))
-                    / f64::from(BASELINE_SLOWDOWN);
-                state.fleet.upsert(server);
-                let now = self.shared.now();
-                let draw = rand::random();
-                state.fleet.on_cold_registration(now, id, cold, draw);
-            }
-        }
-        drop(state);
-        feedback::log_cold_changes(&self.shared);
-        feedback::merge_limit(&self.shared, &record, source);
-        if let Some(address) = record.address.filter(|_| restarted) {
-            self.shared.pool.close_idle(address);
-        }
-        self.shared.capacity_freed.notify_waiters();
-        let fields = json!({
-            "id": record.id, "service": record.service, "address": record.address,
-            "condition": format!("{:?}", record.condition), "sequence": record.sequence,
-            "began": record.start_time, "group": record.group, "pace": record.slowdown,
-            "limit": record.limit.rate, "turn": record.limit.version,
-        });
-        self.shared.lines.put("backend_server", fields);
-        self.registrations.insert(record.id.clone(), record);
-    }
-}
-
-/// Unix milliseconds by this instance's clock; 0 if it is set to a time before that.
-fn wall_ms() -> u64 {
-    let time = SystemTime::now().duration_since(UNIX_EPOCH);
-    time.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(0))
 }
--- /dev/null
+++ b/crates/gateway/src/registrations.rs
@@ -0,0 +1,187 @@
+//! Registrations of backend servers, as coordinators report them.
+
+use crate::feedback;
+use crate::link::Link;
+use bn_registry::{
+    BackendId, CONTACT_TIMEOUT, Condition, DEPARTED_RETENTION, Record, Sequence, SharedRecord,
+};
+use bn_route::{ColdRegistration, Server};
+use bn_wire::messages::envelope::Body;
+use bn_wire::messages::{RegistrationAnswer, RegistrationAsk};
+use indexmap::IndexMap;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Slowdown of a sound backend server, and of one whose slowdown is not known.
+const BASELINE_SLOWDOWN: u32 = 100;
+
+/// The latest registration of each backend server.
+#[derive(Debug, Clone, Default)]
+pub struct Registrations {
+    records: IndexMap<BackendId, Record>,
+    /// When departures were received, oldest first.
+    departed: IndexMap<BackendId, Duration>,
+    /// Forgotten by a coordinator that knew announcements up to this sequence, but in use here.
+    unheard: IndexMap<BackendId, Sequence>,
+}
+
+impl Registrations {
+    /// The registration of a backend server.
+    pub fn get(&self, id: &str) -> Option<&Record> {
+        self.records.get(id)
+    }
+
+    /// What a received registration makes of the known one; `None` if it adds nothing.
+    pub fn merged(&self, received: &Record) -> Option<Record> {
+        match self.get(&received.id) {
+            Some(held) => received.merged_over(held),
+            None => Some(received.clone()),
+        }
+    }
+
+    /// Replaces a registration.
+    pub fn insert(&mut self, now: Duration, record: Record) {
+        let id = record.id.clone();
+        self.departed.shift_remove(&id);
+        if record.condition == Condition::Gone {
+            self.departed.insert(id.clone(), now);
+        }
+        self.records.insert(id, record);
+    }
+
+    /// A coordinator forgot a backend server.
+    pub fn mark_unheard(&mut self, forgotten: &SharedRecord) {
+        let held = self.get(&forgotten.record.id);
+        let same_start = held.is_some_and(|h| {
+            h.start_time == forgotten.record.start_time && h.condition != Condition::Gone
+        });
+        if same_start {
+            let id = forgotten.record.id.clone();
+            self.unheard.insert(id, forgotten.heard_sequence);
+        }
+    }
+
+    /// Removes departures received long ago, and forgotten backend servers that have not answered
+    /// here lately either; returns the latter. `answered_at` says when one last answered.
+    pub fn evict_expired(
+        &mut self,
+        now: Duration,
+        answered_at: impl Fn(&str) -> Option<Duration>,
+    ) -> Vec<BackendId> {
+        while let Some((id, at)) = self.departed.first()
+            && now >= *at + DEPARTED_RETENTION
+        {
+            self.records.shift_remove(id);
+            self.departed.shift_remove_index(0);
+        }
+        let records = &self.records;
+        // Announced again since it was forgotten, or departed.
+        self.unheard.retain(|id, heard| {
+            let held = records.get(id);
+            held.is_some_and(|h| h.sequence <= *heard && h.condition != Condition::Gone)
+        });
+        let in_use = |id: &str| answered_at(id).is_some_and(|at| now < at + CONTACT_TIMEOUT);
+        let unused = self.unheard.keys().filter(|id| !in_use(id));
+        let unused: Vec<BackendId> = unused.cloned().collect();
+        for id in &unused {
+            self.unheard.shift_remove(id);
+            self.records.shift_remove(id);
+        }
+        unused
+    }
+}
+
+impl Link {
+    /// Answers a coordinator that does not know a backend server.
+    pub(crate) fn answer_registration(&self, inbox: SocketAddr, request: &RegistrationAsk) {
+        let answer = RegistrationAnswer {
+            call: request.call,
+            registration: self.registrations.get(&request.id).map(Into::into),
+        };
+        self.net.send(inbox, Body::RegistrationAnswer(answer));
+    }
+
+    /// Removes what is remembered no longer.
+    pub(crate) fn evict_registrations(&mut self, now: Duration) {
+        let shared = &self.shared;
+        let answered_at = |id: &str| shared.state().fleet.heard_at(id);
+        for id in self.registrations.evict_expired(now, answered_at) {
+            shared.state().fleet.remove(&id);
+            shared
+                .lines
+                .put("backend_server_forgotten", json!({ "id": id }));
+        }
+    }
+
+    fn on_forgotten(&mut self, shared: &SharedRecord) {
+        self.registrations.mark_unheard(shared);
+        self.evict_registrations(self.shared.now());
+    }
+
+    /// `source` is the coordinator that sent it.
+    pub(crate) fn on_registration(&mut self, shared: SharedRecord, source: SocketAddr) {
+        if shared.forgotten {
+            return self.on_forgotten(&shared);
+        }
+        let record = shared.record;
+        let known = self.registrations.get(&record.id);
+        let newer = known.is_none_or(|held| {
+            (record.start_time, record.sequence) > (held.start_time, held.sequence)
+        });
+        let cold = ColdRegistration {
+            left: record.cold_left.filter(|_| newer),
+            wall_ms: wall_ms(),
+        };
+        let Some(record) = self.registrations.merged(&record) else {
+            return;
+        };
+        let restarted = known.is_some_and(|held| held.start_time != record.start_time);
+        if restarted || known.is_none() {
+            self.report_predecessors(&record);
+        }
+        let mut state = self.shared.state();
+        if restarted {
+            // It has no state from before the restart: its load, its failures and the connections
+            // to it belong to the earlier start.
+            state.fleet.remove(&record.id);
+        }
+        match (record.condition, record.address) {
+            (Condition::Gone, _) | (_, None) => state.fleet.remove(&record.id),
+            (condition, Some(address)) => {
+                let (id, service) = (&record.id, &record.service);
+                let mut server = Server::new(id, service, address, &record.domain, record.slots);
+                server.start_time = record.start_time;
+                server.join_group(&record.group);
+                server.leaving = condition == Condition::Draining;
+                server.slowdown = f64::from(record.slowdown.max(BASELINE_SLOWDOWN))
+                    / f64::from(BASELINE_SLOWDOWN);
+                state.fleet.upsert(server);
+                let now = self.shared.now();
+                let draw = rand::random();
+                state.fleet.on_cold_registration(now, id, cold, draw);
+            }
+        }
+        drop(state);
+        feedback::log_cold_changes(&self.shared);
+        feedback::merge_limit(&self.shared, &record, source);
+        if let Some(address) = record.address.filter(|_| restarted) {
+            self.shared.pool.close_idle(address);
+        }
+        self.shared.capacity_freed.notify_waiters();
+        let fields = json!({
+            "id": record.id, "service": record.service, "address": record.address,
+            "condition": format!("{:?}", record.condition), "sequence": record.sequence,
+            "began": record.start_time, "group": record.group, "pace": record.slowdown,
+            "limit": record.limit.rate, "turn": record.limit.version,
+        });
+        self.shared.lines.put("backend_server", fields);
+        self.registrations.insert(self.shared.now(), record);
+    }
+}
+
+/// Unix milliseconds by this instance's clock; 0 if it is set to a time before that.
+fn wall_ms() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(0))
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -219,6 +219,8 @@
         Body::TrialAnswer(_) => "trial_answer",
         Body::RunDone(_) => "run_done",
         Body::LimitsHeard(_) => "limits_heard",
+        Body::RegistrationAsk(_) => "registration_ask",
+        Body::RegistrationAnswer(_) => "registration_answer",
     }
 }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -6,10 +6,13 @@
 //! next start under the same id is accepted as new. A backend server missing from another
 //! process's updates means nothing, since that process may just have started.
 
+mod contacts;
 mod table;
 mod wire;
 
+pub use contacts::{CONTACT_INTERVAL, CONTACT_TIMEOUT, Contact, ContactEffect, DEPARTED_RETENTION};
 pub use table::{
-    BackendId, Change, Condition, Cursor, RankVersion, Record, Registry, Sequence, StartTime,
+    BackendId, Change, Condition, Cursor, RankVersion, Record, Registry, Sequence, SharedRecord,
+    StartTime,
 };
 pub use wire::InvalidRegistration;
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -1,5 +1,6 @@
 //! The table of backend servers and its merge rules.
 
+use crate::contacts::{CONTACT_TIMEOUT, DEPARTED_RETENTION, Touch};
 use bn_backpressure::Limit;
 use indexmap::IndexMap;
 use std::cmp::Ordering;
@@ -19,12 +20,9 @@
 /// Position in the table's sequence of changes, from which other processes request updates.
 pub type Cursor = u64;
 
-/// How long a departed start is remembered. Far longer than a network partition may delay an
-/// announcement (tens of seconds), and bounded so that the table does not grow.
-const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
-/// A backend server without contact for this long is evicted: 50 times the usual interval between
-/// announcements. Until then each entry judges it by its own requests.
-const CONTACT_TIMEOUT: Duration = Duration::from_secs(60);
+/// For how long after a restart a departure that names no start may be the earlier start's: as long
+/// as a network partition may delay a message.
+const HELD_UP_WINDOW: Duration = Duration::from_secs(60);
 /// Smaller moves of the end of a cold period are the varying delay of announcements. If each were an
 /// update, every announcement of a cold backend server would be pushed to all gateways.
 const COLD_TOLERANCE: Duration = Duration::from_millis(250);
@@ -87,11 +85,21 @@
 }
 
 #[derive(Debug, Clone)]
-struct Row {
-    record: Record,
+pub(crate) struct Row {
+    pub(crate) record: Record,
     /// Change at which it was last [`Change::Updated`].
     cursor: Cursor,
-    last_contact: Duration,
+    /// Highest sequence that any process heard, which may be ahead of the record's.
+    pub(crate) heard_sequence: Sequence,
+    /// When it is forgotten unless it is heard from; when its departure is, if it departed.
+    pub(crate) expires_at: Duration,
+    /// It announced itself here since contacts were last taken for other processes.
+    pub(crate) announced: bool,
+    /// Until when a departure that names no start may be that of an earlier start.
+    pub(crate) unsettled_until: Duration,
+    /// Nobody heard of it for [`CONTACT_TIMEOUT`]. The row is kept, so that one that is heard again
+    /// has its group, slowdown and limit, and so that gateways are told.
+    pub(crate) forgotten: bool,
     /// When the time left of its cold period was received.
     cold_at: Duration,
 }
@@ -99,8 +107,37 @@
 /// The table of one process.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
-    rows: IndexMap<BackendId, Row>,
-    cursor: Cursor,
+    pub(crate) rows: IndexMap<BackendId, Row>,
+    pub(crate) cursor: Cursor,
+    pub(crate) touch: Touch,
+}
+
+/// A record as another process sent it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SharedRecord {
+    /// The record.
+    pub record: Record,
+    /// Highest sequence that the sender knows of.
+    pub heard_sequence: Sequence,
+    /// Time since any process heard of it; `None` if the sender does not say.
+    pub heard_age: Option<Duration>,
+    /// Time since this start replaced an earlier one of the same id; `None` if none did lately.
+    pub replaced_age: Option<Duration>,
+    /// The sender has forgotten it.
+    pub forgotten: bool,
+}
+
+impl SharedRecord {
+    /// One that was announced just now.
+    pub fn announced(record: Record) -> SharedRecord {
+        SharedRecord {
+            heard_sequence: record.sequence,
+            heard_age: Some(Duration::ZERO),
+            replaced_age: None,
+            forgotten: false,
+            record,
+        }
+    }
 }
 
 impl Record {
@@ -129,10 +166,63 @@
 }
 
 impl Registry {
-    /// Merges a record, whether announced or received from another process.
-    pub fn merge(&mut self, now: Duration, record: Record) -> Change {
-        let later = |r: &Row| record.start_time > r.record.start_time;
-        if self.rows.get(&record.id).is_some_and(later) {
+    /// Merges an announcement that was received here.
+    pub fn announce(&mut self, now: Duration, record: Record) -> Change {
+        let (id, start_time) = (record.id.clone(), record.start_time);
+        let change = self.merge(now, SharedRecord::announced(record));
+        let row = self.rows.get_mut(&id);
+        if let Some(row) = row.filter(|r| r.record.start_time == start_time && !r.is_gone()) {
+            row.announced = true;
+        }
+        change
+    }
+
+    /// Merges a change of what is known of a backend server: that is no contact with it.
+    pub fn update(&mut self, now: Duration, record: Record) -> Change {
+        self.merge(now, self.shared(now, record))
+    }
+
+    /// Merges a record that another process sent.
+    pub fn merge(&mut self, now: Duration, shared: SharedRecord) -> Change {
+        let lifetime = retention(shared.record.condition);
+        let age = shared.heard_age.unwrap_or_default();
+        let Some(left) = lifetime.checked_sub(age).filter(|_| !shared.forgotten) else {
+            return Change::Stale;
+        };
+        let id = shared.record.id.clone();
+        let held = self.rows.get(&id);
+        let restarted = held.is_some_and(|r| shared.record.start_time > r.record.start_time);
+        let same_start = held.is_some_and(|r| shared.record.start_time == r.record.start_time);
+        let change = self.merge_state(now, &shared, restarted);
+        let Some(row) = self.rows.get_mut(&id) else {
+            return change;
+        };
+        if row.record.start_time != shared.record.start_time {
+            return change;
+        }
+        let settled = HELD_UP_WINDOW.checked_sub(shared.replaced_age.unwrap_or(HELD_UP_WINDOW));
+        row.unsettled_until = row.unsettled_until.max(now + settled.unwrap_or_default());
+        if restarted {
+            row.unsettled_until = row.unsettled_until.max(now + HELD_UP_WINDOW);
+        }
+        let departed = change != Change::Stale && row.is_gone();
+        if departed || !same_start {
+            row.expires_at = now + left;
+            row.heard_sequence = shared.heard_sequence;
+            row.forgotten = false;
+        } else if shared.record.condition != Condition::Gone {
+            return match self.record_heard(now, &id, shared.heard_sequence, left) {
+                true => Change::Updated,
+                false => change,
+            };
+        }
+        change
+    }
+
+    /// Merges the state; contacts are the caller's.
+    fn merge_state(&mut self, now: Duration, shared: &SharedRecord, restarted: bool) -> Change {
+        let record = shared.record.clone();
+        if restarted {
             // The earlier start is void, including its position in the order of first contact.
             self.rows.shift_remove(&record.id);
         }
@@ -142,7 +232,11 @@
             let row = Row {
                 record,
                 cursor,
-                last_contact: now,
+                heard_sequence: 0,
+                expires_at: now,
+                announced: false,
+                unsettled_until: Duration::ZERO,
+                forgotten: false,
                 cold_at: now,
             };
             self.rows.insert(id, row);
@@ -154,7 +248,6 @@
         let Some(mut record) = record.merged_over(&row.record) else {
             return Change::Stale;
         };
-        row.last_contact = now;
         let cold_moved = announced.is_some_and(|left| row.moves_cold_end(now, left));
         match cold_moved {
             true => row.cold_at = now,
@@ -169,17 +262,16 @@
         if same && !cold_moved {
             return Change::Refreshed;
         }
-        self.cursor += 1;
-        row.cursor = self.cursor;
+        row.touch(&mut self.cursor);
         Change::Updated
     }
 
-    /// Records the departure of the known start; the rest of the record is unchanged.
-    pub fn record_departure(&mut self, now: Duration, id: &str) -> Change {
-        let known = self.rows.get(id).map(|r| r.record.clone());
-        let record = known.unwrap_or_else(|| Record {
+    /// Records the departure of a start; the rest of the record is unchanged. A later start goes on.
+    pub fn record_departure(&mut self, now: Duration, id: &str, start_time: StartTime) -> Change {
+        let known = self.get(id).filter(|r| r.start_time == start_time);
+        let record = known.cloned().unwrap_or_else(|| Record {
             id: id.into(),
-            start_time: 0,
+            start_time,
             service: String::new(),
             address: None,
             domain: String::new(),
@@ -196,7 +288,28 @@
             condition: Condition::Gone,
             ..record
         };
-        self.merge(now, gone)
+        self.merge(now, SharedRecord::announced(gone))
+    }
+
+    /// Whether a departure of this id that names no start may be that of an earlier start, held up
+    /// on its way.
+    pub fn is_unsettled(&self, now: Duration, id: &str) -> bool {
+        let row = self.rows.get(id).filter(|r| !r.is_gone());
+        row.is_some_and(|r| now < r.unsettled_until)
+    }
+
+    /// A record with what this table knows of contacts with its start.
+    pub(crate) fn shared(&self, now: Duration, record: Record) -> SharedRecord {
+        let row = self.rows.get(&record.id);
+        let row = row.filter(|r| r.record.start_time == record.start_time);
+        let replaced = row.filter(|r| now < r.unsettled_until);
+        SharedRecord {
+            heard_sequence: row.map_or(record.sequence, |r| r.heard_sequence),
+            heard_age: row.and_then(|_| self.heard_age(now, &record.id)),
+            replaced_age: replaced.map(|r| HELD_UP_WINDOW.saturating_sub(r.unsettled_until - now)),
+            forgotten: row.is_some_and(|r| r.forgotten),
+            record,
+        }
     }
 
     /// Latest change.
@@ -222,10 +335,10 @@
         self.rows.get(id).map(|r| &r.record)
     }
 
-    /// All records that have not departed.
+    /// All records that have neither departed nor been forgotten.
     pub fn present(&self) -> impl Iterator<Item = &Record> {
-        let records = self.rows.values().map(|r| &r.record);
-        records.filter(|r| r.condition != Condition::Gone)
+        let present = self.rows.values().filter(|r| !r.is_gone() && !r.forgotten);
+        present.map(|r| &r.record)
     }
 
     /// Of the records that have not departed, the one with the latest first contact per address. A
@@ -238,22 +351,19 @@
         }
         by_address.into_values()
     }
-
-    /// Evicts expired records; returns how many.
-    pub fn evict_expired(&mut self, now: Duration) -> usize {
-        let before = self.rows.len();
-        self.rows.retain(|_, r| {
-            let retention = match r.record.condition {
-                Condition::Gone => DEPARTED_RETENTION,
-                _ => CONTACT_TIMEOUT,
-            };
-            now.saturating_sub(r.last_contact) < retention
-        });
-        before - self.rows.len()
-    }
 }
 
 impl Row {
+    pub(crate) fn is_gone(&self) -> bool {
+        self.record.condition == Condition::Gone
+    }
+
+    /// Marks the row as changed for processes that read changes from a cursor.
+    pub(crate) fn touch(&mut self, cursor: &mut Cursor) {
+        *cursor += 1;
+        self.cursor = *cursor;
+    }
+
     fn cold_left(&self, now: Duration) -> Option<Duration> {
         let passed = now.saturating_sub(self.cold_at);
         self.record.cold_left.map(|t| t.saturating_sub(passed))
@@ -267,6 +377,13 @@
     }
 }
 
+fn retention(condition: Condition) -> Duration {
+    match condition {
+        Condition::Gone => DEPARTED_RETENTION,
+        _ => CONTACT_TIMEOUT,
+    }
+}
+
 /// Whether `next` replaces `held`: a later start always does, an earlier one never. Within a start
 /// departures are final, otherwise the higher sequence number wins; numbering restarts with each
 /// start. A late announcement cannot change draining back to ready, since its sequence number
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -1,6 +1,7 @@
 //! Conversions between [`Record`] and the wire message `Registration`.
 
-use crate::table::{Condition, Record, Registry};
+use crate::contacts::Contact;
+use crate::table::{Condition, Record, Registry, SharedRecord};
 use bn_backpressure::Limit;
 use bn_wire::messages as wire;
 use snafu::{OptionExt, Snafu};
@@ -32,6 +33,8 @@
             limit: r.limit.rate,
             limit_turn: r.limit.version,
             cold_ms: r.cold_left.map(to_millis),
+            heard: r.sequence,
+            ..wire::Registration::default()
         }
     }
 }
@@ -39,13 +42,55 @@
 impl Registry {
     /// The message that describes a record of this table at the time `now`.
     pub fn to_wire(&self, now: Duration, record: &Record) -> wire::Registration {
+        let shared = self.shared(now, record.clone());
         wire::Registration {
             cold_ms: self.cold_left(now, record).map(to_millis),
+            heard_ms: shared.heard_age.map(to_millis),
+            heard: shared.heard_sequence,
+            replaced_ms: shared.replaced_age.map(to_millis),
+            forgotten: shared.forgotten,
             ..record.into()
         }
     }
 }
 
+impl From<&Contact> for wire::Contact {
+    fn from(contact: &Contact) -> Self {
+        wire::Contact {
+            id: contact.id.clone(),
+            began: contact.start_time,
+            sequence: contact.sequence,
+            age_ms: to_millis(contact.age),
+        }
+    }
+}
+
+impl From<wire::Contact> for Contact {
+    fn from(contact: wire::Contact) -> Self {
+        Contact {
+            id: contact.id,
+            start_time: contact.began,
+            sequence: contact.sequence,
+            age: Duration::from_millis(contact.age_ms.into()),
+        }
+    }
+}
+
+impl TryFrom<wire::Registration> for SharedRecord {
+    type Error = InvalidRegistration;
+
+    fn try_from(r: wire::Registration) -> Result<Self, InvalidRegistration> {
+        let age = |ms: u32| Duration::from_millis(ms.into());
+        Ok(SharedRecord {
+            heard_sequence: r.heard.max(r.sequence),
+            heard_age: r.heard_ms.map(age),
+            replaced_age: r.replaced_ms.map(age),
+            forgotten: r.forgotten,
+            record: r.try_into()?,
+        })
+    }
+}
+
 /// Rounded up: an end that is early lets too many requests through.
 fn to_millis(time: Duration) -> u32 {
     u32::try_from(time.as_nanos().div_ceil(1_000_000)).unwrap_or(u32::MAX)
--- a/crates/registry/tests/table.rs
+++ b/crates/registry/tests/table.rs
@@ -36,9 +36,9 @@
 fn only_changes_that_affect_decisions_are_updates() {
     let mut registry = Registry::default();
 
-    let first = registry.merge(NOW, record("a", 1, Condition::Ready));
-    let again = registry.merge(NOW, record("a", 2, Condition::Ready));
-    let draining = registry.merge(NOW, record("a", 3, Condition::Draining));
+    let first = registry.announce(NOW, record("a", 1, Condition::Ready));
+    let again = registry.announce(NOW, record("a", 2, Condition::Ready));
+    let draining = registry.announce(NOW, record("a", 3, Condition::Draining));
 
     expect_that!(first, eq(Change::Updated));
     expect_that!(again, eq(Change::Refreshed));
@@ -52,10 +52,10 @@
 #[googletest::test]
 fn a_late_announcement_does_not_undo_a_departure() {
     let mut registry = Registry::default();
-    registry.merge(NOW, record("a", 1, Condition::Ready));
-    registry.record_departure(NOW, "a");
+    registry.announce(NOW, record("a", 1, Condition::Ready));
+    registry.record_departure(NOW, "a", 0);
 
-    let late = registry.merge(NOW, record("a", 9, Condition::Ready));
+    let late = registry.announce(NOW, record("a", 9, Condition::Ready));
 
     expect_that!(late, eq(Change::Stale));
     expect_that!(registry.present().count(), eq(0));
@@ -65,9 +65,9 @@
 #[googletest::test]
 fn the_departure_of_an_unknown_server_is_remembered() {
     let mut registry = Registry::default();
-    let departed = registry.record_departure(NOW, "a");
+    let departed = registry.record_departure(NOW, "a", 0);
 
-    let late = registry.merge(NOW, record("a", 9, Condition::Ready));
+    let late = registry.announce(NOW, record("a", 9, Condition::Ready));
 
     expect_that!(departed, eq(Change::Updated));
     expect_that!(late, eq(Change::Stale));
@@ -78,9 +78,9 @@
 #[googletest::test]
 fn an_overtaken_announcement_is_stale() {
     let mut registry = Registry::default();
-    registry.merge(NOW, record("a", 5, Condition::Draining));
+    registry.announce(NOW, record("a", 5, Condition::Draining));
 
-    let late = registry.merge(NOW, record("a", 4, Condition::Ready));
+    let late = registry.announce(NOW, record("a", 4, Condition::Ready));
 
     expect_that!(late, eq(Change::Stale));
     expect_that!(
@@ -92,14 +92,26 @@
 #[googletest::test]
 fn servers_without_contact_expire_and_departures_much_later() {
     let mut registry = Registry::default();
-    registry.merge(NOW, record("a", 1, Condition::Ready));
-    registry.record_departure(NOW, "b");
-
-    let soon = registry.evict_expired(NOW + Duration::from_secs(59));
-    let later = registry.evict_expired(NOW + Duration::from_secs(61));
-    let last = registry.evict_expired(NOW + Duration::from_secs(601));
-
-    expect_that!((soon, later, last), eq((0, 1, 1)));
+    registry.announce(NOW, record("a", 1, Condition::Ready));
+    registry.record_departure(NOW, "b", 0);
+
+    let mut forgotten = |seconds: std::ops::RangeInclusive<u64>| -> usize {
+        let evicted = seconds.map(|second| {
+            let now = NOW + Duration::from_secs(second);
+            registry.evict_expired(now, true).len()
+        });
+        evicted.sum()
+    };
+    let soon = forgotten(0..=59);
+    let later = forgotten(60..=61);
+    let last = forgotten(62..=599);
+    let present = registry.present().count();
+    let departed = registry.get("b").is_some();
+    registry.evict_expired(NOW + Duration::from_secs(601), true);
+
+    expect_that!((soon, later, last), eq((0, 1, 0)));
+    expect_that!((present, departed), eq((0, true)));
+    expect_that!(registry.get("b"), none());
 }
 
 #[googletest::test]
@@ -117,10 +129,10 @@
 #[googletest::test]
 fn only_the_successor_at_an_address_is_listed() {
     let mut registry = Registry::default();
-    registry.merge(NOW, record("crashed", 50, Condition::Ready));
-    registry.merge(NOW, record("successor", 1, Condition::Ready));
+    registry.announce(NOW, record("crashed", 50, Condition::Ready));
+    registry.announce(NOW, record("successor", 1, Condition::Ready));
     // Delayed by a network partition, it arrives after its sender has crashed.
-    registry.merge(NOW, record("crashed", 51, Condition::Ready));
+    registry.announce(NOW, record("crashed", 51, Condition::Ready));
 
     let latest: Vec<&str> = registry
         .latest_by_address()
@@ -137,9 +149,9 @@
 fn a_later_start_under_the_same_id_is_an_update() {
     for last in [Condition::Ready, Condition::Draining, Condition::Gone] {
         let mut registry = Registry::default();
-        registry.merge(NOW, started("a", 1_000, 90, last));
+        registry.announce(NOW, started("a", 1_000, 90, last));
 
-        let restarted = registry.merge(NOW, started("a", 2_000, 1, Condition::Ready));
+        let restarted = registry.announce(NOW, started("a", 2_000, 1, Condition::Ready));
 
         expect_that!(restarted, eq(Change::Updated), "{last:?}");
         expect_that!(registry.present().count(), eq(1), "{last:?}");
@@ -153,10 +165,10 @@
 fn announcements_of_an_earlier_start_are_stale() {
     for late in [Condition::Ready, Condition::Draining, Condition::Gone] {
         let mut registry = Registry::default();
-        registry.merge(NOW, started("a", 2_000, 1, Condition::Ready));
+        registry.announce(NOW, started("a", 2_000, 1, Condition::Ready));
 
-        let change = registry.merge(NOW, started("a", 1_000, 90, late));
-        let undated = registry.merge(NOW, started("a", 0, 91, late));
+        let change = registry.announce(NOW, started("a", 1_000, 90, late));
+        let undated = registry.announce(NOW, started("a", 0, 91, late));
 
         expect_that!((change, undated), eq((Change::Stale, Change::Stale)));
         expect_that!(registry.get("a").unwrap().sequence, eq(1), "{late:?}");
@@ -169,17 +181,17 @@
 #[googletest::test]
 fn a_group_survives_announcements_and_is_cleared_by_a_restart() {
     let mut registry = Registry::default();
-    registry.merge(NOW, started("a", 1_000, 5, Condition::Ready));
+    registry.announce(NOW, started("a", 1_000, 5, Condition::Ready));
     let grouped = Record {
         group: "g".into(),
         rank_version: 1,
         ..started("a", 1_000, 3, Condition::Ready)
     };
 
-    let change = registry.merge(NOW, grouped);
-    registry.merge(NOW, started("a", 1_000, 6, Condition::Draining));
+    let change = registry.update(NOW, grouped);
+    registry.announce(NOW, started("a", 1_000, 6, Condition::Draining));
     let kept = registry.get("a").unwrap().clone();
-    registry.merge(NOW, started("a", 2_000, 1, Condition::Ready));
+    registry.announce(NOW, started("a", 2_000, 1, Condition::Ready));
 
     expect_that!(change, eq(Change::Updated));
     expect_that!((kept.group.as_str(), kept.sequence), eq(("g", 6)));
@@ -199,15 +211,15 @@
         rank_version,
         ..record("a", 5, Condition::Ready)
     };
-    one.merge(NOW, rank(250, 1));
-    other.merge(NOW, rank(0, 2));
+    one.announce(NOW, rank(250, 1));
+    other.announce(NOW, rank(0, 2));
 
     let (from_one, from_other) = (
         one.changed_since(0).remove(0),
         other.changed_since(0).remove(0),
     );
-    let here = one.merge(NOW, from_other);
-    let there = other.merge(NOW, from_one);
+    let here = one.announce(NOW, from_other);
+    let there = other.announce(NOW, from_one);
 
     expect_that!((here, there), eq((Change::Updated, Change::Stale)));
     expect_that!(one.get("a").unwrap().slowdown, eq(0));
@@ -225,7 +237,7 @@
             ..record("a", sequence, Condition::Ready)
         };
         let now = NOW + Duration::from_millis(ms);
-        let change = registry.merge(now, record);
+        let change = registry.announce(now, record);
         let left = registry.cold_left(now, registry.get("a").unwrap());
         (change, left.map(|t| t.as_millis()))
     };
@@ -255,8 +267,8 @@
         cold_left: Some(Duration::from_millis(3_000)),
         ..record("a", 1, Condition::Ready)
     };
-    registry.merge(NOW, cold);
-    registry.merge(NOW, record("b", 1, Condition::Ready));
+    registry.announce(NOW, cold);
+    registry.announce(NOW, record("b", 1, Condition::Ready));
     let message = |now, id| registry.to_wire(now, registry.get(id).unwrap());
 
     let sent = message(NOW + Duration::from_millis(1_000), "a");
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -16,7 +16,7 @@
     pub role: i32,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 67, 70, 71, 80, 81, 82, 83, 90"
+        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 30, 40, 41, 50, 51, 60, 61, 62, 63, 64, 65, 66, 67, 70, 71, 80, 81, 82, 83, 90, 91, 92"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -86,6 +86,10 @@
         RunDone(super::RunDone),
         #[prost(message, tag = "90")]
         LimitsHeard(super::LimitsHeard),
+        #[prost(message, tag = "91")]
+        RegistrationAsk(super::RegistrationAsk),
+        #[prost(message, tag = "92")]
+        RegistrationAnswer(super::RegistrationAnswer),
     }
 }
 /// What is asked of one engine: an order, or else a look.
@@ -968,6 +972,49 @@
     /// time for which it stays cold, counted from sending; absent: not announced
     #[prost(uint32, optional, tag = "14")]
     pub cold_ms: ::core::option::Option<u32>,
+    /// since its last announcement to any coordinator, or its departure, counted from sending; absent: not told
+    #[prost(uint32, optional, tag = "15")]
+    pub heard_ms: ::core::option::Option<u32>,
+    /// sequence of that announcement
+    #[prost(uint64, tag = "16")]
+    pub heard: u64,
+    /// since this start replaced an earlier one of the id, counted from sending; absent: none did lately
+    #[prost(uint32, optional, tag = "17")]
+    pub replaced_ms: ::core::option::Option<u32>,
+    /// no coordinator in touch has heard of it for long
+    #[prost(bool, tag = "18")]
+    pub forgotten: bool,
+}
+/// The last announcement of one start of a backend server.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Contact {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// Unix ms of the start; 0: not told
+    #[prost(uint64, tag = "2")]
+    pub began: u64,
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// counted from sending
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
+/// Coordinator to coordinators and gateways: what is known of a backend server?
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RegistrationAsk {
+    /// echoed in the answer; 0: nobody waits for it
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    #[prost(string, tag = "2")]
+    pub id: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RegistrationAnswer {
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// absent: nothing is known
+    #[prost(message, optional, tag = "2")]
+    pub registration: ::core::option::Option<Registration>,
 }
 /// Gateway or coordinator to a coordinator, a few times a second: what it has, and
 /// what it is, so that the answer and the list of gateways stay current.
@@ -1011,6 +1058,9 @@
     /// of a gateway: demand that it saw lately
     #[prost(message, optional, tag = "13")]
     pub demand: ::core::option::Option<Demand>,
+    /// of a coordinator: not heard of for so long that it will forget them
+    #[prost(message, repeated, tag = "14")]
+    pub doubted: ::prost::alloc::vec::Vec<ServerStart>,
 }
 /// Answer to NewsAsk, or pushed at a change.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -1056,6 +1106,9 @@
     /// sum over the gateways that reported lately
     #[prost(message, optional, tag = "14")]
     pub demand: ::core::option::Option<Demand>,
+    /// to coordinators: announcements here since the last such message, and answers about doubted ones
+    #[prost(message, repeated, tag = "15")]
+    pub contacts: ::prost::alloc::vec::Vec<Contact>,
 }
 /// One start of a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
