--- a/crates/coordinator/src/announcements.rs
+++ b/crates/coordinator/src/announcements.rs
@@ -90,6 +90,15 @@
         document.map_or_else(IndexSet::new, |d| d.services().keys().cloned().collect())
     }
 
+    /// Path of the health check of a service's backend servers.
+    pub(crate) fn health_path(&self, service: &str) -> Option<String> {
+        let document = self.parse_committed()?;
+        document
+            .services()
+            .get(service)
+            .map(|s| s.health_path.clone())
+    }
+
     fn parse_committed(&self) -> Option<Document> {
         let bytes = bn_wire::decompress(&self.committed.document).map_err(|e| e.to_string());
         let document =
@@ -191,11 +200,13 @@
     pub(crate) fn on_registration_answer(
         &mut self,
         now: Duration,
+        inbox: SocketAddr,
         answer: wire::RegistrationAnswer,
     ) {
         if let Some(raw) = answer.registration {
             self.merge_registration(now, raw);
         }
+        self.record_departure_answer(answer.call, inbox.ip());
     }
 
     /// Merges what another process knows of a backend server.
@@ -205,23 +216,15 @@
             return;
         };
         let id = shared.record.id.clone();
-        let gone = shared.record.condition == Condition::Gone;
         let change = self.registry.merge(now, shared);
+        let held = self.registry.get(&id);
         // Departures are passed on at once: the coordinator that received it may be cut off from
         // gateways that this one reaches.
-        if gone {
+        if held.is_some_and(|r| r.condition == Condition::Gone) {
             self.publish_change(&id, change, Source::Coordinator);
         }
     }
 
-    /// Records that a backend server has left for good.
-    pub(crate) fn on_leave(&mut self, now: Duration, id: &str, reply: oneshot::Sender<()>) {
-        let start_time = self.registry.get(id).map_or(0, |r| r.start_time);
-        let change = self.registry.record_departure(now, id, start_time);
-        self.publish_change(id, change, Source::Left);
-        self.pushes.answer_after_push(Waiter::Left(reply));
-    }
-
     /// Logs a change of a backend server and queues it for the next push.
     pub(crate) fn publish_change(&mut self, id: &str, change: Change, source: Source) {
         let Some(record) = self.registry.get(id).filter(|_| change == Change::Updated) else {
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -1,5 +1,6 @@
 //! The thread that owns the log, the committed document and the registrations.
 
+use crate::departures::Departures;
 use crate::document::{Command, VersionedDocument, decode, decode_state};
 use crate::durable::{initial_members, restored};
 use crate::events::{Event, EventReceiver, EventSender, event_queue};
@@ -58,6 +59,7 @@
     pub(crate) applied: u64,
     pub(crate) logged_bytes: usize,
     pub(crate) registry: Registry,
+    pub(crate) departures: Departures,
     /// Services in the document, and the version of that document.
     pub(crate) services: (u64, IndexSet<String>),
     pub(crate) directory: Directory,
@@ -175,6 +177,7 @@
             applied,
             logged_bytes: 0,
             registry: Registry::default(),
+            departures: Default::default(),
             services: Default::default(),
             directory: Directory::default(),
             peers: Default::default(),
@@ -233,6 +236,7 @@
             self.advance_orders();
             self.update_membership(now);
             self.poll_peers(now);
+            self.advance_departures(now);
             self.push_changes(now);
             self.update_groups(now);
             self.flush()?;
@@ -276,7 +280,8 @@
         match event {
             Event::Message(m) => self.handle_message(now, *m),
             Event::Announce(record, reply) => self.on_announce(now, record, reply),
-            Event::Leave(id, reply) => self.on_leave(now, &id, reply),
+            Event::Leave(id, start, reply) => self.on_leave(now, &id, start, reply),
+            Event::HealthChecked(call, health) => self.on_health_checked(call, health),
             Event::Propose(document, compressed, reply) => {
                 self.on_propose(now, &document, compressed, reply)
             }
@@ -328,7 +333,7 @@
                 self.on_registration_request(now, inbox, &request);
             }
             Some(Body::RegistrationAnswer(answer)) => {
-                self.on_registration_answer(now, answer);
+                self.on_registration_answer(now, inbox, answer);
             }
             Some(Body::EngineAnswers(answers)) => self.on_engine_answers(now, answers),
             _ => {}
--- /dev/null
+++ b/crates/coordinator/src/departures.rs
@@ -0,0 +1,281 @@
+//! Departures of backend servers.
+//!
+//! A departure says of which id it is, and seldom of which start. This coordinator may have just
+//! started, or have been cut off, and know no start or only an earlier one. So it asks the others,
+//! and acknowledges the departure once a majority of the voters has answered and the latest start
+//! that any of them knows has departed. If they know none, gateways are asked.
+//!
+//! A departure may be held up on its way until the next start under its id has announced itself.
+//! Shortly after a restart, the backend server's health check decides whose departure it is.
+
+use crate::announcements::Source;
+use crate::core::{Core, count_unwanted};
+use crate::events::Event;
+use crate::pushes::Waiter;
+use bn_engine::{Call, CallRequest, HttpAnswer};
+use bn_registry::{BackendId, Change, Condition, Registry, StartTime};
+use indexmap::{IndexMap, IndexSet};
+use serde_json::json;
+use std::net::IpAddr;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Longest time until a departure is refused: below the second for which its sender waits, which
+/// then calls another coordinator.
+const TIMEOUT: Duration = Duration::from_millis(700);
+
+/// What a health check says of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It accepts requests: it is not the start that departs.
+    Serving,
+    /// It accepts none any more, or another backend server has its address.
+    Leaving,
+    /// Nothing was learnt.
+    Unknown,
+}
+
+/// What to do next about a departure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing yet.
+    Wait,
+    /// Ask gateways which start they know.
+    AskGateways,
+    /// Ask the backend server whether it accepts requests.
+    CheckHealth,
+    /// Record that this start has departed.
+    Depart(StartTime),
+    /// The departure is in force.
+    Acknowledge,
+    /// It is not known to be in force: its sender has to try again.
+    Refuse,
+}
+
+/// One departure that names no start.
+#[derive(Debug, Clone)]
+pub struct Departure {
+    id: BackendId,
+    received_at: Duration,
+    answered: IndexSet<IpAddr>,
+    gateways_asked: bool,
+    health_checked: bool,
+    health: Option<Health>,
+}
+
+impl Departure {
+    /// The departure of `id`, received now.
+    pub fn new(now: Duration, id: &str) -> Departure {
+        Departure {
+            id: id.into(),
+            received_at: now,
+            answered: IndexSet::new(),
+            gateways_asked: false,
+            health_checked: false,
+            health: None,
+        }
+    }
+
+    /// Id of the backend server.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Another process answered; what it knows has been merged into the table.
+    pub fn record_answer(&mut self, from: IpAddr) {
+        self.answered.insert(from);
+    }
+
+    /// The backend server answered its health check, or did not.
+    pub fn record_health(&mut self, health: Health) {
+        self.health = Some(health);
+    }
+
+    /// The next step, by what the table knows. `voters` are those of the log, with this coordinator
+    /// if it is one; it counts as having answered at address `own`.
+    pub fn next_step(
+        &mut self,
+        now: Duration,
+        registry: &Registry,
+        own: IpAddr,
+        voters: &[IpAddr],
+    ) -> Step {
+        let answered = |v: &&IpAddr| **v == own || self.answered.contains(*v);
+        let confirmed = voters.iter().filter(answered).count() > voters.len() / 2;
+        let step = match registry.get(&self.id) {
+            Some(held) if held.condition == Condition::Gone => match confirmed {
+                true => Step::Acknowledge,
+                false => Step::Wait,
+            },
+            Some(held) if registry.is_unsettled(now, &self.id) => match self.health {
+                None if !self.health_checked => Step::CheckHealth,
+                None => Step::Wait,
+                Some(Health::Leaving) => Step::Depart(held.start_time),
+                Some(Health::Serving | Health::Unknown) => Step::Refuse,
+            },
+            Some(held) => Step::Depart(held.start_time),
+            None if confirmed && !self.gateways_asked => Step::AskGateways,
+            None => Step::Wait,
+        };
+        if step == Step::Wait && now >= self.received_at + TIMEOUT {
+            return Step::Refuse;
+        }
+        self.gateways_asked |= step == Step::AskGateways;
+        self.health_checked |= step == Step::CheckHealth;
+        step
+    }
+}
+
+/// Where a departure is answered; `None` if it was answered before a later start was known.
+type Reply = Option<oneshot::Sender<bool>>;
+
+/// Departures that are not decided yet, by the call to other processes about them.
+#[derive(Default)]
+pub(crate) struct Departures(IndexMap<u64, (Departure, Reply)>);
+
+impl Core {
+    /// A backend server leaves for good; `start_time` if it says which start that is.
+    pub(crate) fn on_leave(
+        &mut self,
+        now: Duration,
+        id: &str,
+        start_time: Option<StartTime>,
+        reply: oneshot::Sender<bool>,
+    ) {
+        if let Some(start_time) = start_time {
+            let change = self.registry.record_departure(now, id, start_time);
+            self.publish_departure(id, start_time, change);
+            return self.pushes.answer_after_push(Waiter::Left(reply));
+        }
+        let call = self.next_call_id();
+        let departure = Departure::new(now, id);
+        self.departures.0.insert(call, (departure, Some(reply)));
+        for inbox in self.others() {
+            self.request_registration(inbox, call, id);
+        }
+    }
+
+    /// Another process answered what it knows of the backend server.
+    pub(crate) fn record_departure_answer(&mut self, call: u64, from: IpAddr) {
+        if let Some((departure, _)) = self.departures.0.get_mut(&call) {
+            departure.record_answer(from);
+        }
+    }
+
+    pub(crate) fn on_health_checked(&mut self, call: u64, health: Health) {
+        if let Some((departure, _)) = self.departures.0.get_mut(&call) {
+            departure.record_health(health);
+        }
+    }
+
+    /// Advances the departures that wait for answers.
+    pub(crate) fn advance_departures(&mut self, now: Duration) {
+        for id in self.registry.take_doubtful_departures(now) {
+            let call = self.next_call_id();
+            self.departures
+                .0
+                .insert(call, (Departure::new(now, &id), None));
+        }
+        if self.departures.0.is_empty() {
+            return;
+        }
+        let voters = self.quorum.members().iter().filter(|(_, m)| m.voter);
+        let voters: Vec<IpAddr> = voters.filter_map(|(id, _)| id.parse().ok()).collect();
+        for (call, (departure, reply)) in std::mem::take(&mut self.departures.0) {
+            self.advance_departure(now, &voters, call, departure, reply);
+        }
+    }
+
+    fn advance_departure(
+        &mut self,
+        now: Duration,
+        voters: &[IpAddr],
+        call: u64,
+        mut departure: Departure,
+        reply: Reply,
+    ) {
+        let own = self.inbox.ip();
+        loop {
+            match departure.next_step(now, &self.registry, own, voters) {
+                Step::Wait => break,
+                Step::AskGateways => {
+                    for inbox in self.directory.inboxes() {
+                        self.request_registration(inbox, call, &departure.id);
+                    }
+                }
+                Step::CheckHealth => self.check_health(call, &departure.id),
+                Step::Depart(start_time) => {
+                    let id = &departure.id;
+                    let change = self.registry.record_unnamed_departure(now, id, start_time);
+                    self.publish_departure(id, start_time, change);
+                }
+                Step::Acknowledge => {
+                    return self.acknowledge_departure(reply);
+                }
+                Step::Refuse => {
+                    self.log_refused(&departure);
+                    let refused = reply.map_or(Ok(()), |reply| reply.send(false));
+                    return count_unwanted(refused);
+                }
+            }
+        }
+        self.departures.0.insert(call, (departure, reply));
+    }
+
+    fn acknowledge_departure(&mut self, reply: Reply) {
+        if let Some(reply) = reply {
+            self.pushes.answer_after_push(Waiter::Left(reply));
+        }
+    }
+
+    fn publish_departure(&mut self, id: &str, start_time: StartTime, change: Change) {
+        if change == Change::Stale {
+            let held = self.registry.get(id).map(|r| r.start_time);
+            let fields = json!({ "id": id, "began": start_time, "known_began": held });
+            self.lines.put("departure_passed_over", fields);
+        }
+        self.publish_change(id, change, Source::Left);
+    }
+
+    fn check_health(&self, call: u64, id: &str) {
+        let events = self.events.clone();
+        let done = move |health| {
+            events.send(Event::HealthChecked(call, health));
+        };
+        let record = self.registry.get(id);
+        let Some((service, address)) = record.and_then(|r| Some((&r.service, r.address?))) else {
+            return done(Health::Unknown);
+        };
+        let Some(path) = self.health_path(service) else {
+            return done(Health::Unknown);
+        };
+        self.calls.submit(Call {
+            request: CallRequest {
+                address,
+                path: path.into(),
+                body: None,
+                server: id.into(),
+            },
+            on_answer: Box::new(move |answer| done(health(answer.as_ref()))),
+        });
+    }
+
+    fn log_refused(&self, departure: &Departure) {
+        let known = self.registry.get(&departure.id);
+        let fields = json!({
+            "id": departure.id, "known_began": known.map(|r| r.start_time),
+            "condition": known.map(|r| format!("{:?}", r.condition)),
+            "answered": departure.answered.iter().collect::<Vec<_>>(), "health": departure.health.map(|h| format!("{h:?}")),
+        });
+        self.lines.put("departure_refused", fields);
+    }
+}
+
+/// A backend server that is full rejects the check like a request, which says nothing.
+fn health(answer: Option<&HttpAnswer>) -> Health {
+    match answer {
+        Some(answer) if answer.status == 200 => Health::Serving,
+        Some(answer) if answer.status == 421 || !answer.rejected => Health::Leaving,
+        _ => Health::Unknown,
+    }
+}
--- a/crates/coordinator/src/engine_calls.rs
+++ b/crates/coordinator/src/engine_calls.rs
@@ -146,13 +146,13 @@
         let (events, group) = (self.events.clone(), group.clone());
         let id = call.id;
         let done = move |answer: Answer| {
-            let reply = answer.map_or(Reply::Silent, |(status, body)| decode(status, &body));
+            let reply = answer.map_or(Reply::Silent, |a| decode(a.status, &a.body));
             events.send(Event::EngineReplied(group, id, reply));
         };
         self.calls.submit(Call {
             request: CallRequest {
                 address,
-                path,
+                path: path.into(),
                 body,
                 server: call.engine,
             },
--- a/crates/coordinator/src/events.rs
+++ b/crates/coordinator/src/events.rs
@@ -7,6 +7,7 @@
 //! is only processed for as long as a heartbeat may be late.
 
 use bn_group::switch_controller::Reply;
+use bn_registry::StartTime;
 use bn_settle::Document;
 use bn_wire::messages::Envelope;
 use bn_wire::messages::envelope::Body;
@@ -17,6 +18,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+use crate::departures::Health;
 use crate::evacuations::EvacuationCall;
 use crate::relays::GroupId;
 
@@ -32,8 +34,11 @@
     Message(Box<Envelope>),
     /// A backend server announces itself; answered with whether it was accepted.
     Announce(bn_registry::Record, oneshot::Sender<bool>),
-    /// A backend server leaves.
-    Leave(String, oneshot::Sender<()>),
+    /// A backend server leaves; the start that does, if it says so. Answered with whether its
+    /// departure is in force.
+    Leave(String, Option<StartTime>, oneshot::Sender<bool>),
+    /// Result of a health check, by the number of the departure that it is for.
+    HealthChecked(u64, Health),
     /// An operator's validated document.
     Propose(Box<Document>, Vec<u8>, oneshot::Sender<bool>),
     /// An operator reads the document in force; answered with `None` if that is uncertain.
--- a/crates/coordinator/src/http.rs
+++ b/crates/coordinator/src/http.rs
@@ -60,8 +60,9 @@
         Call::Resolve { domain } => resolve(events, domain).await,
         Call::Announce { id } => announce(events, &id, &body).await,
         Call::Leave { id } => {
-            let left = query(events, |reply| Event::Leave(id, reply)).await;
-            ok_or_busy(left.is_some())
+            let start_time = bn_platform::parse_departure(&body);
+            let left = query(events, |reply| Event::Leave(id, start_time, reply)).await;
+            ok_or_busy(left == Some(true))
         }
         Call::Evacuate { domain } => evacuate(events, domain, true, received).await,
         Call::EndEvacuation { domain } => evacuate(events, domain, false, received).await,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -7,6 +7,7 @@
 mod announcements;
 mod cases;
 mod core;
+mod departures;
 mod document;
 mod durable;
 mod engine_calls;
@@ -27,6 +28,7 @@
 mod updates;
 
 pub use self::core::start;
+pub use self::departures::{Departure, Health, Step};
 pub use self::document::{
     Command, VersionedDocument, decode, decode_state, encode, encode_order, encode_state,
 };
--- a/crates/coordinator/src/pushes.rs
+++ b/crates/coordinator/src/pushes.rs
@@ -21,7 +21,7 @@
     /// An accepted backend server announced itself.
     Announced(oneshot::Sender<bool>),
     /// A backend server left.
-    Left(oneshot::Sender<()>),
+    Left(oneshot::Sender<bool>),
 }
 
 /// Changes that have not been pushed yet.
@@ -76,8 +76,7 @@
         self.push_to_coordinators(now, urgent);
         for waiter in std::mem::take(&mut self.pushes.waiters) {
             match waiter {
-                Waiter::Announced(reply) => count_unwanted(reply.send(true)),
-                Waiter::Left(reply) => count_unwanted(reply.send(())),
+                Waiter::Announced(reply) | Waiter::Left(reply) => count_unwanted(reply.send(true)),
             }
         }
         self.push_contacts(now);
--- a/crates/coordinator/tests/ring.rs
+++ b/crates/coordinator/tests/ring.rs
@@ -52,7 +52,7 @@
     let (sender, _receiver) = event_queue();
     let leave = |_| {
         let (reply, _) = oneshot::channel();
-        sender.send(Event::Leave("b".into(), reply))
+        sender.send(Event::Leave("b".into(), None, reply))
     };
 
     let queued = (0..3_000).map(leave).filter(|queued| *queued).count();
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -5,6 +5,7 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request};
+use std::borrow::Cow;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,8 +27,19 @@
 /// Largest answer body accepted, in bytes.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
-/// Status and body; `None` if no answer was received.
-pub type Answer = Option<(u16, Bytes)>;
+/// Answer of an engine to a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// The engine says that it did not run the call.
+    pub rejected: bool,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// `None` if no answer was received.
+pub type Answer = Option<HttpAnswer>;
 
 /// A call and the callback for its answer.
 pub struct Call {
@@ -42,7 +54,7 @@
     /// The engine's address.
     pub address: SocketAddr,
     /// Path of the call.
-    pub path: &'static str,
+    pub path: Cow<'static, str>,
     /// Body of an order, sent by POST; `None` for a query, sent by GET.
     pub body: Option<Vec<u8>>,
     /// The only backend server that may accept the request.
@@ -115,12 +127,17 @@
         .await
         .ok()?;
     let status = answer.status().as_u16();
+    let rejected = answer.headers().contains_key(bn_platform::header::NOT_RUN);
     let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
         .collect()
         .await;
     let body = body.ok()?.to_bytes();
     pool.put_back(start.elapsed(), connection, None);
-    Some((status, body))
+    Some(HttpAnswer {
+        status,
+        rejected,
+        body,
+    })
 }
 
 fn http_request(call: &CallRequest) -> Request<Full<Bytes>> {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,7 +6,7 @@
 mod placements;
 mod relay;
 
-pub use calls::{Answer, Call, CallRequest, EngineClient};
+pub use calls::{Answer, Call, CallRequest, EngineClient, HttpAnswer};
 pub use placements::{compress_placements, decompress_placements};
 pub use relay::{Handle, start};
 
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -5,7 +5,7 @@
 //! deliver an order late, as any link may: orders carry the group's epoch and a fencing token, and
 //! a coordinator that gets no answer calls the engine itself.
 
-use crate::calls::{Answer, CallRequest, send};
+use crate::calls::{Answer, CallRequest, HttpAnswer, send};
 use crate::forward::Forwarder;
 use crate::placements::decompress_placements;
 use crate::{Result, RuntimeSnafu};
@@ -185,7 +185,7 @@
 
     async fn order(&self, request: &EngineAsk, order: Vec<u8>) -> EngineAnswer {
         let answer = self.call(engine::ORDER, Some(order), &request.engine).await;
-        let status = answer.map_or(0, |(status, _)| u32::from(status));
+        let status = answer.map_or(0, |a| u32::from(a.status));
         let fields = json!({ "engine": request.engine, "call": request.call, "status": status });
         self.lines.put("order_handed_over", fields);
         EngineAnswer {
@@ -219,7 +219,8 @@
     }
 
     async fn report(&self, server: &str) -> (u32, Option<EngineView>) {
-        let Some((status, body)) = self.call(engine::REPORT, None, server).await else {
+        let Some(HttpAnswer { status, body, .. }) = self.call(engine::REPORT, None, server).await
+        else {
             return (0, None);
         };
         let view = match (status, engine::parse_report(&body)) {
@@ -236,7 +237,10 @@
     /// How often each expert was chosen since the last poll; empty if that is not known.
     async fn counts(&self, server: &str) -> Vec<u64> {
         let answer = self.call(engine::COUNTS, None, server).await;
-        let Some((200, body)) = answer else {
+        let Some(HttpAnswer {
+            status: 200, body, ..
+        }) = answer
+        else {
             return Vec::new();
         };
         match engine::parse_counts(&body) {
@@ -268,7 +272,7 @@
     async fn call(&self, path: &'static str, body: Option<Vec<u8>>, server: &str) -> Answer {
         let request = CallRequest {
             address: self.engine,
-            path,
+            path: path.into(),
             body,
             server: server.into(),
         };
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -64,7 +64,7 @@
         client.submit(Call {
             request: CallRequest {
                 address,
-                path: "/report",
+                path: "/report".into(),
                 body: None,
                 server: "e1".into(),
             },
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! A simulated coordinator.
 
 use crate::traffic::Traffic;
-use bn_coordinator::{AnswerRange, PeerCursor, Subscribers};
+use bn_coordinator::{AnswerRange, Departure, PeerCursor, Subscribers};
 use bn_gateway::{PollState, UpdateRange};
 use bn_registry::{
     BackendId, CONTACT_INTERVAL, Change, Condition, Contact, ContactEffect, Cursor, Record,
@@ -26,10 +26,14 @@
     pub(crate) registry: Registry,
     pub(crate) subscribers: Subscribers,
     pending: Vec<BackendId>,
+    /// Departures that reached this coordinator first: for all gateways.
+    leaving: Vec<BackendId>,
     urgent: bool,
     /// What is known of each other coordinator's changes.
     peers: IndexMap<usize, PeerCursor>,
     contacts_due: Duration,
+    /// Departures that are not acknowledged yet, by call.
+    pub(crate) departures: IndexMap<u64, Departure>,
     pub(crate) stopped: bool,
     /// It reaches neither the other coordinators nor gateways.
     pub(crate) cut_off: bool,
@@ -82,14 +86,25 @@
         }
     }
 
+    /// Records that a start has departed.
+    pub(crate) fn depart(&mut self, now: Duration, id: &str, start_time: u64) {
+        if self.registry.record_unnamed_departure(now, id, start_time) == Change::Updated {
+            self.pending.push(id.into());
+            self.leaving.push(id.into());
+            self.urgent = true;
+        }
+    }
+
     /// Merges what another process knows of a backend server.
     pub(crate) fn merge(&mut self, now: Duration, raw: &Registration) {
         let Ok(shared) = SharedRecord::try_from(raw.clone()) else {
             return;
         };
         let id = shared.record.id.clone();
-        let gone = shared.record.condition == Condition::Gone;
-        if self.registry.merge(now, shared) == Change::Updated && gone {
+        let change = self.registry.merge(now, shared);
+        let held = self.registry.get(&id);
+        let gone = held.is_some_and(|r| r.condition == Condition::Gone);
+        if change == Change::Updated && gone {
             self.pending.push(id);
             self.urgent = true;
         }
@@ -123,6 +138,13 @@
         Some(self.registry.to_wire(now, record))
     }
 
+    /// Departures that are due to all gateways but subscribers.
+    pub(crate) fn take_leaving(&mut self, now: Duration) -> Rc<[Registration]> {
+        let ids = std::mem::take(&mut self.leaving);
+        let leaving = ids.iter().filter_map(|id| self.registration(now, id));
+        leaving.collect()
+    }
+
     /// Updates that are due to subscribers.
     pub(crate) fn push(&mut self, now: Duration) -> Vec<Push> {
         let cursor = self.registry.cursor();
--- a/crates/fleet/src/gateway.rs
+++ b/crates/fleet/src/gateway.rs
@@ -50,7 +50,9 @@
         }
         self.next_poll = now + self.sources.poll_interval();
         // No requests are simulated, so nothing answers here.
-        self.registrations.evict_expired(now, |_| None);
+        let subscriptions = self.sources.subscriptions();
+        self.registrations
+            .evict_expired(now, &subscriptions, |_| None);
         let to = self.sources.next_poll()?;
         Some((to, self.sources.on_poll(to)))
     }
@@ -71,16 +73,17 @@
             };
             let known = self.known.entry(raw.id.clone()).or_insert(new);
             known.copies += 1;
-            self.merge(now, raw);
+            self.merge(now, from, raw);
         }
     }
 
-    fn merge(&mut self, now: Duration, raw: &Registration) {
+    fn merge(&mut self, now: Duration, from: SocketAddr, raw: &Registration) {
         let Ok(shared) = SharedRecord::try_from(raw.clone()) else {
             return;
         };
+        self.registrations.record_source(now, from, &shared);
         if shared.forgotten {
-            return self.registrations.mark_unheard(&shared);
+            return;
         }
         if let Some(record) = self.registrations.merged(&shared.record) {
             self.registrations.insert(now, record);
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -41,12 +41,14 @@
     Ask {
         from: usize,
         to: Process,
+        call: u64,
         id: BackendId,
     },
     /// The answer to it.
     Answer {
         from: Process,
         to: usize,
+        call: u64,
         registration: Option<Registration>,
     },
 }
@@ -55,6 +57,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Process {
     Coordinator(usize),
+    Gateway(usize),
 }
 
 /// Encoded size of a poll in bytes.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -1,6 +1,7 @@
 //! A simulated backend server.
 
 use bn_backpressure::Limit;
+use bn_coordinator::Health;
 use bn_registry::{BackendId, Condition, Record, StartTime};
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
     due: Duration,
     /// It announces itself: it has neither crashed nor departed.
     pub(crate) announces: bool,
+    /// What its health check says.
+    pub(crate) health: Health,
 }
 
 impl Server {
@@ -23,6 +26,7 @@
             coordinator,
             due: Duration::ZERO,
             announces: true,
+            health: Health::Serving,
         }
     }
 
--- a/crates/fleet/src/simulation.rs
+++ b/crates/fleet/src/simulation.rs
@@ -5,12 +5,13 @@
 use crate::messages::{Packet, Process, contacts_size, poll_size, update_size};
 use crate::server::{Server, record, server_id};
 use crate::traffic::{Traffic, TrafficRate, peak_rate};
-use bn_gateway::PollState;
+use bn_coordinator::{Departure, Health, Step};
+use bn_gateway::{PollState, UpdateRange};
 use bn_registry::{BackendId, StartTime};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(10);
@@ -43,6 +44,9 @@
     by_inbox: IndexMap<SocketAddr, usize>,
     in_transit: Vec<(Duration, Packet)>,
     announced: IndexMap<String, Duration>,
+    calls: u64,
+    /// Outcome of each departure, by call: whether it was acknowledged.
+    outcomes: IndexMap<u64, bool>,
     counting_since: Duration,
 }
 
@@ -71,6 +75,8 @@
             servers: IndexMap::new(),
             in_transit: Vec::new(),
             announced: IndexMap::new(),
+            calls: 0,
+            outcomes: IndexMap::new(),
             counting_since: Duration::ZERO,
             rng,
         }
@@ -112,6 +118,33 @@
         }
     }
 
+    /// A backend server announces itself no more, and its health check says that it leaves. Its
+    /// departure has still to be sent.
+    pub fn retire_server(&mut self, number: usize) {
+        self.crash_server(number);
+        if let Some(server) = self.servers.get_mut(&number) {
+            server.health = Health::Leaving;
+        }
+    }
+
+    /// A departure, which names no start, reaches a coordinator now; returns its call.
+    pub fn depart(&mut self, number: usize, coordinator: usize) -> u64 {
+        self.calls += 1;
+        let (call, id) = (self.calls, server_id(number));
+        if let Some(at) = self.coordinators.get_mut(coordinator) {
+            at.departures.insert(call, Departure::new(self.now, &id));
+        }
+        for to in (0..self.inboxes.len()).filter(|to| *to != coordinator) {
+            self.ask(coordinator, Process::Coordinator(to), call, &id);
+        }
+        call
+    }
+
+    /// Whether a departure was acknowledged; `None` while it is not answered.
+    pub fn outcome(&self, call: u64) -> Option<bool> {
+        self.outcomes.get(&call).copied()
+    }
+
     /// Cuts a coordinator off from the other coordinators and from gateways, or ends that.
     pub fn cut_off(&mut self, coordinator: usize, cut_off: bool) {
         if let Some(coordinator) = self.coordinators.get_mut(coordinator) {
@@ -208,6 +241,7 @@
         self.announce_servers();
         for at in 0..self.coordinators.len() {
             self.poll_peers(at);
+            self.advance_departures(at);
             self.push(at);
         }
         for at in 0..self.gateways.len() {
@@ -246,6 +280,17 @@
                 changed: push.changed.clone(),
             }));
         }
+        let leaving = coordinator.take_leaving(now);
+        if !leaving.is_empty() {
+            let others = self.gateways.iter().enumerate();
+            let others = others.filter(|(_, g)| !coordinator.subscribers.contains(g.inbox));
+            packets.extend(others.map(|(gateway, _)| Packet::Update {
+                coordinator: at,
+                gateway,
+                range: UpdateRange::default(),
+                changed: leaving.clone(),
+            }));
+        }
         if let Some(update) = coordinator.push_to_peers(now) {
             let others = (0..self.inboxes.len()).filter(|to| *to != at);
             packets.extend(others.map(|to| Packet::PeerUpdate {
@@ -297,9 +342,57 @@
         }
     }
 
-    fn ask(&mut self, from: usize, to: Process, id: &str) {
+    fn advance_departures(&mut self, at: usize) {
+        let now = self.now;
+        let voters: Vec<IpAddr> = self.inboxes.iter().map(SocketAddr::ip).collect();
+        let Some(own) = voters.get(at).copied() else {
+            return;
+        };
+        let Some(coordinator) = self.coordinators.get_mut(at).filter(|c| !c.stopped) else {
+            return;
+        };
+        let mut asks = Vec::new();
+        for id in coordinator.registry.take_doubtful_departures(now) {
+            self.calls += 1;
+            let departure = Departure::new(now, &id);
+            coordinator.departures.insert(self.calls, departure);
+        }
+        let departures = std::mem::take(&mut coordinator.departures);
+        for (call, mut departure) in departures {
+            let outcome = loop {
+                match departure.next_step(now, &coordinator.registry, own, &voters) {
+                    Step::Wait => break None,
+                    Step::AskGateways => asks.push((call, departure.id().to_string())),
+                    Step::CheckHealth => {
+                        let servers = self.servers.values();
+                        let mut checked = servers.filter(|s| s.record.id == departure.id());
+                        let health = checked.next().map_or(Health::Unknown, |s| s.health);
+                        departure.record_health(health);
+                    }
+                    Step::Depart(start_time) => coordinator.depart(now, departure.id(), start_time),
+                    Step::Acknowledge => break Some(true),
+                    Step::Refuse => break Some(false),
+                }
+            };
+            match outcome {
+                Some(outcome) => {
+                    self.outcomes.insert(call, outcome);
+                }
+                None => {
+                    coordinator.departures.insert(call, departure);
+                }
+            }
+        }
+        for (call, id) in asks {
+            for gateway in 0..self.gateways.len() {
+                self.ask(at, Process::Gateway(gateway), call, &id);
+            }
+        }
+    }
+
+    fn ask(&mut self, from: usize, to: Process, call: u64, id: &str) {
         let id = id.into();
-        self.send(Packet::Ask { from, to, id });
+        self.send(Packet::Ask { from, to, call, id });
     }
 
     fn send(&mut self, packet: Packet) {
@@ -323,12 +416,7 @@
             Packet::Ask { from, to, .. }
             | Packet::Answer {
                 to: from, from: to, ..
-            } => {
-                cut(from) || {
-                    let Process::Coordinator(to) = to;
-                    cut(to)
-                }
-            }
+            } => cut(from) || matches!(to, Process::Coordinator(to) if cut(to)),
         }
     }
 
@@ -385,15 +473,24 @@
             Packet::PeerUpdate { from, to, update } => {
                 let unknown = self.running(to).map(|c| c.receive(now, from, &update));
                 for id in unknown.unwrap_or_default() {
-                    self.ask(to, Process::Coordinator(from), &id);
+                    self.ask(to, Process::Coordinator(from), 0, &id);
                 }
             }
-            Packet::Ask { from, to, id } => self.answer_ask(from, to, &id),
+            Packet::Ask { from, to, call, id } => self.answer_ask(from, to, call, &id),
             Packet::Answer {
-                to, registration, ..
+                from,
+                to,
+                call,
+                registration,
             } => {
+                let ip = match from {
+                    Process::Coordinator(n) => coordinator_inbox(n).ip(),
+                    Process::Gateway(n) => gateway_inbox(n).ip(),
+                };
                 if let Some(coordinator) = self.running(to) {
                     registration.iter().for_each(|r| coordinator.merge(now, r));
+                    let departure = coordinator.departures.get_mut(&call);
+                    departure.into_iter().for_each(|d| d.record_answer(ip));
                 }
             }
             Packet::Poll {
@@ -420,17 +517,23 @@
         self.coordinators.get_mut(at).filter(|c| !c.stopped)
     }
 
-    fn answer_ask(&mut self, asker: usize, asked: Process, id: &BackendId) {
+    fn answer_ask(&mut self, asker: usize, asked: Process, call: u64, id: &BackendId) {
         let now = self.now;
         let registration = match asked {
             Process::Coordinator(at) => match self.running(at) {
                 Some(coordinator) => coordinator.registration(now, id),
                 None => return,
             },
+            Process::Gateway(at) => {
+                let gateway = self.gateways.get(at);
+                let held = gateway.and_then(|g| g.registrations.get(id));
+                held.map(Into::into)
+            }
         };
         self.send(Packet::Answer {
             from: asked,
             to: asker,
+            call,
             registration,
         });
     }
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -4,6 +4,7 @@
 use crate::link::Link;
 use bn_registry::{
     BackendId, CONTACT_TIMEOUT, Condition, DEPARTED_RETENTION, Record, Sequence, SharedRecord,
+    StartTime,
 };
 use bn_route::{ColdRegistration, Server};
 use bn_wire::messages::envelope::Body;
@@ -22,8 +23,17 @@
     records: IndexMap<BackendId, Record>,
     /// When departures were received, oldest first.
     departed: IndexMap<BackendId, Duration>,
-    /// Forgotten by a coordinator that knew announcements up to this sequence, but in use here.
-    unheard: IndexMap<BackendId, Sequence>,
+    /// Coordinators that have forgotten a backend server, and the last contact that each knew.
+    forgotten: IndexMap<BackendId, IndexMap<SocketAddr, LastContact>>,
+}
+
+/// The last contact with a backend server that a coordinator has forgotten.
+#[derive(Debug, Clone, Copy)]
+struct LastContact {
+    start_time: StartTime,
+    sequence: Sequence,
+    /// When the coordinator reported that it has forgotten it.
+    reported_at: Duration,
 }
 
 impl Registrations {
@@ -50,23 +60,30 @@
         self.records.insert(id, record);
     }
 
-    /// A coordinator forgot a backend server.
-    pub fn mark_unheard(&mut self, forgotten: &SharedRecord) {
-        let held = self.get(&forgotten.record.id);
-        let same_start = held.is_some_and(|h| {
-            h.start_time == forgotten.record.start_time && h.condition != Condition::Gone
-        });
-        if same_start {
-            let id = forgotten.record.id.clone();
-            self.unheard.insert(id, forgotten.heard_sequence);
+    /// Records whether a coordinator has forgotten the backend server that it sends a record of.
+    pub fn record_source(&mut self, now: Duration, source: SocketAddr, shared: &SharedRecord) {
+        let id = &shared.record.id;
+        if shared.forgotten {
+            let sources = self.forgotten.entry(id.clone()).or_default();
+            let last = LastContact {
+                start_time: shared.record.start_time,
+                sequence: shared.heard_sequence,
+                reported_at: now,
+            };
+            sources.insert(source, last);
+        } else if let Some(sources) = self.forgotten.get_mut(id) {
+            sources.swap_remove(&source);
         }
     }
 
-    /// Removes departures received long ago, and forgotten backend servers that have not answered
-    /// here lately either; returns the latter. `answered_at` says when one last answered.
+    /// Removes departures received long ago, and backend servers that every one of `subscriptions`
+    /// has forgotten and that have not answered here lately either; returns the latter. One
+    /// coordinator alone may lag behind the others. `answered_at` says when a backend server last
+    /// answered.
     pub fn evict_expired(
         &mut self,
         now: Duration,
+        subscriptions: &[SocketAddr],
         answered_at: impl Fn(&str) -> Option<Duration>,
     ) -> Vec<BackendId> {
         while let Some((id, at)) = self.departed.first()
@@ -75,21 +92,32 @@
             self.records.shift_remove(id);
             self.departed.shift_remove_index(0);
         }
-        let records = &self.records;
-        // Announced again since it was forgotten, or departed.
-        self.unheard.retain(|id, heard| {
-            let held = records.get(id);
-            held.is_some_and(|h| h.sequence <= *heard && h.condition != Condition::Gone)
-        });
+        for sources in self.forgotten.values_mut() {
+            sources.retain(|_, last| now < last.reported_at + DEPARTED_RETENTION);
+        }
+        self.forgotten.retain(|_, sources| !sources.is_empty());
         let in_use = |id: &str| answered_at(id).is_some_and(|at| now < at + CONTACT_TIMEOUT);
-        let unused = self.unheard.keys().filter(|id| !in_use(id));
+        let ids = self.forgotten.keys();
+        let unused = ids.filter(|id| self.is_forgotten(id, subscriptions) && !in_use(id));
         let unused: Vec<BackendId> = unused.cloned().collect();
         for id in &unused {
-            self.unheard.shift_remove(id);
             self.records.shift_remove(id);
         }
         unused
     }
+
+    /// Whether a registration is held that all of these coordinators have forgotten.
+    fn is_forgotten(&self, id: &str, subscriptions: &[SocketAddr]) -> bool {
+        let held = self.get(id).filter(|h| h.condition != Condition::Gone);
+        let (Some(held), Some(sources)) = (held, self.forgotten.get(id)) else {
+            return false;
+        };
+        let forgets = |s: &SocketAddr| {
+            let last = sources.get(s).map(|last| (last.start_time, last.sequence));
+            last.is_some_and(|last| last >= (held.start_time, held.sequence))
+        };
+        !subscriptions.is_empty() && subscriptions.iter().all(forgets)
+    }
 }
 
 impl Link {
@@ -105,8 +133,12 @@
     /// Removes what is remembered no longer.
     pub(crate) fn evict_registrations(&mut self, now: Duration) {
         let shared = &self.shared;
+        let subscriptions = self.sources.subscriptions();
         let answered_at = |id: &str| shared.state().fleet.heard_at(id);
-        for id in self.registrations.evict_expired(now, answered_at) {
+        let evicted = self
+            .registrations
+            .evict_expired(now, &subscriptions, answered_at);
+        for id in evicted {
             shared.state().fleet.remove(&id);
             shared
                 .lines
@@ -114,15 +146,12 @@
         }
     }
 
-    fn on_forgotten(&mut self, shared: &SharedRecord) {
-        self.registrations.mark_unheard(shared);
-        self.evict_registrations(self.shared.now());
-    }
-
     /// `source` is the coordinator that sent it.
     pub(crate) fn on_registration(&mut self, shared: SharedRecord, source: SocketAddr) {
+        let now = self.shared.now();
+        self.registrations.record_source(now, source, &shared);
         if shared.forgotten {
-            return self.on_forgotten(&shared);
+            return;
         }
         let record = shared.record;
         let known = self.registrations.get(&record.id);
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -23,6 +23,8 @@
 /// For how long after a restart a departure that names no start may be the earlier start's: as long
 /// as a network partition may delay a message.
 const HELD_UP_WINDOW: Duration = Duration::from_secs(60);
+/// Times of one departure differ by less, as they are passed on.
+const SAME_DEPARTURE: Duration = Duration::from_secs(2);
 /// Smaller moves of the end of a cold period are the varying delay of announcements. If each were an
 /// update, every announcement of a cold backend server would be pushed to all gateways.
 const COLD_TOLERANCE: Duration = Duration::from_millis(250);
@@ -100,10 +102,21 @@
     /// Nobody heard of it for [`CONTACT_TIMEOUT`]. The row is kept, so that one that is heard again
     /// has its group, slowdown and limit, and so that gateways are told.
     pub(crate) forgotten: bool,
+    /// The latest departure of the id that named no start.
+    departure: Option<UnnamedDeparture>,
     /// When the time left of its cold period was received.
     cold_at: Duration,
 }
 
+/// A departure that named no start.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UnnamedDeparture {
+    /// When a coordinator received it.
+    at: Duration,
+    /// Whether it may be that of the held start has been checked.
+    checked: bool,
+}
+
 /// The table of one process.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
@@ -125,6 +138,8 @@
     pub replaced_age: Option<Duration>,
     /// The sender has forgotten it.
     pub forgotten: bool,
+    /// Time since a departure of the id that named no start; `None` if none is known.
+    pub departed_age: Option<Duration>,
 }
 
 impl SharedRecord {
@@ -135,6 +150,7 @@
             heard_age: Some(Duration::ZERO),
             replaced_age: None,
             forgotten: false,
+            departed_age: None,
             record,
         }
     }
@@ -197,6 +213,9 @@
         let Some(row) = self.rows.get_mut(&id) else {
             return change;
         };
+        if let Some(age) = shared.departed_age {
+            row.record_departure(now.saturating_sub(age));
+        }
         if row.record.start_time != shared.record.start_time {
             return change;
         }
@@ -222,10 +241,12 @@
     /// Merges the state; contacts are the caller's.
     fn merge_state(&mut self, now: Duration, shared: &SharedRecord, restarted: bool) -> Change {
         let record = shared.record.clone();
-        if restarted {
-            // The earlier start is void, including its position in the order of first contact.
-            self.rows.shift_remove(&record.id);
-        }
+        // The earlier start is void, including its position in the order of first contact.
+        let earlier = match restarted {
+            true => self.rows.shift_remove(&record.id),
+            false => None,
+        };
+        let departure = earlier.and_then(|r| r.departure);
         let Some(row) = self.rows.get_mut(&record.id) else {
             self.cursor += 1;
             let (id, cursor) = (record.id.clone(), self.cursor);
@@ -237,6 +258,7 @@
                 announced: false,
                 unsettled_until: Duration::ZERO,
                 forgotten: false,
+                departure,
                 cold_at: now,
             };
             self.rows.insert(id, row);
@@ -268,6 +290,25 @@
 
     /// Records the departure of a start; the rest of the record is unchanged. A later start goes on.
     pub fn record_departure(&mut self, now: Duration, id: &str, start_time: StartTime) -> Change {
+        let gone = self.departed(id, start_time);
+        self.merge(now, SharedRecord::announced(gone))
+    }
+
+    /// Records a departure that named no start; `start_time` is the latest one known.
+    pub fn record_unnamed_departure(
+        &mut self,
+        now: Duration,
+        id: &str,
+        start_time: StartTime,
+    ) -> Change {
+        let shared = SharedRecord {
+            departed_age: Some(Duration::ZERO),
+            ..SharedRecord::announced(self.departed(id, start_time))
+        };
+        self.merge(now, shared)
+    }
+
+    fn departed(&self, id: &str, start_time: StartTime) -> Record {
         let known = self.get(id).filter(|r| r.start_time == start_time);
         let record = known.cloned().unwrap_or_else(|| Record {
             id: id.into(),
@@ -284,18 +325,32 @@
             limit: Limit::default(),
             cold_left: None,
         });
-        let gone = Record {
+        Record {
             condition: Condition::Gone,
             ..record
-        };
-        self.merge(now, SharedRecord::announced(gone))
+        }
     }
 
     /// Whether a departure of this id that names no start may be that of an earlier start, held up
     /// on its way.
     pub fn is_unsettled(&self, now: Duration, id: &str) -> bool {
         let row = self.rows.get(id).filter(|r| !r.is_gone());
-        row.is_some_and(|r| now < r.unsettled_until)
+        let restarted = row.is_some_and(|r| now < r.unsettled_until);
+        restarted || row.is_some_and(|r| r.departs_unseen(now))
+    }
+
+    /// Backend servers that may have departed, each returned once for a departure: one that named no
+    /// start was recorded for an earlier start, and nothing is known of a contact since. The
+    /// coordinators that recorded it may not have known the later start, which had announced itself
+    /// to one that was cut off.
+    pub fn take_doubtful_departures(&mut self, now: Duration) -> Vec<BackendId> {
+        let mut doubtful = Vec::new();
+        for (id, row) in &mut self.rows {
+            if !row.is_gone() && row.departs_unseen(now) {
+                doubtful.extend(row.take_unchecked().then(|| id.clone()));
+            }
+        }
+        doubtful
     }
 
     /// A record with what this table knows of contacts with its start.
@@ -308,6 +363,9 @@
             heard_age: row.and_then(|_| self.heard_age(now, &record.id)),
             replaced_age: replaced.map(|r| HELD_UP_WINDOW.saturating_sub(r.unsettled_until - now)),
             forgotten: row.is_some_and(|r| r.forgotten),
+            departed_age: row
+                .and_then(|r| r.departure)
+                .map(|d| now.saturating_sub(d.at)),
             record,
         }
     }
@@ -358,6 +416,25 @@
         self.record.condition == Condition::Gone
     }
 
+    fn record_departure(&mut self, at: Duration) {
+        let known = self.departure.map(|d| d.at);
+        if known.is_none_or(|known| at > known + SAME_DEPARTURE) {
+            self.departure = Some(UnnamedDeparture { at, checked: false });
+        }
+    }
+
+    /// Whether a departure that named no start came after the last contact that is known.
+    fn departs_unseen(&self, now: Duration) -> bool {
+        let last_contact = self.expires_at.saturating_sub(CONTACT_TIMEOUT);
+        let departure = self.departure.filter(|d| now < d.at + DEPARTED_RETENTION);
+        !self.forgotten && departure.is_some_and(|d| d.at >= last_contact)
+    }
+
+    fn take_unchecked(&mut self) -> bool {
+        let departure = self.departure.as_mut();
+        departure.is_some_and(|d| !std::mem::replace(&mut d.checked, true))
+    }
+
     /// Marks the row as changed for processes that read changes from a cursor.
     pub(crate) fn touch(&mut self, cursor: &mut Cursor) {
         *cursor += 1;
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -49,6 +49,7 @@
             heard: shared.heard_sequence,
             replaced_ms: shared.replaced_age.map(to_millis),
             forgotten: shared.forgotten,
+            departed_ms: shared.departed_age.map(to_millis),
             ..record.into()
         }
     }
@@ -86,6 +87,7 @@
             heard_age: r.heard_ms.map(age),
             replaced_age: r.replaced_ms.map(age),
             forgotten: r.forgotten,
+            departed_age: r.departed_ms.map(age),
             record: r.try_into()?,
         })
     }
--- a/crates/registry/tests/contacts.rs
+++ b/crates/registry/tests/contacts.rs
@@ -279,3 +279,31 @@
     expect_that!((change, present), eq((Change::Updated, true)));
     expect_that!(is_present(&registry), eq(false));
 }
+
+/// Guards against a start that is used after its departure was acknowledged: only a coordinator that
+/// was cut off knew of it, and the others recorded the departure of the start before.
+#[googletest::test]
+fn a_later_start_that_was_silent_since_a_departure_is_doubted() {
+    for announced_again in [false, true] {
+        let (mut in_touch, mut cut_off) = (Registry::default(), Registry::default());
+        in_touch.announce(at(1), record(1, 9));
+        cut_off.announce(at(1), record(1, 9));
+        cut_off.announce(at(20), record(2, 1));
+        in_touch.record_unnamed_departure(at(30), "a", 1);
+        if announced_again {
+            cut_off.announce(at(31), record(2, 2));
+        }
+
+        let (from_cut_off, from_in_touch) = (cut_off.clone(), in_touch.clone());
+        send(at(40), &from_cut_off, &mut in_touch);
+        send(at(40), &from_in_touch, &mut cut_off);
+
+        for registry in [&mut in_touch, &mut cut_off] {
+            let doubtful = registry.take_doubtful_departures(at(90));
+            let again = registry.take_doubtful_departures(at(90));
+            expect_that!(registry.get("a").unwrap().start_time, eq(2));
+            expect_that!(doubtful.len(), eq(usize::from(!announced_again)));
+            expect_that!(again.len(), eq(0));
+        }
+    }
+}
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -984,6 +984,9 @@
     /// no coordinator in touch has heard of it for long
     #[prost(bool, tag = "18")]
     pub forgotten: bool,
+    /// since a departure of the id that named no start, counted from sending; absent: none known
+    #[prost(uint32, optional, tag = "19")]
+    pub departed_ms: ::core::option::Option<u32>,
 }
 /// The last announcement of one start of a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
