--- a/crates/fleet/tests/hour.rs
+++ b/crates/fleet/tests/hour.rs
@@ -281,3 +281,21 @@
         self.simulation.run(Duration::from_secs(150));
     }
 }
+
+/// Guards against a start that is used after its departure was acknowledged: it had announced itself
+/// to a coordinator that was cut off, and the others knew only the start before.
+#[googletest::test]
+fn a_departure_holds_for_a_start_that_only_a_coordinator_cut_off_knew() {
+    let mut simulation = fleet(7, 0.0);
+    simulation.run(Duration::from_secs(90));
+    simulation.cut_off(0, true);
+    simulation.start_server(1, 2, 0);
+    simulation.run(Duration::from_secs(5));
+
+    let in_touch = depart(&mut simulation, 1, 2);
+    simulation.cut_off(0, false);
+    simulation.run(Duration::from_secs(4));
+
+    expect_that!(in_touch, eq((Some(true), true)));
+    expect_that!(simulation.knowing(1), eq((0, 0)));
+}
