--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -151,6 +151,9 @@
 ) -> Outcome {
     silence::record_heard(shared, &reservation.server);
     let headers = response.headers();
+    if !belongs(headers, &ctx.id, &connection) {
+        return Outcome::Mismatched;
+    }
     record_load(shared, &reservation.server, headers);
     let status = response.status().as_u16();
     feedback::record(shared, ctx, &reservation.server, sent, &response);
@@ -168,8 +171,8 @@
             false => NotRunReason::Full,
         });
     }
-    // A surplus response to an earlier request may arrive where this one is expected.
-    if text(headers, header::ATTEMPT) != Some(&ctx.id) {
+    // What answers without an id on a new connection may be no backend server.
+    if text(headers, header::ATTEMPT).is_none() {
         return Outcome::Mismatched;
     }
     silence::record_answer(shared, &reservation.server, shared.now() - sent);
@@ -180,6 +183,16 @@
     }))
 }
 
+/// Whether a response is to this request: a surplus response to an earlier one may arrive where this
+/// one is expected, and nothing that it says is true of this request. Without an id, only the first
+/// response on a connection can be to this request.
+fn belongs(headers: &HeaderMap, id: &str, connection: &Connection) -> bool {
+    match text(headers, header::ATTEMPT) {
+        Some(echoed) => echoed == id,
+        None => !connection.reused,
+    }
+}
+
 fn record_load(shared: &Shared, server: &Server, headers: &HeaderMap) {
     let report = text(headers, header::LOAD).and_then(bn_platform::parse_load);
     if let Some(load) = report {
