--- a/crates/cli/src/cmd/bench/fleet.rs
+++ b/crates/cli/src/cmd/bench/fleet.rs
@@ -4,7 +4,8 @@
 use super::table;
 use crate::error::CliResult;
 use bn_fleet::{FleetSpec, Report, TrafficRate, run_scenario};
-use std::time::Instant;
+use bn_registry::{Registry, SharedRecord};
+use std::time::{Duration, Instant};
 
 #[derive(clap::Args)]
 #[command(after_help = "Example:\n  buckthornnotch bench fleet --sizes 6,427,854,1708")]
@@ -37,6 +38,7 @@
         "gateway: start, KB/s",
         "calm, msg/s; KB/s",
         "changes, msg/s; KB/s",
+        "contacts, msg/s; KB/s",
         "s to play",
     ]);
     for gateways in &args.sizes {
@@ -50,10 +52,33 @@
         t.add_row(row(*gateways, &report, started));
     }
     println!("{t}");
+    let contact = contact_cost(args.servers, args.coordinators);
+    println!("A reported contact: {contact:.2} us to collect and to merge.");
     println!("Busiest instance of each role, sent and received; the transport adds to it.");
     Ok(())
 }
 
+/// Microseconds that a coordinator takes for each contact that it reports, or that is reported to it.
+fn contact_cost(servers: usize, coordinators: usize) -> f64 {
+    let now = Duration::from_secs(100);
+    let (mut own, mut other) = (Registry::default(), Registry::default());
+    let share = servers / coordinators.max(1);
+    for number in 0..servers {
+        let record = bn_fleet::record(number, 1);
+        other.announce(now, record.clone());
+        match number < share {
+            true => own.announce(now, record),
+            false => own.merge(now, SharedRecord::announced(record)),
+        };
+    }
+    let started = Instant::now();
+    let contacts = own.take_contacts(now);
+    for contact in &contacts {
+        other.record_contact(now, contact);
+    }
+    started.elapsed().as_secs_f64() * 1e6 / contacts.len().max(1) as f64
+}
+
 fn row(gateways: usize, report: &Report, started: Instant) -> Vec<String> {
     let kilobytes = |load: TrafficRate| format!("{:.1}", load.bytes / 1e3);
     let rates = |load: TrafficRate| format!("{:.1}; {:.2}", load.messages, load.bytes / 1e3);
@@ -69,6 +94,7 @@
         kilobytes(report.startup.1),
         rates(report.idle.1),
         rates(report.changes.1),
+        rates(report.contacts),
         format!("{:.1}", started.elapsed().as_secs_f64()),
     ]
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,5 +14,6 @@
 mod traffic;
 
 pub use scenario::{Report, run_scenario};
+pub use server::record;
 pub use simulation::{FleetSpec, Simulation};
 pub use traffic::{Traffic, TrafficRate};
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -3,6 +3,7 @@
 
 use crate::simulation::{FleetSpec, Simulation};
 use crate::traffic::TrafficRate;
+use bn_registry::CONTACT_INTERVAL;
 use std::time::Duration;
 
 /// Time over which the first backend servers announce themselves.
@@ -23,12 +24,34 @@
     pub idle: (TrafficRate, TrafficRate),
     /// The same while registrations change.
     pub changes: (TrafficRate, TrafficRate),
+    /// Peak rate of a coordinator's reports of contacts, sent and received, while all servers announce
+    /// themselves again and again.
+    pub contacts: TrafficRate,
     /// Mean number of copies of one registration that one gateway received.
     pub mean_copies: f64,
     /// Longest time until a gateway learned of a backend server; `None` if one never did.
     pub max_delay: Option<Duration>,
 }
 
+/// Rate of contact reports. Gateways get none, so that there are none here.
+fn contact_rate(seed: u64, spec: FleetSpec, servers: usize) -> TrafficRate {
+    let coordinators = spec.coordinators;
+    let mut simulation = Simulation::new(
+        seed,
+        FleetSpec {
+            gateways: 0,
+            ..spec
+        },
+    );
+    for number in 0..servers {
+        simulation.start_server(number, 1, number % coordinators.max(1));
+    }
+    simulation.run(CONTACT_INTERVAL);
+    simulation.reset_counts();
+    simulation.run(4 * CONTACT_INTERVAL);
+    simulation.contact_rate()
+}
+
 /// Simulates a fleet that has this many backend servers.
 pub fn run_scenario(seed: u64, spec: FleetSpec, servers: usize) -> Report {
     let mut simulation = Simulation::new(seed, spec);
@@ -49,7 +72,9 @@
     }
     let changes = simulation.peak_rates();
     simulation.run(SETTLE_TIME);
+    let contacts = contact_rate(seed, spec, servers);
     Report {
+        contacts,
         startup,
         idle,
         changes,
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -45,7 +45,8 @@
     format!("server-{number:08}")
 }
 
-pub(crate) fn record(number: usize, start_time: StartTime) -> Record {
+/// The record of a simulated backend server.
+pub fn record(number: usize, start_time: StartTime) -> Record {
     Record {
         id: server_id(number),
         start_time,
