--- a/crates/coordinator/src/announcements.rs
+++ b/crates/coordinator/src/announcements.rs
@@ -175,8 +175,8 @@
         json!({ "backend_servers": rows.collect::<Vec<_>>() }).to_string()
     }
 
-    /// Asks another process what it knows of a backend server. Nobody waits for the answer to call
-    /// 0, which is merged like any other.
+    /// Asks another process what it knows of a backend server. The answer to call 0 is merged
+    /// like any other, and no departure waits for it.
     pub(crate) fn request_registration(&self, inbox: SocketAddr, call: u64, id: &str) {
         let id = id.into();
         let body = Body::RegistrationAsk(wire::RegistrationAsk { call, id });
--- a/crates/coordinator/src/updates.rs
+++ b/crates/coordinator/src/updates.rs
@@ -168,7 +168,7 @@
             (true, false) => self.subscribers.record_sent(inbox, self.registry.cursor()),
             (false, _) => {}
         }
-        // Each coordinator forgets by itself; one that still knows a backend server has heard of it.
+        // Each coordinator forgets by itself: another one may have had a contact since.
         let tells = |r: &&Record| is_gateway || !self.registry.is_forgotten(&r.id);
         let changed = changed.iter().filter(tells);
         let changed = changed.map(|r| self.registry.to_wire(now, r));
@@ -282,8 +282,7 @@
         }
     }
 
-    /// Merges what another coordinator heard of a backend server; if it is not known here, requests
-    /// it.
+    /// Merges a contact that another coordinator reports; if its start is not known here, requests it.
     fn merge_contact(&mut self, now: Duration, inbox: SocketAddr, contact: &Contact) {
         match self.registry.record_contact(now, contact) {
             ContactEffect::Known => {}
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -177,7 +177,7 @@
         (!empty).then_some(update)
     }
 
-    /// Forgets what nobody heard of, and returns the poll of each other coordinator, if it is due.
+    /// Forgets backend servers without contact, and returns the poll of each other coordinator, if it is due.
     pub(crate) fn poll_peers(&mut self, now: Duration, in_touch: bool) -> Option<Rc<[BackendId]>> {
         if !is_due(now, PEER_POLL_INTERVAL) {
             return None;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod coordinator;
 mod gateway;
+mod lifecycle;
 mod messages;
 mod scenario;
 mod server;
--- a/crates/fleet/src/simulation.rs
+++ b/crates/fleet/src/simulation.rs
@@ -3,22 +3,21 @@
 use crate::coordinator::{Coordinator, PeerPoll};
 use crate::gateway::Gateway;
 use crate::messages::{Packet, Process, contacts_size, poll_size, update_size};
-use crate::server::{Server, record, server_id};
+use crate::server::{Server, record};
 use crate::traffic::{Traffic, TrafficRate, peak_rate};
-use bn_coordinator::{Departure, Health, Step};
 use bn_gateway::{PollState, UpdateRange};
-use bn_registry::{BackendId, StartTime};
+use bn_registry::BackendId;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(10);
 /// Incarnation of a coordinator's first start.
 const FIRST_INCARNATION: u64 = 1;
 /// Coordinators that the settings name as seeds.
-const SEED_COUNT: usize = 3;
+pub(crate) const SEED_COUNT: usize = 3;
 const PORT: u16 = 7340;
 
 /// Size of a fleet and quality of its links.
@@ -34,19 +33,19 @@
 
 /// A simulated fleet.
 pub struct Simulation {
-    now: Duration,
-    rng: SmallRng,
+    pub(crate) now: Duration,
+    pub(crate) rng: SmallRng,
     spec: FleetSpec,
-    inboxes: Vec<SocketAddr>,
-    coordinators: Vec<Coordinator>,
-    gateways: Vec<Gateway>,
-    servers: IndexMap<usize, Server>,
-    by_inbox: IndexMap<SocketAddr, usize>,
+    pub(crate) inboxes: Vec<SocketAddr>,
+    pub(crate) coordinators: Vec<Coordinator>,
+    pub(crate) gateways: Vec<Gateway>,
+    pub(crate) servers: IndexMap<usize, Server>,
+    pub(crate) by_inbox: IndexMap<SocketAddr, usize>,
     in_transit: Vec<(Duration, Packet)>,
     announced: IndexMap<String, Duration>,
-    calls: u64,
+    pub(crate) calls: u64,
     /// Outcome of each departure, by call: whether it was acknowledged.
-    outcomes: IndexMap<u64, bool>,
+    pub(crate) outcomes: IndexMap<u64, bool>,
     counting_since: Duration,
 }
 
@@ -104,72 +103,6 @@
         }
     }
 
-    /// Starts a backend server that announces itself to one coordinator again and again; a later
-    /// start replaces it.
-    pub fn start_server(&mut self, number: usize, start_time: StartTime, coordinator: usize) {
-        let server = Server::new(number, start_time, coordinator);
-        self.servers.insert(number, server);
-    }
-
-    /// A backend server crashes: it announces itself no more.
-    pub fn crash_server(&mut self, number: usize) {
-        if let Some(server) = self.servers.get_mut(&number) {
-            server.announces = false;
-        }
-    }
-
-    /// A backend server announces itself no more, and its health check says that it leaves. Its
-    /// departure has still to be sent.
-    pub fn retire_server(&mut self, number: usize) {
-        self.crash_server(number);
-        if let Some(server) = self.servers.get_mut(&number) {
-            server.health = Health::Leaving;
-        }
-    }
-
-    /// A departure, which names no start, reaches a coordinator now; returns its call.
-    pub fn depart(&mut self, number: usize, coordinator: usize) -> u64 {
-        self.calls += 1;
-        let (call, id) = (self.calls, server_id(number));
-        if let Some(at) = self.coordinators.get_mut(coordinator) {
-            at.departures.insert(call, Departure::new(self.now, &id));
-        }
-        for to in (0..self.inboxes.len()).filter(|to| *to != coordinator) {
-            self.ask(coordinator, Process::Coordinator(to), call, &id);
-        }
-        call
-    }
-
-    /// Whether a departure was acknowledged; `None` while it is not answered.
-    pub fn outcome(&self, call: u64) -> Option<bool> {
-        self.outcomes.get(&call).copied()
-    }
-
-    /// Cuts a coordinator off from the other coordinators and from gateways, or ends that.
-    pub fn cut_off(&mut self, coordinator: usize, cut_off: bool) {
-        if let Some(coordinator) = self.coordinators.get_mut(coordinator) {
-            coordinator.cut_off = cut_off;
-        }
-    }
-
-    /// Starts one more gateway.
-    pub fn start_gateway(&mut self) {
-        let seeds: Vec<SocketAddr> = self.inboxes.iter().copied().take(SEED_COUNT).collect();
-        let n = self.gateways.len();
-        let gateway = Gateway::new(n, seeds, self.rng.random_range(0..1 << 16), self.now);
-        self.by_inbox.insert(gateway.inbox, n);
-        self.gateways.push(gateway);
-    }
-
-    /// Numbers of coordinators and of gateways that know a backend server as present.
-    pub fn knowing(&self, number: usize) -> (usize, usize) {
-        let id = server_id(number);
-        let lists = |c: &&Coordinator| c.registry.present().any(|r| r.id == id);
-        let coordinators = self.coordinators.iter().filter(lists).count();
-        let gateways = self.gateways.iter().filter(|g| g.uses(&id)).count();
-        (coordinators, gateways)
-    }
-
     /// Stops one coordinator for good.
     pub fn stop(&mut self, coordinator: usize) {
         if let Some(coordinator) = self.coordinators.get_mut(coordinator) {
@@ -302,24 +235,6 @@
         packets.into_iter().for_each(|m| self.send(m));
     }
 
-    fn announce_servers(&mut self) {
-        let now = self.now;
-        let count = self.coordinators.len().max(1);
-        for server in self.servers.values_mut() {
-            let Some(record) = server.announce(now) else {
-                continue;
-            };
-            for _ in 0..count {
-                let coordinator = self.coordinators.get_mut(server.coordinator);
-                if let Some(coordinator) = coordinator.filter(|c| !c.stopped) {
-                    coordinator.announce(now, record);
-                    break;
-                }
-                server.coordinator = (server.coordinator + 1) % count;
-            }
-        }
-    }
-
     fn poll_peers(&mut self, at: usize) {
         let now = self.now;
         let running = |c: &&Coordinator| !c.stopped && !c.cut_off;
@@ -342,55 +257,7 @@
         }
     }
 
-    fn advance_departures(&mut self, at: usize) {
-        let now = self.now;
-        let voters: Vec<IpAddr> = self.inboxes.iter().map(SocketAddr::ip).collect();
-        let Some(own) = voters.get(at).copied() else {
-            return;
-        };
-        let Some(coordinator) = self.coordinators.get_mut(at).filter(|c| !c.stopped) else {
-            return;
-        };
-        let mut asks = Vec::new();
-        for id in coordinator.registry.take_doubtful_departures(now) {
-            self.calls += 1;
-            let departure = Departure::new(now, &id);
-            coordinator.departures.insert(self.calls, departure);
-        }
-        let departures = std::mem::take(&mut coordinator.departures);
-        for (call, mut departure) in departures {
-            let outcome = loop {
-                match departure.next_step(now, &coordinator.registry, own, &voters) {
-                    Step::Wait => break None,
-                    Step::AskGateways => asks.push((call, departure.id().to_string())),
-                    Step::CheckHealth => {
-                        let servers = self.servers.values();
-                        let mut checked = servers.filter(|s| s.record.id == departure.id());
-                        let health = checked.next().map_or(Health::Unknown, |s| s.health);
-                        departure.record_health(health);
-                    }
-                    Step::Depart(start_time) => coordinator.depart(now, departure.id(), start_time),
-                    Step::Acknowledge => break Some(true),
-                    Step::Refuse => break Some(false),
-                }
-            };
-            match outcome {
-                Some(outcome) => {
-                    self.outcomes.insert(call, outcome);
-                }
-                None => {
-                    coordinator.departures.insert(call, departure);
-                }
-            }
-        }
-        for (call, id) in asks {
-            for gateway in 0..self.gateways.len() {
-                self.ask(at, Process::Gateway(gateway), call, &id);
-            }
-        }
-    }
-
-    fn ask(&mut self, from: usize, to: Process, call: u64, id: &str) {
+    pub(crate) fn ask(&mut self, from: usize, to: Process, call: u64, id: &str) {
         let id = id.into();
         self.send(Packet::Ask { from, to, call, id });
     }
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -67,7 +67,7 @@
             let sources = self.forgotten.entry(id.clone()).or_default();
             let last = LastContact {
                 start_time: shared.record.start_time,
-                sequence: shared.heard_sequence,
+                sequence: shared.contact_sequence,
                 reported_at: now,
             };
             sources.insert(source, last);
--- a/crates/gateway/tests/registrations.rs
+++ b/crates/gateway/tests/registrations.rs
@@ -45,7 +45,7 @@
 /// What a coordinator sends that forgot `a` after the announcement `sequence`, or has not.
 fn sent(sequence: u64, forgotten: bool) -> SharedRecord {
     SharedRecord {
-        heard_sequence: sequence,
+        contact_sequence: sequence,
         forgotten,
         ..SharedRecord::announced(record(1, Condition::Ready))
     }
--- a/crates/registry/src/contacts.rs
+++ b/crates/registry/src/contacts.rs
@@ -1,19 +1,20 @@
-//! Contacts with backend servers, shared between coordinators: what one of them heard of a backend
-//! server, all know, and what none of them heard of, all forget.
+//! Contacts with backend servers, shared between coordinators: a backend server that announces itself
+//! to any of them is known to all, and one that announces itself to none is forgotten by all.
 //!
 //! A backend server announces itself to one coordinator, and an announcement that changes nothing is
-//! told to nobody. So each coordinator reports what announced itself there, many in one message and
+//! not passed on. So each coordinator reports what announced itself there, many in one message and
 //! a few times before anything is forgotten. Before it forgets a backend server it asks the others,
 //! one of which may be cut off from it but not from a third. All times are ages: a record that is
 //! passed on, also at a restart, grows no younger.
 
-use crate::table::{BackendId, Registry, Sequence, StartTime};
+use crate::record::{BackendId, Sequence, StartTime};
+use crate::table::Registry;
 use std::time::Duration;
 
 /// How long a departed or forgotten start is remembered. Far longer than a network partition may
 /// delay an announcement (tens of seconds), and bounded so that the table does not grow.
 pub const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
-/// A backend server that no coordinator has heard of for this long is forgotten: 50 times the usual
+/// A backend server without contact to any coordinator for this long is forgotten: 50 times the usual
 /// interval between announcements. Until then each gateway judges it by its own requests.
 pub const CONTACT_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval between two reports of contacts: several may be lost before anything is forgotten.
@@ -84,15 +85,15 @@
         let Some(left) = left.filter(|_| same_start) else {
             return ContactEffect::Known;
         };
-        match self.record_heard(now, &contact.id, contact.sequence, left) {
+        match self.refresh(now, &contact.id, contact.sequence, left) {
             true => ContactEffect::Revived,
             false => ContactEffect::Known,
         }
     }
 
-    /// Records that the held start was heard of, and is kept for `left` from now on; `true` if it
-    /// had been forgotten.
-    pub(crate) fn record_heard(
+    /// Records a contact with the held start, which keeps it for `left` from now on; `true` if it had
+    /// been forgotten.
+    pub(crate) fn refresh(
         &mut self,
         now: Duration,
         id: &str,
@@ -102,11 +103,11 @@
         let Some(row) = self.rows.get_mut(id).filter(|r| !r.is_gone()) else {
             return false;
         };
-        let later = sequence > row.heard_sequence;
+        let later = sequence > row.contact_sequence;
         if row.forgotten && !later {
             return false;
         }
-        row.heard_sequence = row.heard_sequence.max(sequence);
+        row.contact_sequence = row.contact_sequence.max(sequence);
         if !row.forgotten {
             row.expires_at = row.expires_at.max(now + left);
             return false;
@@ -117,8 +118,8 @@
         true
     }
 
-    /// Time since a backend server was last heard of, or departed.
-    pub(crate) fn heard_age(&self, now: Duration, id: &str) -> Option<Duration> {
+    /// Time since the last contact with a backend server, or since its departure.
+    pub(crate) fn contact_age(&self, now: Duration, id: &str) -> Option<Duration> {
         let row = self.rows.get(id)?;
         let lifetime = match row.is_gone() || row.forgotten {
             true => DEPARTED_RETENTION,
@@ -157,12 +158,12 @@
         Some(Contact {
             id: id.into(),
             start_time: row.record.start_time,
-            sequence: row.heard_sequence,
-            age: self.heard_age(now, id)?,
+            sequence: row.contact_sequence,
+            age: self.contact_age(now, id)?,
         })
     }
 
-    /// Backend servers that will be forgotten unless other coordinators have heard of them.
+    /// Backend servers that will be forgotten unless other coordinators report contacts.
     pub fn doubted(&self, now: Duration) -> Vec<BackendId> {
         let live = self
             .rows
@@ -175,8 +176,8 @@
             .collect()
     }
 
-    /// Forgets backend servers that nobody heard of, and evicts what was remembered for long enough;
-    /// returns the former. `in_touch` says whether the other coordinators can be heard: while they
+    /// Forgets backend servers without contact, and evicts what was remembered for long enough;
+    /// returns the former. `in_touch` says whether the other coordinators can be reached: while they
     /// cannot, nothing is forgotten, and afterwards they have the whole time for their reports.
     pub fn evict_expired(&mut self, now: Duration, in_touch: bool) -> Vec<BackendId> {
         let in_touch_since = self.touch.update(now, in_touch);
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,12 +7,13 @@
 //! process's updates means nothing, since that process may just have started.
 
 mod contacts;
+mod departures;
+mod record;
+mod row;
 mod table;
 mod wire;
 
 pub use contacts::{CONTACT_INTERVAL, CONTACT_TIMEOUT, Contact, ContactEffect, DEPARTED_RETENTION};
-pub use table::{
-    BackendId, Change, Condition, Cursor, RankVersion, Record, Registry, Sequence, SharedRecord,
-    StartTime,
-};
+pub use record::{BackendId, Condition, RankVersion, Record, Sequence, SharedRecord, StartTime};
+pub use table::{Change, Cursor, Registry};
 pub use wire::InvalidRegistration;
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -1,7 +1,8 @@
 //! Conversions between [`Record`] and the wire message `Registration`.
 
 use crate::contacts::Contact;
-use crate::table::{Condition, Record, Registry, SharedRecord};
+use crate::record::{Condition, Record, SharedRecord};
+use crate::table::Registry;
 use bn_backpressure::Limit;
 use bn_wire::messages as wire;
 use snafu::{OptionExt, Snafu};
@@ -33,7 +34,7 @@
             limit: r.limit.rate,
             limit_turn: r.limit.version,
             cold_ms: r.cold_left.map(to_millis),
-            heard: r.sequence,
+            contact_sequence: r.sequence,
             ..wire::Registration::default()
         }
     }
@@ -45,8 +46,8 @@
         let shared = self.shared(now, record.clone());
         wire::Registration {
             cold_ms: self.cold_left(now, record).map(to_millis),
-            heard_ms: shared.heard_age.map(to_millis),
-            heard: shared.heard_sequence,
+            contact_ms: shared.contact_age.map(to_millis),
+            contact_sequence: shared.contact_sequence,
             replaced_ms: shared.replaced_age.map(to_millis),
             forgotten: shared.forgotten,
             departed_ms: shared.departed_age.map(to_millis),
@@ -83,8 +84,8 @@
     fn try_from(r: wire::Registration) -> Result<Self, InvalidRegistration> {
         let age = |ms: u32| Duration::from_millis(ms.into());
         Ok(SharedRecord {
-            heard_sequence: r.heard.max(r.sequence),
-            heard_age: r.heard_ms.map(age),
+            contact_sequence: r.contact_sequence.max(r.sequence),
+            contact_age: r.contact_ms.map(age),
             replaced_age: r.replaced_ms.map(age),
             forgotten: r.forgotten,
             departed_age: r.departed_ms.map(age),
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -974,14 +974,14 @@
     pub cold_ms: ::core::option::Option<u32>,
     /// since its last announcement to any coordinator, or its departure, counted from sending; absent: not told
     #[prost(uint32, optional, tag = "15")]
-    pub heard_ms: ::core::option::Option<u32>,
+    pub contact_ms: ::core::option::Option<u32>,
     /// sequence of that announcement
     #[prost(uint64, tag = "16")]
-    pub heard: u64,
+    pub contact_sequence: u64,
     /// since this start replaced an earlier one of the id, counted from sending; absent: none did lately
     #[prost(uint32, optional, tag = "17")]
     pub replaced_ms: ::core::option::Option<u32>,
-    /// no coordinator in touch has heard of it for long
+    /// there was no contact with it for long
     #[prost(bool, tag = "18")]
     pub forgotten: bool,
     /// since a departure of the id that named no start, counted from sending; absent: none known
@@ -1005,7 +1005,7 @@
 /// Coordinator to coordinators and gateways: what is known of a backend server?
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RegistrationAsk {
-    /// echoed in the answer; 0: nobody waits for it
+    /// echoed in the answer; 0: no departure waits for it
     #[prost(uint64, tag = "1")]
     pub call: u64,
     #[prost(string, tag = "2")]
@@ -1061,7 +1061,7 @@
     /// of a gateway: demand that it saw lately
     #[prost(message, optional, tag = "13")]
     pub demand: ::core::option::Option<Demand>,
-    /// of a coordinator: not heard of for so long that it will forget them
+    /// of a coordinator: without contact for so long that it will forget them
     #[prost(message, repeated, tag = "14")]
     pub doubted: ::prost::alloc::vec::Vec<ServerStart>,
 }
@@ -1109,7 +1109,7 @@
     /// sum over the gateways that reported lately
     #[prost(message, optional, tag = "14")]
     pub demand: ::core::option::Option<Demand>,
-    /// to coordinators: announcements here since the last such message, and answers about doubted ones
+    /// to coordinators: announcements here since the last such message, and contacts with doubted ones
     #[prost(message, repeated, tag = "15")]
     pub contacts: ::prost::alloc::vec::Vec<Contact>,
 }
