--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -281,7 +281,7 @@
             Event::Message(m) => self.handle_message(now, *m),
             Event::Announce(record, reply) => self.on_announce(now, record, reply),
             Event::Leave(id, start, reply) => self.on_leave(now, &id, start, reply),
-            Event::HealthChecked(call, health) => self.on_health_checked(call, health),
+            Event::HealthChecked(call, health) => self.on_health_checked(now, call, health),
             Event::Propose(document, compressed, reply) => {
                 self.on_propose(now, &document, compressed, reply)
             }
--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -24,6 +24,10 @@
 /// then calls another coordinator.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time between two health checks of which the first one showed nothing: a full backend server
+/// rejects them like requests.
+const RECHECK_DELAY: Duration = Duration::from_millis(120);
+
 /// What a health check says of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Health {
@@ -59,8 +63,9 @@
     received_at: Duration,
     answered: IndexSet<IpAddr>,
     gateways_asked: bool,
-    health_checked: bool,
-    health: Option<Health>,
+    /// When its health is checked for the next time; `None` while a check is in progress.
+    check_due: Option<Duration>,
+    health: Health,
 }
 
 impl Departure {
@@ -71,8 +76,8 @@
             received_at: now,
             answered: IndexSet::new(),
             gateways_asked: false,
-            health_checked: false,
-            health: None,
+            check_due: Some(now),
+            health: Health::Unknown,
         }
     }
 
@@ -87,8 +92,9 @@
     }
 
     /// The backend server answered its health check, or did not.
-    pub fn record_health(&mut self, health: Health) {
-        self.health = Some(health);
+    pub fn record_health(&mut self, now: Duration, health: Health) {
+        self.health = health;
+        self.check_due = Some(now + RECHECK_DELAY);
     }
 
     /// The next step, by what the table knows. `voters` are those of the log, with this coordinator
@@ -108,10 +114,12 @@
                 false => Step::Wait,
             },
             Some(held) if registry.is_unsettled(now, &self.id) => match self.health {
-                None if !self.health_checked => Step::CheckHealth,
-                None => Step::Wait,
-                Some(Health::Leaving) => Step::Depart(held.start_time),
-                Some(Health::Serving | Health::Unknown) => Step::Refuse,
+                Health::Unknown if self.check_due.is_some_and(|due| now >= due) => {
+                    Step::CheckHealth
+                }
+                Health::Unknown => Step::Wait,
+                Health::Leaving => Step::Depart(held.start_time),
+                Health::Serving => Step::Refuse,
             },
             Some(held) => Step::Depart(held.start_time),
             None if confirmed && !self.gateways_asked => Step::AskGateways,
@@ -121,7 +129,9 @@
             return Step::Refuse;
         }
         self.gateways_asked |= step == Step::AskGateways;
-        self.health_checked |= step == Step::CheckHealth;
+        if step == Step::CheckHealth {
+            self.check_due = None;
+        }
         step
     }
 }
@@ -162,9 +172,9 @@
         }
     }
 
-    pub(crate) fn on_health_checked(&mut self, call: u64, health: Health) {
+    pub(crate) fn on_health_checked(&mut self, now: Duration, call: u64, health: Health) {
         if let Some((departure, _)) = self.departures.0.get_mut(&call) {
-            departure.record_health(health);
+            departure.record_health(now, health);
         }
     }
 
@@ -265,7 +275,7 @@
         let fields = json!({
             "id": departure.id, "known_began": known.map(|r| r.start_time),
             "condition": known.map(|r| format!("{:?}", r.condition)),
-            "answered": departure.answered.iter().collect::<Vec<_>>(), "health": departure.health.map(|h| format!("{h:?}")),
+            "answered": departure.answered.iter().collect::<Vec<_>>(), "health": format!("{:?}", departure.health),
         });
         self.lines.put("departure_refused", fields);
     }
--- a/crates/fleet/src/gateway.rs
+++ b/crates/fleet/src/gateway.rs
@@ -66,6 +66,10 @@
         changed: &[Registration],
     ) {
         self.sources.on_update(from, range);
+        if range.cursor > 0 && range.after == 0 {
+            let listed = changed.iter().map(|r| r.id.clone()).collect();
+            self.registrations.record_full_list(now, from, &listed);
+        }
         for raw in changed {
             let new = KnownServer {
                 copies: 0,
--- a/crates/fleet/src/lifecycle.rs
+++ b/crates/fleet/src/lifecycle.rs
@@ -121,7 +121,7 @@
                         let servers = self.servers.values();
                         let mut checked = servers.filter(|s| s.record.id == departure.id());
                         let health = checked.next().map_or(Health::Unknown, |s| s.health);
-                        departure.record_health(health);
+                        departure.record_health(now, health);
                     }
                     Step::Depart(start_time) => coordinator.depart(now, departure.id(), start_time),
                     Step::Acknowledge => break Some(true),
--- a/crates/fleet/tests/hour.rs
+++ b/crates/fleet/tests/hour.rs
@@ -129,6 +129,23 @@
     expect_that!(departed, eq((Some(true), true)));
 }
 
+/// Guards against a backend server that gateways keep for ever: it crashed while all coordinators
+/// restarted, and none of them ever knew it.
+#[googletest::test]
+fn what_ended_while_all_coordinators_restarted_is_forgotten() {
+    let mut simulation = fleet(8, 0.0);
+    simulation.crash_server(1);
+    (0..COORDINATORS).for_each(|c| simulation.restart(c));
+
+    simulation.run(Duration::from_secs(30));
+    let before = simulation.knowing(1);
+    simulation.run(FORGOTTEN);
+
+    expect_that!(before, eq((0, GATEWAYS)));
+    expect_that!(simulation.knowing(1), eq((0, 0)));
+    expect_that!(simulation.knowing(2), eq((COORDINATORS, GATEWAYS)));
+}
+
 /// Guards against acknowledging what no gateway can be told.
 #[googletest::test]
 fn a_coordinator_that_is_cut_off_acknowledges_no_departure() {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -269,6 +269,11 @@
         self.adopt_evacuations(inbox, &update);
         self.adopt_document(inbox, &update);
         self.update_selection(update.named);
+        if update.mark > 0 && update.after == 0 {
+            let listed = update.changed.iter().map(|r| r.id.clone()).collect();
+            let now = self.shared.now();
+            self.registrations.record_full_list(now, inbox, &listed);
+        }
         for raw in update.changed {
             match SharedRecord::try_from(raw) {
                 Ok(shared) => self.on_registration(shared, inbox),
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -9,7 +9,7 @@
 use bn_route::{ColdRegistration, Server};
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{RegistrationAnswer, RegistrationAsk};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -32,8 +32,8 @@
 struct LastContact {
     start_time: StartTime,
     sequence: Sequence,
-    /// When the coordinator reported that it has forgotten it.
-    reported_at: Duration,
+    /// From when on the coordinator counts as having forgotten it.
+    forgotten_at: Duration,
 }
 
 impl Registrations {
@@ -68,7 +68,7 @@
             let last = LastContact {
                 start_time: shared.record.start_time,
                 sequence: shared.contact_sequence,
-                reported_at: now,
+                forgotten_at: now,
             };
             sources.insert(source, last);
         } else if let Some(sources) = self.forgotten.get_mut(id) {
@@ -76,6 +76,30 @@
         }
     }
 
+    /// Records that a coordinator sent all that it knows: it never knew the others, which may be as it
+    /// has just started, or has forgotten them long ago. They count as forgotten by it unless they
+    /// announce themselves.
+    pub fn record_full_list(
+        &mut self,
+        now: Duration,
+        source: SocketAddr,
+        listed: &IndexSet<BackendId>,
+    ) {
+        let missing = self
+            .records
+            .values()
+            .filter(|r| r.condition != Condition::Gone && !listed.contains(&r.id));
+        for record in missing {
+            let last = LastContact {
+                start_time: record.start_time,
+                sequence: record.sequence,
+                forgotten_at: now + CONTACT_TIMEOUT,
+            };
+            let sources = self.forgotten.entry(record.id.clone()).or_default();
+            sources.entry(source).or_insert(last);
+        }
+    }
+
     /// Removes departures received long ago, and backend servers that every one of `subscriptions`
     /// has forgotten and that have not answered here lately either; returns the latter. One
     /// coordinator alone may lag behind the others. `answered_at` says when a backend server last
@@ -93,12 +117,12 @@
             self.departed.shift_remove_index(0);
         }
         for sources in self.forgotten.values_mut() {
-            sources.retain(|_, last| now < last.reported_at + DEPARTED_RETENTION);
+            sources.retain(|_, last| now < last.forgotten_at + DEPARTED_RETENTION);
         }
         self.forgotten.retain(|_, sources| !sources.is_empty());
         let in_use = |id: &str| answered_at(id).is_some_and(|at| now < at + CONTACT_TIMEOUT);
         let ids = self.forgotten.keys();
-        let unused = ids.filter(|id| self.is_forgotten(id, subscriptions) && !in_use(id));
+        let unused = ids.filter(|id| self.is_forgotten(now, id, subscriptions) && !in_use(id));
         let unused: Vec<BackendId> = unused.cloned().collect();
         for id in &unused {
             self.records.shift_remove(id);
@@ -107,13 +131,14 @@
     }
 
     /// Whether a registration is held that all of these coordinators have forgotten.
-    fn is_forgotten(&self, id: &str, subscriptions: &[SocketAddr]) -> bool {
+    fn is_forgotten(&self, now: Duration, id: &str, subscriptions: &[SocketAddr]) -> bool {
         let held = self.get(id).filter(|h| h.condition != Condition::Gone);
         let (Some(held), Some(sources)) = (held, self.forgotten.get(id)) else {
             return false;
         };
         let forgets = |s: &SocketAddr| {
-            let last = sources.get(s).map(|last| (last.start_time, last.sequence));
+            let last = sources.get(s).filter(|last| now >= last.forgotten_at);
+            let last = last.map(|last| (last.start_time, last.sequence));
             last.is_some_and(|last| last >= (held.start_time, held.sequence))
         };
         !subscriptions.is_empty() && subscriptions.iter().all(forgets)
--- a/crates/gateway/tests/registrations.rs
+++ b/crates/gateway/tests/registrations.rs
@@ -6,6 +6,7 @@
 use bn_gateway::Registrations;
 use bn_registry::{Condition, Record, SharedRecord};
 use googletest::prelude::*;
+use indexmap::IndexSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -115,3 +116,23 @@
     expect_that!(soon, eq(true));
     expect_that!(registrations.get("a"), none());
 }
+
+/// Guards against a backend server that is kept for ever: it ended while all coordinators restarted,
+/// so that none of them knows it, or could forget it.
+#[googletest::test]
+fn what_no_subscription_lists_is_dropped_after_the_contact_timeout() {
+    let mut unknown = registrations(1);
+    let mut announced = registrations(1);
+    for registrations in [&mut unknown, &mut announced] {
+        for n in [1, 2] {
+            registrations.record_full_list(at(1), coordinator(n), &IndexSet::new());
+        }
+    }
+    announced.record_source(at(3), coordinator(2), &sent(6, false));
+
+    let early = evicted(&mut unknown, at(60), None);
+    let dropped = evicted(&mut unknown, at(61), None);
+    let kept = evicted(&mut announced, at(61), None);
+
+    expect_that!((early, dropped, kept), eq((false, true, false)));
+}
--- a/crates/registry/src/departures.rs
+++ b/crates/registry/src/departures.rs
@@ -66,12 +66,11 @@
     /// coordinators that recorded it may not have known the later start, which had announced itself
     /// to one that was cut off.
     pub fn take_doubtful_departures(&mut self, now: Duration) -> Vec<BackendId> {
-        let mut doubtful = Vec::new();
-        for (id, row) in &mut self.rows {
-            if !row.is_gone() && row.departs_unseen(now) {
-                doubtful.extend(row.take_unchecked().then(|| id.clone()));
-            }
-        }
-        doubtful
+        let doubtful = std::mem::take(&mut self.unchecked).into_iter();
+        let departs = |id: &BackendId| {
+            let row = self.rows.get(id).filter(|r| !r.is_gone());
+            row.is_some_and(|r| r.departs_unseen(now))
+        };
+        doubtful.filter(departs).collect()
     }
 }
--- a/crates/registry/src/row.rs
+++ b/crates/registry/src/row.rs
@@ -27,43 +27,33 @@
     /// There was no contact for [`CONTACT_TIMEOUT`]. The row is kept, so that one that returns has its
     /// group, slowdown and limit, and so that gateways are notified.
     pub(crate) forgotten: bool,
-    /// The latest departure of the id that named no start.
-    pub(crate) departure: Option<UnnamedDeparture>,
+    /// When a coordinator received the latest departure of the id that named no start.
+    pub(crate) departed_at: Option<Duration>,
     /// When the time left of its cold period was received.
     pub(crate) cold_at: Duration,
 }
 
-/// A departure that named no start.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct UnnamedDeparture {
-    /// When a coordinator received it.
-    pub(crate) at: Duration,
-    /// Whether it may be that of the held start has been checked.
-    checked: bool,
-}
-
 impl Row {
     pub(crate) fn is_gone(&self) -> bool {
         self.record.condition == Condition::Gone
     }
 
-    pub(crate) fn record_departure(&mut self, at: Duration) {
-        let known = self.departure.map(|d| d.at);
-        if known.is_none_or(|known| at > known + SAME_DEPARTURE) {
-            self.departure = Some(UnnamedDeparture { at, checked: false });
+    /// Records a departure that named no start; `false` if it was known.
+    pub(crate) fn record_departure(&mut self, at: Duration) -> bool {
+        let new = self
+            .departed_at
+            .is_none_or(|known| at > known + SAME_DEPARTURE);
+        if new {
+            self.departed_at = Some(at);
         }
+        new
     }
 
     /// Whether a departure that named no start came after the last contact that is known.
     pub(crate) fn departs_unseen(&self, now: Duration) -> bool {
         let last_contact = self.expires_at.saturating_sub(CONTACT_TIMEOUT);
-        let departure = self.departure.filter(|d| now < d.at + DEPARTED_RETENTION);
-        !self.forgotten && departure.is_some_and(|d| d.at >= last_contact)
-    }
-
-    pub(crate) fn take_unchecked(&mut self) -> bool {
-        let departure = self.departure.as_mut();
-        departure.is_some_and(|d| !std::mem::replace(&mut d.checked, true))
+        let departed_at = self.departed_at.filter(|at| now < *at + DEPARTED_RETENTION);
+        !self.forgotten && departed_at.is_some_and(|at| at >= last_contact)
     }
 
     /// Marks the row as changed for processes that read changes from a cursor.
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -4,7 +4,7 @@
 use crate::departures::HELD_UP_WINDOW;
 use crate::record::{BackendId, Condition, Record, SharedRecord, supersedes};
 use crate::row::Row;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
 /// Position in the table's sequence of changes, from which other processes request updates.
@@ -27,6 +27,8 @@
     pub(crate) rows: IndexMap<BackendId, Row>,
     pub(crate) cursor: Cursor,
     pub(crate) touch: Touch,
+    /// Backend servers of which a departure that named no start, or a start after one, is new.
+    pub(crate) unchecked: IndexSet<BackendId>,
 }
 
 impl Registry {
@@ -61,8 +63,10 @@
         let Some(row) = self.rows.get_mut(&id) else {
             return change;
         };
-        if let Some(age) = shared.departed_age {
-            row.record_departure(now.saturating_sub(age));
+        let departed_at = shared.departed_age.map(|age| now.saturating_sub(age));
+        let departed_anew = departed_at.is_some_and(|at| row.record_departure(at));
+        if departed_anew || (restarted && row.departed_at.is_some()) {
+            self.unchecked.insert(id.clone());
         }
         if row.record.start_time != shared.record.start_time {
             return change;
@@ -94,7 +98,7 @@
             true => self.rows.shift_remove(&record.id),
             false => None,
         };
-        let departure = earlier.and_then(|r| r.departure);
+        let departed_at = earlier.and_then(|r| r.departed_at);
         let Some(row) = self.rows.get_mut(&record.id) else {
             self.cursor += 1;
             let (id, cursor) = (record.id.clone(), self.cursor);
@@ -106,7 +110,7 @@
                 announced: false,
                 unsettled_until: Duration::ZERO,
                 forgotten: false,
-                departure,
+                departed_at,
                 cold_at: now,
             };
             self.rows.insert(id, row);
@@ -147,8 +151,8 @@
             replaced_age: replaced.map(|r| HELD_UP_WINDOW.saturating_sub(r.unsettled_until - now)),
             forgotten: row.is_some_and(|r| r.forgotten),
             departed_age: row
-                .and_then(|r| r.departure)
-                .map(|d| now.saturating_sub(d.at)),
+                .and_then(|r| r.departed_at)
+                .map(|at| now.saturating_sub(at)),
             record,
         }
     }
