--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -3,7 +3,8 @@
 //! A departure says of which id it is, and seldom of which start. This coordinator may have just
 //! started, or have been cut off, and know no start or only an earlier one. So it asks the others,
 //! and acknowledges the departure once a majority of the voters has answered and the latest start
-//! that any of them knows has departed. If they know none, gateways are asked.
+//! that any of them knows has departed, or the one that is named. If they know none, gateways are
+//! asked.
 //!
 //! A departure may be held up on its way until the next start under its id has announced itself.
 //! Shortly after a restart, the backend server's health check decides whose departure it is.
@@ -13,7 +14,7 @@
 use crate::events::Event;
 use crate::pushes::Waiter;
 use bn_engine::{Call, CallRequest, HttpAnswer};
-use bn_registry::{BackendId, Change, Condition, Registry, StartTime};
+use bn_registry::{BackendId, Change, Condition, Record, Registry, StartTime};
 use indexmap::{IndexMap, IndexSet};
 use serde_json::json;
 use std::net::IpAddr;
@@ -56,10 +57,12 @@
     Refuse,
 }
 
-/// One departure that names no start.
+/// One departure.
 #[derive(Debug, Clone)]
 pub struct Departure {
     id: BackendId,
+    /// The start that departs, if it is named.
+    start_time: Option<StartTime>,
     received_at: Duration,
     answered: IndexSet<IpAddr>,
     gateways_asked: bool,
@@ -69,10 +72,11 @@
 }
 
 impl Departure {
-    /// The departure of `id`, received now.
-    pub fn new(now: Duration, id: &str) -> Departure {
+    /// The departure of `id`, received now; `start_time` if it names the start.
+    pub fn new(now: Duration, id: &str, start_time: Option<StartTime>) -> Departure {
         Departure {
             id: id.into(),
+            start_time,
             received_at: now,
             answered: IndexSet::new(),
             gateways_asked: false,
@@ -108,11 +112,23 @@
     ) -> Step {
         let answered = |v: &&IpAddr| **v == own || self.answered.contains(*v);
         let confirmed = voters.iter().filter(answered).count() > voters.len() / 2;
-        let step = match registry.get(&self.id) {
-            Some(held) if held.condition == Condition::Gone => match confirmed {
-                true => Step::Acknowledge,
-                false => Step::Wait,
-            },
+        let step = match self.start_time {
+            Some(start_time) => named_step(registry.get(&self.id), start_time, confirmed),
+            None => self.unnamed_step(now, registry, confirmed),
+        };
+        if step == Step::Wait && now >= self.received_at + TIMEOUT {
+            return Step::Refuse;
+        }
+        self.gateways_asked |= step == Step::AskGateways;
+        if step == Step::CheckHealth {
+            self.check_due = None;
+        }
+        step
+    }
+
+    fn unnamed_step(&self, now: Duration, registry: &Registry, confirmed: bool) -> Step {
+        match registry.get(&self.id) {
+            Some(held) if held.condition == Condition::Gone => acknowledge_if(confirmed),
             Some(held) if registry.is_unsettled(now, &self.id) => match self.health {
                 Health::Unknown if self.check_due.is_some_and(|due| now >= due) => {
                     Step::CheckHealth
@@ -124,15 +140,26 @@
             Some(held) => Step::Depart(held.start_time),
             None if confirmed && !self.gateways_asked => Step::AskGateways,
             None => Step::Wait,
-        };
-        if step == Step::Wait && now >= self.received_at + TIMEOUT {
-            return Step::Refuse;
         }
-        self.gateways_asked |= step == Step::AskGateways;
-        if step == Step::CheckHealth {
-            self.check_due = None;
-        }
-        step
+    }
+}
+
+/// A later start goes on; the departure of the one that it replaced is in force.
+fn named_step(held: Option<&Record>, start_time: StartTime, confirmed: bool) -> Step {
+    let in_force = held.is_some_and(|held| {
+        let gone = held.condition == Condition::Gone;
+        held.start_time > start_time || (held.start_time == start_time && gone)
+    });
+    match in_force {
+        true => acknowledge_if(confirmed),
+        false => Step::Depart(start_time),
+    }
+}
+
+fn acknowledge_if(confirmed: bool) -> Step {
+    match confirmed {
+        true => Step::Acknowledge,
+        false => Step::Wait,
     }
 }
 
@@ -152,13 +179,8 @@
         start_time: Option<StartTime>,
         reply: oneshot::Sender<bool>,
     ) {
-        if let Some(start_time) = start_time {
-            let change = self.registry.record_departure(now, id, start_time);
-            self.publish_departure(id, start_time, change);
-            return self.pushes.answer_after_push(Waiter::Left(reply));
-        }
         let call = self.next_call_id();
-        let departure = Departure::new(now, id);
+        let departure = Departure::new(now, id, start_time);
         self.departures.0.insert(call, (departure, Some(reply)));
         for inbox in self.others() {
             self.request_registration(inbox, call, id);
@@ -184,7 +206,7 @@
             let call = self.next_call_id();
             self.departures
                 .0
-                .insert(call, (Departure::new(now, &id), None));
+                .insert(call, (Departure::new(now, &id, None), None));
         }
         if self.departures.0.is_empty() {
             return;
@@ -214,11 +236,7 @@
                     }
                 }
                 Step::CheckHealth => self.check_health(call, &departure.id),
-                Step::Depart(start_time) => {
-                    let id = &departure.id;
-                    let change = self.registry.record_unnamed_departure(now, id, start_time);
-                    self.publish_departure(id, start_time, change);
-                }
+                Step::Depart(start_time) => self.depart(now, &departure, start_time),
                 Step::Acknowledge => {
                     return self.acknowledge_departure(reply);
                 }
@@ -232,6 +250,15 @@
         self.departures.0.insert(call, (departure, reply));
     }
 
+    fn depart(&mut self, now: Duration, departure: &Departure, start_time: StartTime) {
+        let id = &departure.id;
+        let change = match departure.start_time {
+            Some(_) => self.registry.record_departure(now, id, start_time),
+            None => self.registry.record_unnamed_departure(now, id, start_time),
+        };
+        self.publish_departure(id, start_time, change);
+    }
+
     fn acknowledge_departure(&mut self, reply: Reply) {
         if let Some(reply) = reply {
             self.pushes.answer_after_push(Waiter::Left(reply));
--- a/crates/fleet/src/lifecycle.rs
+++ b/crates/fleet/src/lifecycle.rs
@@ -40,7 +40,8 @@
         self.calls += 1;
         let (call, id) = (self.calls, server_id(number));
         if let Some(at) = self.coordinators.get_mut(coordinator) {
-            at.departures.insert(call, Departure::new(self.now, &id));
+            at.departures
+                .insert(call, Departure::new(self.now, &id, None));
         }
         for to in (0..self.inboxes.len()).filter(|to| *to != coordinator) {
             self.ask(coordinator, Process::Coordinator(to), call, &id);
@@ -108,7 +109,7 @@
         let mut asks = Vec::new();
         for id in coordinator.registry.take_doubtful_departures(now) {
             self.calls += 1;
-            let departure = Departure::new(now, &id);
+            let departure = Departure::new(now, &id, None);
             coordinator.departures.insert(self.calls, departure);
         }
         let departures = std::mem::take(&mut coordinator.departures);
