--- a/crates/cli/tests/departures.rs
+++ b/crates/cli/tests/departures.rs
@@ -67,7 +67,7 @@
         announce(&fleet, &backend, 1_782_219_166_014, 4);
         let used = is_used(&fleet);
 
-        // It is back with an empty disk, and knows nobody at first.
+        // It restarts with an empty disk and an empty table.
         fleet.kill(&format!("c{coordinator}"));
         fleet.delete_data(coordinator);
         fleet.run_coordinator(coordinator, false);
--- a/crates/engine/tests/relay.rs
+++ b/crates/engine/tests/relay.rs
@@ -357,7 +357,7 @@
     expect_that!(harness.handle.wait(), eq(&Ok(())));
 }
 
-/// Guards against a relay that reads an engine's answer without end, and answers nobody else.
+/// Guards against a relay that reads an engine's answer without end, and answers no further request.
 #[googletest::test]
 fn answers_without_end_are_reported_as_none() {
     for (start, again) in [
--- a/crates/fleet/tests/hour.rs
+++ b/crates/fleet/tests/hour.rs
@@ -1,5 +1,5 @@
 //! A calm hour of backend servers that announce themselves to one coordinator each, and what happens
-//! then: longer than every timeout of the control plane but the retention of cases.
+//! then: longer than every timeout of registrations.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
@@ -19,7 +19,8 @@
 const ANSWER: Duration = Duration::from_secs(1);
 /// Schedules that failed once: they run first.
 const SEEDS_FAILED: [u64; 3] = [73, 108, 254];
-/// What nobody hears of for this long is forgotten: the timeout, and some for it to be told.
+/// Time without contact after which all processes have forgotten a backend server: the timeout, and
+/// some for the updates.
 const FORGOTTEN: Duration = Duration::from_secs(75);
 
 fn fleet(seed: u64, loss_rate: f64) -> Simulation {
@@ -99,8 +100,8 @@
     expect_that!(simulation.knowing(1), eq((COORDINATORS, GATEWAYS)));
 }
 
-/// Guards against departures that are acknowledged by a coordinator that has just started and knows
-/// nobody.
+/// Guards against departures that are acknowledged by a coordinator that has just started and has an
+/// empty table.
 #[googletest::test]
 fn a_coordinator_that_is_just_back_takes_departures() {
     for seed in 1..=20 {
--- a/crates/registry/tests/contacts.rs
+++ b/crates/registry/tests/contacts.rs
@@ -91,7 +91,7 @@
     expect_that!(is_present(&last), eq(false));
 }
 
-/// Guards against forgetting what nobody could report: the coordinator was cut off.
+/// Guards against forgetting live backend servers while a coordinator is cut off from all reports.
 #[googletest::test]
 fn nothing_is_forgotten_out_of_touch_or_right_after() {
     let mut registry = Registry::default();
@@ -212,8 +212,8 @@
     expect_that!((again.len(), told.len()), eq((0, 0)));
 }
 
-/// Guards against forgetting a backend server that a third coordinator has heard of: the one that
-/// hears it and this one are cut off from each other.
+/// Guards against forgetting a backend server that a third coordinator knows to be live: the one that
+/// it announces itself to and this one are cut off from each other.
 #[googletest::test]
 fn others_are_asked_before_anything_is_forgotten() {
     let (mut one, mut other) = (Registry::default(), Registry::default());
