--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,177 +1,144 @@
-"""Case 4: surplus answers of engines are taken for answers to later orders."""
+"""Case 4: a disk is lost shortly after a core machine was replaced as planned."""
 
-import asyncio
+import json
 import os
 import random
+import signal
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
-from deployment import CannotRun, Deployment, Record, ZONES, trouble  # noqa: E402
-from group import EXPERTS, PLACEMENTS, SETS, SPARE, Group, Trouble  # noqa: E402
-from httpd import Registrar  # noqa: E402
-
-RANKS = 24
-SECONDS = 75.0
-STREAMS_PER_SECOND = 14.0
-EVENTS = (12, 30)
-SHIFT_SECONDS = 3.0
-SEED = int(os.environ.get("SEED", "1"))
-# The limits of the sheets.
-EXTRA_RANKS, EXTRA_SHARE, EXTRA_SECONDS = 0.6, 0.03, 5.0
-LATE_SHARE, LATE_SECONDS = 0.35, 5.5
-PAUSE_SECONDS = 1.0
-
-
-def document(service):
-    engine = {
-        "slots": 12, "kv-capacity-tokens": 494000, "link-mbps": 180000.0, "stride": 6,
-        "models": [{"name": "m"}], "step_ms": 4.84, "per_seq_ms": 0.362, "read_per_s": 74800.0,
-        "chunk": 512, "report_lag_ms": 200.0, "usual": {"prompt": 835, "answer": 159},
-        "sets": SETS, "experts": EXPERTS, "placements": PLACEMENTS, "spare": SPARE,
-        "expert-mb": 2500.0, "expert-share": 0.85, "form_ms": 600.0,
-    }
-    route = {
-        "name": "r-stream", "hostname": "notices.example", "path-prefix": "/notice/",
-        "route-type": "streaming", "timeout-ms": 8000, "target-latency-ms": 400, "priority": 1,
-        "service": service, "max-attempts": 2, "public": True, "session-affinity": True,
-        "resumable": True, "target-itl-ms": 120,
-    }
-    limits = {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
-              "idle-timeout-ms": 15000}
-    return {"version": 7, "routes": [route], "limits": limits, "tenants": [],
-            "services": [{"name": service, "health-path": "/healthz", "max-connections": 248,
-                          "protocol": "h1", "tls": False, "engine": engine}]}
-
-
-async def client(deployment, record, number, rng, answered):
-    """One stream, read to its end."""
-    gateway = rng.choice(deployment.gateways)
-    attempt = f"{SEED:04x}{number:012x}"
-    events = rng.randint(*EVENTS)
-    body = b"x" * 700
-    head = (f"POST /notice/{events} HTTP/1.1\r\nHost: notices.example\r\nX-Attempt-Id: {attempt}\r\n"
-            f"X-Model: m\r\nX-Token-Usage: 714,156\r\nX-Prefix-Hash: 5c1e07a2:40,{number:x}:674\r\n"
-            f"X-Deadline-Ms: 8000\r\nContent-Length: {len(body)}\r\n\r\n")
-    status, whole = "none", False
-    try:
-        reader, writer = await asyncio.open_connection(gateway.ip, deployment.ports["frontend"])
-        writer.write(head.encode() + body)
-        async with asyncio.timeout(8.0):
-            status = (await reader.readline()).split()[1].decode()
-            whole = await read_end(reader)
-        writer.close()
-    except (OSError, IndexError, TimeoutError):
-        pass
-    answered[status if whole else "cut"] = answered.get(status if whole else "cut", 0) + 1
-    record.put(f"client: {attempt} gets {status}, {'whole' if whole else 'not whole'}")
-
-
-async def read_end(reader):
-    """Whether the rest of an answer comes whole."""
-    length = None
-    while line := await reader.readline():
-        if line.lower().startswith(b"content-length:"):
-            length = int(line.split(b":")[1])
-        if line == b"\r\n":
-            break
-    if length is not None:
-        return len(await reader.readexactly(length)) == length
-    while size := await reader.readline():
-        piece = int(size, 16)
-        await reader.readexactly(piece + 2)
-        if piece == 0:
-            return True
+from deployment import CannotRun, Deployment, Record, trouble  # noqa: E402
+from plain import document  # noqa: E402
+
+# Bounds of the deployment.
+CATCH_UP_SECONDS, RECOVER_SECONDS, STABLE_SECONDS = 4.0, 12.0, 3.0
+# From the successor's start to the SIGTERM of the machine that it replaces.
+LEAD_SECONDS = float(os.environ.get("LEAD_S", "5.0"))
+# From that SIGTERM to the change whose acknowledgement a disk is lost after.
+CHANGE_SECONDS = float(os.environ.get("CHANGE_S", "0.5"))
+DOWN_SECONDS = 2.0
+READ_SECONDS = 25.0
+SEED = int(os.environ.get("SEED", "0")) or random.randrange(1 << 30)
+
+
+def send(deployment, record, version, nodes, within):
+    """Sends a configuration, to one node after the other, until one acknowledges it; that one."""
+    body = json.dumps({**document("app", "safe", 8000, 400), "version": version}).encode()
+    until = time.monotonic() + within
+    while time.monotonic() < until:
+        for node in nodes:
+            status, _ = deployment.control_call("PUT", "/buckthornnotch/config", body, node)
+            record.put(f"operator: version {version} sent to {node.name} -> {status}")
+            if status == 200:
+                return node
+        time.sleep(0.3)
+    return None
+
+
+def read_back(deployment, record, nodes, acknowledged):
+    """Reads the configuration at all nodes again and again; whether it comes and is new enough."""
+    until, seen = time.monotonic() + READ_SECONDS, {}
+    while time.monotonic() < until:
+        for node in nodes:
+            status, body = deployment.control_call(
+                "GET", "/buckthornnotch/config", coordinator=node)
+            version = json.loads(body)["version"] if status == 200 else None
+            answer = f"{status}" + (f", version {version}" if version else "")
+            if seen.get(node.name) != answer:
+                seen[node.name] = answer
+                record.put(f"operator: reads at {node.name} -> {answer}")
+            if version is not None:
+                return version >= acknowledged
+        time.sleep(0.5)
     return False
 
 
-async def cause_trouble(faults, engines, record):
-    """Both disruptions again and again, each for as long as the sheets say."""
-
-    async def extra_answers():
-        while True:
-            count = int(EXTRA_RANKS * len(engines))
-            faults.faulty = set(faults.random.sample(range(len(engines)), count))
-            faults.extra_share = EXTRA_SHARE
-            record.put(f"garble: {count} ranks send {EXTRA_SHARE} of their answers twice")
-            await asyncio.sleep(EXTRA_SECONDS)
-            faults.extra_share = 0.0
-            await asyncio.sleep(PAUSE_SECONDS)
-
-    async def late_orders():
-        while True:
-            faults.late_share = LATE_SHARE
-            record.put(f"applied_late: {LATE_SHARE} of the orders get no answer")
-            await asyncio.sleep(LATE_SECONDS)
-            faults.late_share = 0.0
-            await asyncio.sleep(PAUSE_SECONDS)
-
-    # For trials of one disruption alone: KINDS=garble or KINDS=applied_late.
-    kinds = os.environ.get("KINDS", "garble,applied_late").split(",")
-    started = {"garble": extra_answers, "applied_late": late_orders}
-    await asyncio.gather(*(started[kind]() for kind in kinds))
-
-
-async def play(deployment, record):
+def replace_all(deployment, record, first):
+    """VARIANT=rolling: each machine has its successor first; planned work alone."""
+    successors = [deployment.add_coordinator() for _ in first]
+    for successor in successors:
+        successor.start()
+        record.put(f"platform: {successor.name} starts with an empty disk")
+    time.sleep(LEAD_SECONDS)
+    if send(deployment, record, 9, first, 4.0) is None:
+        raise CannotRun("the change was not acknowledged")
+    for replaced in first if trouble() else first[:1]:
+        replaced.signal(signal.SIGTERM)
+        replaced.child.wait()
+        record.put(f"platform: {replaced.name} has got SIGTERM and is removed for good")
+        deployment.coordinators.remove(replaced)
+        time.sleep(CHANGE_SECONDS)
+
+
+def replace_one(deployment, record, rng, first):
+    """One machine has its successor first; shortly after its end another one loses its disk."""
+    successor = deployment.add_coordinator()
+    successor.start()
+    record.put(f"platform: {successor.name} starts with an empty disk")
+    time.sleep(LEAD_SECONDS)
+    replaced = rng.choice(first)
+    replaced.signal(signal.SIGTERM)
+    replaced.child.wait()
+    record.put(f"platform: {replaced.name} has got SIGTERM and is removed for good")
+    deployment.coordinators.remove(replaced)
+    deployment.coordinator_ips = [c.ip for c in deployment.coordinators]
+    time.sleep(CHANGE_SECONDS)
+    nodes = list(deployment.coordinators)
+    rng.shuffle(nodes)
+    acknowledged_by = send(deployment, record, 9, nodes, 4.0)
+    if acknowledged_by is None:
+        raise CannotRun("the change was not acknowledged")
+    if trouble():
+        acknowledged_by.stop()
+        acknowledged_by.lose_disk()
+        record.put(f"platform: {acknowledged_by.name} has lost its power and its disk")
+        time.sleep(DOWN_SECONDS)
+        acknowledged_by.start()
+        record.put(f"platform: {acknowledged_by.name} starts again with an empty disk")
+
+
+def play(deployment, record):
     rng = random.Random(SEED)
-    service = "notice-gen"
-    faults = Trouble(SEED)
-    group = Group(deployment, RANKS, deployment.ports["app"], record, faults, SEED)
-    servers = [await e.serve() for e in group.engines]
-    await asyncio.to_thread(deployment.put_document, document(service))
-    registrars = [
-        Registrar(deployment, e.id, service, f"{e.ip}:{e.port}", ZONES[e.rank % 3], 12)
-        for e in group.engines]
-    tasks = [asyncio.create_task(r.run()) for r in registrars]
-    await asyncio.to_thread(deployment.wait_ready)
-    await asyncio.sleep(2.0)
-    tasks.append(asyncio.create_task(group.run_passes()))
-    loop = asyncio.get_running_loop()
-    start, number, answered, clients = loop.time(), 0, {}, set()
-    next_shift = start + SHIFT_SECONDS
-    trouble_from = start + 8.0
-    while loop.time() < start + SECONDS and not group.mixed:
-        if loop.time() >= next_shift:
-            next_shift += SHIFT_SECONDS
-            group.shift_demand()
-        if trouble() and trouble_from and loop.time() >= trouble_from:
-            trouble_from = None
-            tasks.append(asyncio.create_task(cause_trouble(faults, group.engines, record)))
-        number += 1
-        task = asyncio.create_task(client(deployment, record, number, rng, answered))
-        clients.add(task)
-        task.add_done_callback(clients.discard)
-        await asyncio.sleep(rng.expovariate(STREAMS_PER_SECOND))
-    await asyncio.sleep(1.0)
-    for task in [*tasks, *clients]:
-        task.cancel()
-    for server in servers:
-        server.close()
-    answers = sum(e.answers for e in group.engines)
-    record.put(f"answers to clients: {answered}; switches of the map on all ranks: {group.switches}")
-    record.put(f"answers of engines: {answers}, sent twice: {faults.extra_answers}; "
-               f"orders without an answer: {faults.late_orders}")
-    if group.switches == 0 and not group.mixed:
-        raise CannotRun("no switch of the map took place")
-    return group.mixed
+    record.put(f"seed {SEED}")
+    first = list(deployment.coordinators)
+    if not send(deployment, record, 7, first, 20.0):
+        raise CannotRun("the first configuration was not acknowledged")
+    deployment.wait_ready()
+    # Calm for longer than the stable window and the time to catch up.
+    time.sleep(STABLE_SECONDS + CATCH_UP_SECONDS)
+
+    if os.environ.get("VARIANT") == "rolling":
+        replace_all(deployment, record, first)
+    else:
+        replace_one(deployment, record, rng, first)
+    time.sleep(RECOVER_SECONDS + STABLE_SECONDS)
+    record.put("the time to recover and the stable window are over")
+    comes = read_back(deployment, record, deployment.coordinators, 9)
+    accepted = send(deployment, record, 12, deployment.coordinators, 5.0) is not None
+    running = [c.name for c in deployment.coordinators if c.child.poll() is None]
+    record.put(f"running: {', '.join(running)}; the next change is "
+               f"{'acknowledged' if accepted else 'not acknowledged'}")
+    return comes
 
 
 def main():
     record = Record(HERE)
     deployment = None
     try:
-        deployment = Deployment(gateways=2, relays=RANKS)
+        deployment = Deployment(gateways=1)
         deployment.start()
-        mixed = asyncio.run(play(deployment, record))
+        holds = play(deployment, record)
     except CannotRun as e:
         record.put(f"cannot run: {e}")
         return 2
     finally:
         if deployment:
             deployment.stop()
-    record.put(f"{len(mixed)} passes began with two maps" if mixed else "the rule held")
+    record.put("the rule held" if holds else "version 9 was acknowledged and can't be read back")
     record.close()
-    return 1 if mixed else 0
+    return 0 if holds else 1
 
 
 if __name__ == "__main__":
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -46,16 +46,18 @@
             s.close()
 
 
-def free_subnet():
-    """Third octet of 127.0.x.y such that nothing listens on the operators' port there."""
+def reserve_subnet():
+    """Third octet of 127.0.x.y such that nothing listens on the operators' port there, and a socket
+    that keeps other deployments of the review out for as long as it is open."""
     for _ in range(50):
-        octet = random.randrange(20, 250)
-        probe = socket.socket()
+        octet = random.SystemRandom().randrange(20, 250)
+        reservation, probe = socket.socket(), socket.socket()
         try:
+            reservation.bind((f"127.0.{octet}.254", OPERATORS_PORT))
             probe.bind((f"127.0.{octet}.11", OPERATORS_PORT))
-            return octet
+            return octet, reservation
         except OSError:
-            continue
+            reservation.close()
         finally:
             probe.close()
     raise CannotRun("no free addresses")
@@ -137,6 +139,10 @@
         self.child = subprocess.Popen(words, cwd=ROOT, env=env, stdout=log, stderr=log)
         log.close()
 
+    def lose_disk(self):
+        """Empties the disk of the process, which has ended."""
+        shutil.rmtree(os.path.join(self.deployment.folder, self.name + ".data"))
+
     def signal(self, number):
         if self.child and self.child.poll() is None:
             self.child.send_signal(number)
@@ -164,7 +170,7 @@
 
     def __init__(self, gateways=1, relays=0):
         self.folder = tempfile.mkdtemp(prefix="bn-review-")
-        self.subnet = free_subnet()
+        self.subnet, self.reservation = reserve_subnet()
         self.ports = dict(zip(PORT_NAMES, free_ports(len(PORT_NAMES))))
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
             self.deploy = tomllib.load(f)
@@ -180,6 +186,12 @@
         self.relays = [
             make("relay", i, self.address(101 + i), app=f"{self.address(101 + i)}:{self.ports['app']}")
             for i in range(relays)]
+        signal.signal(signal.SIGTERM, self.on_told_to_end)
+
+    def on_told_to_end(self, *_):
+        """A script that is told to end still ends its processes."""
+        self.stop()
+        os._exit(2)
 
     def address(self, host):
         return f"127.0.{self.subnet}.{host}"
@@ -192,9 +204,18 @@
         for process in self.processes:
             process.start(first=True)
 
+    def add_coordinator(self):
+        """Another machine of the core, with an empty disk and a new address; not started yet."""
+        number = len(self.coordinators)
+        process = Process(self, "coordinator", f"coordinator-{number}", self.address(11 + number),
+                          ZONES[number % 3], {})
+        self.coordinators.append(process)
+        return process
+
     def stop(self):
         for process in self.processes:
             process.stop()
+        self.reservation.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def control_call(self, method, path, body=None, coordinator=None, timeout=1.0):
