--- a/review/4/run.py
+++ b/review/4/run.py
@@ -130,8 +130,8 @@
         deployment = Deployment(gateways=1)
         deployment.start()
         holds = play(deployment, record)
-    except CannotRun as e:
-        record.put(f"cannot run: {e}")
+    except Exception as e:  # A fault of the script itself is no broken rule.
+        record.put(f"cannot run: {e!r}")
         return 2
     finally:
         if deployment:
