Quorum: of an even number of voters, a quorum may leave out an emptied one

Cause: the successor votes beside the machine that it replaces, so four vote and three must agree. The one that ended is demoted after some 2 s only. With it gone and another one's identity changed, two of four are left; nobody can be elected, and only a leader changes members.

Change: a voter whose disk was emptied has another identity and never acknowledges or votes under the one in the list again. Two quorums of an even V share two voters; without one that is known to be lost, any V/2 of the others still share one with every other quorum. What that needs, each with a test and a mutant that shows it: - Answers count only if they came after the loss was known, votes only in a later term: otherwise two such quorums, each without the voter that the other counted, share none. - An answer under another identity shows a loss only if it answers a request made after the known identity was recorded. - A change of members needs a quorum of both lists until it is known to be committed, as a quorum of the earlier list may now be as small as one of the new: without it a committed command was lost (a_change_that_the_earlier_members_do_not_know...). A second entry confirms the change, so that replicas that restart do not count by the earlier list for ever. An odd number of voters leaves nobody out: two quorums share a single voter there.

Ruled out: promoting and demoting in one change (nobody knows which machine a successor is for); faster demotion (the next loss may come at any moment).

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -16,14 +16,15 @@
 use bn_evacuation::Evacuations;
 use bn_net::{Net, UsageReporter};
 use bn_quorum::{
-    Entry, Membership, Message, Output, Payload, Replica, ReplicaConfig, Role, Timing,
+    Entry, Identity, MemberId, Membership, Message, Output, Payload, Replica, ReplicaConfig, Role,
+    Timing,
 };
 use bn_registry::Registry;
 use bn_store::{Disk, Store};
 use bn_trace::Lines;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{Envelope, Role as ProcessRole};
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use serde_json::json;
 use snafu::ResultExt;
 use std::net::{SocketAddr, TcpListener};
@@ -80,6 +81,8 @@
     role: Role,
     /// Whether all committed entries were known at the last check.
     pub(crate) current: bool,
+    /// Voters known to be emptied at the last check, with the identity that is gone.
+    pub(crate) lost: IndexMap<MemberId, Identity>,
     /// Whether this coordinator was a voter at the last check.
     pub(crate) voting: Option<bool>,
     calls_made: u64,
@@ -162,6 +165,7 @@
         let core = Core {
             role: quorum.role(),
             current: false,
+            lost: IndexMap::new(),
             voting: None,
             calls_made: 0,
             net: args.net.clone(),
--- a/crates/coordinator/src/members.rs
+++ b/crates/coordinator/src/members.rs
@@ -59,6 +59,7 @@
             self.log_change(&change);
         }
         self.log_voting();
+        self.log_lost_identities();
         let Some(request) = output.join_request else {
             return;
         };
@@ -89,6 +90,23 @@
             .put("voting", json!({ "votes": votes, "voters": voters }));
     }
 
+    /// A quorum may leave out a voter whose disk was emptied: operators are shown by whose word.
+    fn log_lost_identities(&mut self) {
+        let lost = self.quorum.lost_identities();
+        let new = lost
+            .iter()
+            .filter(|(id, identity)| self.lost.get(*id) != Some(*identity));
+        for (id, identity) in new {
+            let fields = json!({
+                "id": id, "identity": format!("{identity:016x}"), "term": self.quorum.term(),
+            });
+            self.lines.put("voter_emptied", fields);
+        }
+        if self.lost != *lost {
+            self.lost = lost.clone();
+        }
+    }
+
     /// The members of the log as this coordinator knows them, and whether that is current.
     pub(crate) fn show_members(&self) -> String {
         let members = self.quorum.members().iter();
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -2,9 +2,12 @@
 //! at a time.
 
 use crate::members::{
-    Progress, identity_matches, quorum_value, with_demoted, with_learner, without,
+    Progress, Reached, identity_matches, record_loss, voters_identified, with_demoted,
+    with_learner, without,
+};
+use crate::model::{
+    Entry, Identity, Index, Kind, Member, MemberId, MemberStatus, Members, Payload, Role,
 };
-use crate::model::{Entry, Index, Kind, Member, MemberId, MemberStatus, Payload, Role};
 use crate::replica::Replica;
 use crate::{Error, Result};
 use indexmap::IndexMap;
@@ -35,6 +38,9 @@
     /// Number and start time of each recent round.
     rounds: VecDeque<(u64, Duration)>,
     round: u64,
+    /// Round in which this leader last learned that a voter's identity is lost: answers to later
+    /// ones come from voters that were not lost until then.
+    loss_round: u64,
     /// Time of the next round.
     round_due: Duration,
     /// When this replica was elected.
@@ -78,7 +84,7 @@
             return None;
         }
         let state = &self.leading;
-        let round = quorum_value(&self.members, |id| self.valid_round_of(id));
+        let round = self.agreed_round();
         let start = state.rounds.iter().find(|(r, _)| *r == round);
         start.map(|(_, at)| *at + self.config.timing.lease)
     }
@@ -110,7 +116,7 @@
     /// The latest round that a majority has answered; 0 if this replica is not the leader.
     pub fn confirmed_round(&self) -> u64 {
         match self.role {
-            Role::Leader => quorum_value(&self.members, |id| self.valid_round_of(id)),
+            Role::Leader => self.agreed_round(),
             _ => 0,
         }
     }
@@ -123,7 +129,7 @@
         let status = |id: &MemberId| {
             let seen = self.leading.progress.get(id).map_or(0, |p| p.identity);
             let me = *id == self.config.id;
-            let round = self.leading.progress.get(id).map_or(0, |p| p.latest_round);
+            let round = self.leading.progress.get(id).map_or(0, |p| p.round);
             let missed = self.leading.round.saturating_sub(round);
             MemberStatus {
                 id: id.clone(),
@@ -185,20 +191,21 @@
         if self.role != Role::Leader || !self.members.contains_key(from) {
             return;
         }
-        let counts = identity_matches(&self.members, from, identity);
         let last = self.log.last().0;
         let progress = self.progress_of(from);
         if progress.identity != identity {
             *progress = Progress {
                 identity,
                 next: progress.next,
+                recorded_round: progress.recorded_round,
                 ..Progress::default()
             };
         }
-        progress.latest_round = progress.latest_round.max(round);
-        if counts {
-            progress.valid_round = progress.valid_round.max(round);
+        progress.round = progress.round.max(round);
+        if progress.round > progress.recorded_round {
+            self.record_lost_identity(from, identity);
         }
+        let progress = self.progress_of(from);
         if accepted {
             progress.matched = progress.matched.max(index.min(last));
             progress.next = progress.next.max(progress.matched + 1);
@@ -243,7 +250,7 @@
 
     /// Records identities that were unknown and promotes learners that have synced all entries.
     /// Until then learners do not count, so that losing a second instance right after a repair
-    /// loses no entry.
+    /// loses no entry. Confirms the latest change if there is nothing else to change.
     ///
     /// The identities of the initial voters are recorded all at once. If they were recorded one by
     /// one, a disk lost in between would leave a voter that is known but gone beside one that is
@@ -272,29 +279,53 @@
             member.identity = seen(id);
             member.voter = true;
         }
-        if next != self.members {
+        if next != self.members || self.change_unconfirmed() {
+            self.mark_recorded(&next);
             self.append_as_leader(Payload::Members(next));
         }
     }
 
+    /// Notes in which round identities are recorded.
+    fn mark_recorded(&mut self, next: &Members) {
+        let round = self.leading.round;
+        let identity_of = |id: &MemberId| self.members.get(id).map_or(0, |m| m.identity);
+        let recorded = next.iter().filter(|(id, m)| m.identity != identity_of(id));
+        let ids: Vec<MemberId> = recorded.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.progress_of(&id).recorded_round = round;
+        }
+    }
+
+    /// Records that a voter answers under another identity than the one known for it.
+    fn record_lost_identity(&mut self, from: &str, identity: Identity) {
+        let mut lost = std::mem::take(&mut self.lost);
+        let mut learned = false;
+        for members in self.deciding_lists() {
+            learned |= record_loss(&mut lost, members, from, identity);
+        }
+        self.lost = lost;
+        if learned {
+            self.leading.loss_round = self.leading.round;
+        }
+    }
+
     /// Whether the identities of all voters are known. Before that nothing should be acknowledged:
     /// a voter that lost its disk could not be detected.
     pub fn voters_identified(&self) -> bool {
-        let unknown = |m: &Member| m.voter && m.identity == 0;
-        self.members_committed() && !self.members.values().any(unknown)
+        self.members_committed() && voters_identified(&self.members)
     }
 
     /// Whether a majority has responded recently. A leader without responses from a majority for
     /// twice `Timing::election` steps down: it may be the one that is partitioned.
     pub(crate) fn has_quorum_contact(&self, now: Duration) -> bool {
-        let round = quorum_value(&self.members, |id| self.valid_round_of(id));
+        let round = self.agreed_round();
         let start = self.leading.rounds.iter().find(|(r, _)| *r == round);
         let at = start.map_or(self.leading.since, |(_, at)| (*at).max(self.leading.since));
         now < at + self.config.timing.election * 2
     }
 
     fn advance_commit(&mut self) {
-        let index = quorum_value(&self.members, |id| self.counted_matched(id));
+        let index = self.agreed_index();
         // Only entries of the current term are committed by counting; earlier ones follow.
         if self.log.term(index) == Some(self.hard.term) && index > self.commit {
             self.commit_to(index);
@@ -393,20 +424,41 @@
         self.leading.progress.get(id).map_or(0, |p| p.matched)
     }
 
-    /// Last index that counts towards a commit: a member's synced entries, if its identity matches.
-    fn counted_matched(&self, id: &MemberId) -> Index {
-        let seen = self.leading.progress.get(id).map_or(0, |p| p.identity);
-        if *id != self.config.id && !identity_matches(&self.members, id, seen) {
-            return 0;
-        }
-        self.matched_of(id)
+    /// The latest round that a quorum has answered.
+    fn agreed_round(&self) -> u64 {
+        self.agreed_value(&self.lost, |members, id| {
+            self.reached_by(members, id, |p| p.round, self.leading.round)
+        })
     }
 
-    fn valid_round_of(&self, id: &MemberId) -> u64 {
+    /// The last index that a quorum has synced.
+    fn agreed_index(&self) -> Index {
+        self.agreed_value(&self.lost, |members, id| {
+            self.reached_by(members, id, |p| p.matched, self.log.last().0)
+        })
+    }
+
+    /// What a voter of a list has reached, if its identity is the one in that list; `own` is what
+    /// this leader has.
+    fn reached_by(
+        &self,
+        members: &Members,
+        id: &MemberId,
+        value: impl Fn(&Progress) -> u64,
+        own: u64,
+    ) -> Reached {
         if *id == self.config.id {
-            return self.leading.round;
+            let counts = identity_matches(members, id, self.config.identity);
+            return Reached::at_any_time(if counts { own } else { 0 });
+        }
+        let progress = self.leading.progress.get(id);
+        let progress = progress.filter(|p| identity_matches(members, id, p.identity));
+        let any_time = progress.map_or(0, &value);
+        let answered = progress.is_some_and(|p| p.round > self.leading.loss_round);
+        Reached {
+            any_time,
+            since_loss: if answered { any_time } else { 0 },
         }
-        self.leading.progress.get(id).map_or(0, |p| p.valid_round)
     }
 }
 
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -13,8 +13,8 @@
 
 pub use membership::{Change, ChangeReason, JoinRequest, Membership, MembershipOutput};
 pub use model::{
-    Entry, HardState, Index, Kind, Member, MemberId, MemberStatus, Members, Message, Output,
-    Payload, ReplicaConfig, Restored, Role, Snapshot, Term, Timing,
+    Entry, HardState, Identity, Index, Kind, Member, MemberId, MemberStatus, Members, Message,
+    Output, Payload, ReplicaConfig, Restored, Role, Snapshot, Term, Timing,
 };
 pub use replica::Replica;
 
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -60,9 +60,9 @@
         self.entries.clear();
     }
 
-    /// The latest members entry in memory, with its index.
-    pub(crate) fn members(&self) -> Option<(Index, &Members)> {
-        self.entries.iter().rev().find_map(|e| match &e.payload {
+    /// The members entries in memory, the latest first, each with its index.
+    pub(crate) fn members(&self) -> impl Iterator<Item = (Index, &Members)> {
+        self.entries.iter().rev().filter_map(|e| match &e.payload {
             Payload::Members(m) => Some((e.index, m)),
             _ => None,
         })
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -1,16 +1,33 @@
 //! Quorums over members with a known identity, and edits of the member list.
 
-use crate::model::{Index, Member, MemberId, Members};
+use crate::model::{Identity, Index, Member, MemberId, Members};
 use crate::{Error, Result};
+use indexmap::IndexMap;
+
+/// Whether the identities of all voters are known.
+pub(crate) fn voters_identified(members: &Members) -> bool {
+    !members.values().any(|m| m.voter && m.identity == 0)
+}
+
+/// Whether two lists have the same voters, under the same identities.
+pub(crate) fn same_voters(a: &Members, b: &Members) -> bool {
+    let voters = |members: &Members| {
+        let voters = members.iter().filter(|(_, m)| m.voter);
+        let identities = voters.map(|(id, m)| (id.clone(), m.identity));
+        identities.collect::<IndexMap<_, _>>()
+    };
+    voters(a) == voters(b)
+}
 
 /// Number of voters that must agree. While a voter's identity is unknown, the log has just been
 /// created and all must agree: otherwise two replicas that both lost their disks could create a new
 /// log beside the surviving one and lose its entries.
 pub(crate) fn quorum_size(members: &Members) -> usize {
-    let voters = members.values().filter(|m| m.voter);
-    let unknown = voters.clone().any(|m| m.identity == 0);
-    let count = voters.count();
-    if unknown { count } else { count / 2 + 1 }
+    let count = members.values().filter(|m| m.voter).count();
+    match voters_identified(members) {
+        true => count / 2 + 1,
+        false => count,
+    }
 }
 
 /// Whether the sender of a message is the member it claims to be. An instance that restarted with
@@ -22,15 +39,84 @@
         .is_some_and(|m| m.identity == 0 || m.identity == identity)
 }
 
+/// Recorded identities that are known to be gone for good, by member: its disk was emptied, so
+/// nothing votes or acknowledges under that identity again.
+pub(crate) type LostIdentities = IndexMap<MemberId, Identity>;
+
+/// Whether the identity recorded for a member is known to be gone.
+fn is_lost(lost: &LostIdentities, id: &str, member: &Member) -> bool {
+    member.identity != 0 && lost.get(id) == Some(&member.identity)
+}
+
+/// Records that the identity known for a member is lost, if `identity` is another one that the member
+/// was found to have since.
+pub(crate) fn record_loss(
+    lost: &mut LostIdentities,
+    members: &Members,
+    id: &str,
+    identity: Identity,
+) -> bool {
+    let known = members.get(id).map_or(0, |m| m.identity);
+    let new = known != 0 && known != identity && lost.get(id) != Some(&known);
+    if new {
+        lost.insert(id.into(), known);
+    }
+    new
+}
+
+/// Number of voters that must agree if none of them is one whose identity is lost.
+///
+/// Of four voters a quorum has three, so two quorums share two voters: with one of the four known to
+/// be lost, any two of the other three still share one with every quorum that may have counted it.
+/// Of an odd number two quorums may share a single one, and none can be left out.
+fn quorum_without(members: &Members, lost: &LostIdentities) -> usize {
+    if !voters_identified(members) {
+        return quorum_size(members);
+    }
+    let voters = || members.iter().filter(|(_, m)| m.voter);
+    let size = quorum_size(members);
+    let shared = (2 * size).saturating_sub(voters().count());
+    let lost = voters().filter(|(id, m)| is_lost(lost, id, m)).count();
+    size - lost.min(shared.saturating_sub(1))
+}
+
+/// What a voter has reached: counted together with voters that were lost since, and counted without
+/// them. For the latter the voter must have answered after the loss was known: otherwise, of two
+/// quorums that each leave out a lost voter, each might have counted the one that the other left out.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Reached {
+    pub(crate) any_time: u64,
+    pub(crate) since_loss: u64,
+}
+
+impl Reached {
+    /// `value`, by an answer that came after all losses that are known.
+    pub(crate) fn at_any_time(value: u64) -> Reached {
+        Reached {
+            any_time: value,
+            since_loss: value,
+        }
+    }
+}
+
 /// The highest value that a quorum of voters has reached.
-pub(crate) fn quorum_value(members: &Members, value: impl Fn(&MemberId) -> u64) -> u64 {
-    let voters = members.iter().filter(|(_, m)| m.voter);
-    let mut values: Vec<u64> = voters.map(|(id, _)| value(id)).collect();
+pub(crate) fn quorum_value(
+    members: &Members,
+    lost: &LostIdentities,
+    reached: impl Fn(&MemberId) -> Reached,
+) -> u64 {
+    let voters = || members.iter().filter(|(_, m)| m.voter);
+    let all = voters().map(|(id, _)| reached(id).any_time);
+    let others = voters().filter(|(id, m)| !is_lost(lost, id, m));
+    let others = others.map(|(id, _)| reached(id).since_loss);
+    let of_all = nth_highest(all.collect(), quorum_size(members));
+    of_all.max(nth_highest(others.collect(), quorum_without(members, lost)))
+}
+
+/// The `n`th highest value, from 1; 0 if there are fewer.
+fn nth_highest(mut values: Vec<u64>, n: usize) -> u64 {
     values.sort_unstable_by(|a, b| b.cmp(a));
-    values
-        .get(quorum_size(members).saturating_sub(1))
-        .copied()
-        .unwrap_or(0)
+    values.get(n.saturating_sub(1)).copied().unwrap_or(0)
 }
 
 /// The members with a learner added.
@@ -94,10 +180,11 @@
     pub(crate) next: Index,
     /// Identity in its last response.
     pub(crate) identity: u64,
-    /// Latest lease round it answered under a matching identity.
-    pub(crate) valid_round: u64,
-    /// Latest round it answered under any identity.
-    pub(crate) latest_round: u64,
+    /// Latest lease round it answered under that identity.
+    pub(crate) round: u64,
+    /// Round in which this leader recorded an identity for the member: only later answers under
+    /// another one show that it is gone, earlier ones may be from before it.
+    pub(crate) recorded_round: u64,
     /// `matched` at the last heartbeat, to detect lost messages.
     pub(crate) prev_matched: Index,
     /// Rounds without progress while entries are in flight.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -3,10 +3,12 @@
 
 use crate::leader::LeaderState;
 use crate::log::Log;
+use crate::members::{LostIdentities, Reached, quorum_value, same_voters, voters_identified};
 use crate::model::{
-    Entry, HardState, Index, Kind, MemberId, Members, Message, Output, Payload, ReplicaConfig,
-    Restored, Role, Snapshot, Term,
+    Entry, HardState, Identity, Index, Kind, MemberId, Members, Message, Output, Payload,
+    ReplicaConfig, Restored, Role, Snapshot, Term,
 };
+use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
@@ -36,6 +38,12 @@
     pub(crate) commit: Index,
     pub(crate) members: Members,
     pub(crate) members_index: Index,
+    /// The members before the latest change, if that one is not confirmed.
+    earlier_members: Option<Members>,
+    /// Identities of voters that others have shown to be gone.
+    pub(crate) lost: LostIdentities,
+    /// Those known when the current campaign began; in a pre-vote, those found in it, too.
+    pub(crate) lost_before_votes: LostIdentities,
     pub(crate) snapshot: Snapshot,
     /// Time of the next election.
     pub(crate) election_due: Duration,
@@ -49,7 +57,8 @@
     pub(crate) leader_unseen: bool,
     /// When it last had all entries that a leader had committed by then.
     pub(crate) current_at: Option<Duration>,
-    pub(crate) votes: Vec<MemberId>,
+    /// Who voted, under which identity.
+    pub(crate) votes: Vec<(MemberId, Identity)>,
     pub(crate) leading: LeaderState,
     pub(crate) output: Output,
     rng: SmallRng,
@@ -68,6 +77,9 @@
             commit: snapshot.index,
             members: Members::new(),
             members_index: 0,
+            earlier_members: None,
+            lost: LostIdentities::new(),
+            lost_before_votes: LostIdentities::new(),
             snapshot,
             election_due: now,
             campaigns: 0,
@@ -247,6 +259,12 @@
         led || self.current_at.is_some_and(|at| now < at + within)
     }
 
+    /// Voters of which this replica knows that their disk was emptied, with the identity that is
+    /// gone: a quorum of an even number of voters may leave out one of them.
+    pub fn lost_identities(&self) -> &IndexMap<MemberId, Identity> {
+        &self.lost
+    }
+
     /// Its own id.
     pub fn id(&self) -> &MemberId {
         &self.config.id
@@ -438,12 +456,45 @@
         );
     }
 
+    /// The lists of members that must each agree. Until a change is known to be committed these are
+    /// two: whoever does not know of it still counts by the earlier one, in which a quorum may leave
+    /// out an emptied voter and so need not share a voter with each quorum of the new one.
+    pub(crate) fn deciding_lists(&self) -> Vec<&Members> {
+        let earlier = self.earlier_members.as_ref();
+        let earlier = earlier.filter(|_| self.members_index > self.commit);
+        std::iter::once(&self.members).chain(earlier).collect()
+    }
+
+    /// The highest value that a quorum of each list has reached, by what a voter of a list has.
+    pub(crate) fn agreed_value(
+        &self,
+        lost: &LostIdentities,
+        reached: impl Fn(&Members, &MemberId) -> Reached,
+    ) -> u64 {
+        let lists = self.deciding_lists().into_iter();
+        let values = lists.map(|members| quorum_value(members, lost, |id| reached(members, id)));
+        values.min().unwrap_or(0)
+    }
+
+    /// Whether the latest change of members has no second entry yet that confirms it. A replica that
+    /// restarts does not know what is committed, and counts by both lists without one.
+    pub(crate) fn change_unconfirmed(&self) -> bool {
+        self.earlier_members.is_some()
+    }
+
     fn refresh_members(&mut self) {
-        let (index, members) = match self.log.members() {
-            Some((index, members)) => (index, members.clone()),
-            None => (self.snapshot.index, self.snapshot.members.clone()),
-        };
-        (self.members_index, self.members) = (index, members);
+        let covered = self.snapshot.index;
+        let later = self.log.members().filter(|(index, _)| *index > covered);
+        let mut lists = later.chain([(covered, &self.snapshot.members)]);
+        let latest = lists.next().map(|(index, m)| (index, m.clone()));
+        let earlier = lists.next().map(|(_, m)| m.clone());
+        if let Some(latest) = latest {
+            (self.members_index, self.members) = latest;
+        }
+        // A quorum of a list with unknown identities is all of its voters, and so shares one with
+        // any quorum.
+        self.earlier_members =
+            earlier.filter(|m| voters_identified(m) && !same_voters(m, &self.members));
     }
 
     fn members_at(&self, index: Index) -> Members {
--- a/crates/quorum/src/votes.rs
+++ b/crates/quorum/src/votes.rs
@@ -1,8 +1,9 @@
 //! Elections: a pre-vote that does not disturb other replicas, then a vote in a new term.
 
-use crate::members::{identity_matches, quorum_size};
-use crate::model::{Index, Kind, Message, Role, Term};
+use crate::members::{Reached, identity_matches, record_loss};
+use crate::model::{Identity, Index, Kind, MemberId, Members, Message, Role, Term};
 use crate::replica::Replica;
+use indexmap::IndexSet;
 use std::time::Duration;
 
 impl Replica {
@@ -23,7 +24,9 @@
         if !pre_vote {
             self.set_hard_state(term, Some(self.config.id.clone()));
         }
-        self.votes = vec![self.config.id.clone()];
+        self.votes = vec![(self.config.id.clone(), self.config.identity)];
+        // Whoever votes from now on does so after these losses.
+        self.lost_before_votes = self.lost.clone();
         if now >= self.last_contact + self.quiet_period() {
             self.campaigns = self.campaigns.saturating_add(1);
         }
@@ -119,17 +122,44 @@
         let counts = granted
             && self.role == role
             && message.term == term
-            && identity_matches(&self.members, from, message.identity)
-            && !self.votes.iter().any(|v| v == from);
+            && !self.votes.iter().any(|(voter, _)| voter == from);
         if counts {
-            self.votes.push(from.into());
+            self.votes.push((from.into(), message.identity));
+        }
+        if self.role == role && (pre_vote || message.term == term) {
+            self.record_vote_identity(from, message.identity, pre_vote);
+        }
+        if self.role == role {
             self.count_votes(now);
         }
     }
 
+    /// Records that a voter answers under another identity than the one known for it.
+    ///
+    /// A vote of this candidate's own term answers a request sent after the known identity was
+    /// recorded, so the other one is newer, and votes of the next term may leave out the lost one.
+    /// A pre-vote may have been answered before that, so it counts for this pre-vote only.
+    fn record_vote_identity(&mut self, from: &str, identity: Identity, pre_vote: bool) {
+        let mut lost = std::mem::take(match pre_vote {
+            true => &mut self.lost_before_votes,
+            false => &mut self.lost,
+        });
+        for members in self.deciding_lists() {
+            record_loss(&mut lost, members, from, identity);
+        }
+        match pre_vote {
+            true => self.lost_before_votes = lost,
+            false => self.lost = lost,
+        }
+    }
+
     fn count_votes(&mut self, now: Duration) {
-        let voter = |id: &&String| self.members.get(*id).is_some_and(|m| m.voter);
-        if self.votes.iter().filter(voter).count() < quorum_size(&self.members) {
+        let vote_of = |members: &Members, id: &MemberId| {
+            let voted = self.votes.iter().find(|(voter, _)| voter == id);
+            let counts = voted.is_some_and(|(_, i)| identity_matches(members, id, *i));
+            Reached::at_any_time(u64::from(counts))
+        };
+        if self.agreed_value(&self.lost_before_votes, vote_of) == 0 {
             return;
         }
         match self.role {
@@ -138,11 +168,13 @@
         }
     }
 
-    fn other_voters(&self) -> Vec<String> {
-        let others = self
-            .members
+    /// The voters of both lists while a change of members is not known to be committed.
+    fn other_voters(&self) -> IndexSet<MemberId> {
+        let lists = self.deciding_lists();
+        let voters = lists
             .iter()
-            .filter(|(id, m)| m.voter && **id != self.config.id);
-        others.map(|(id, _)| id.clone()).collect()
+            .flat_map(|members| members.iter().filter(|(_, m)| m.voter));
+        let ids = voters.map(|(id, _)| id.clone());
+        ids.filter(|id| *id != self.config.id).collect()
     }
 }
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -299,3 +299,178 @@
         );
     }
 }
+
+/// How a replica ends for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// By a planned stop.
+    Stopped,
+    /// Without notice.
+    Killed,
+}
+
+/// Steps that an emptied replica is off.
+const OFF_STEPS: usize = 200;
+
+/// A log of `first` replicas to which `added` successors were added, all of which vote.
+fn with_successors(losses: usize, first: usize, added: usize, seed: u64) -> Simulation {
+    let cluster = ClusterConfig {
+        replicas: first + added,
+        seeds: first,
+        losses,
+        timing: Timing::NO_LEASE,
+    };
+    let mut sim = partly_running(cluster, first, seed);
+    for new in first..first + added {
+        sim.apply(&Action::Start(new)).unwrap();
+    }
+    sim.run(CATCH_UP_STEPS).unwrap();
+    sim
+}
+
+fn end(sim: &mut Simulation, replica: usize, how: End) {
+    let action = match how {
+        End::Stopped => Action::Stop(replica),
+        End::Killed => Action::Crash(replica, false),
+    };
+    sim.apply(&action).unwrap();
+}
+
+/// The disks of `lost` are lost at once; their replicas are off for a while.
+fn lose_disks(sim: &mut Simulation, lost: &[usize]) {
+    for lost in lost {
+        sim.apply(&Action::Crash(*lost, false)).unwrap();
+    }
+    sim.run(OFF_STEPS).unwrap();
+    for lost in lost {
+        sim.wipe_disk(*lost);
+    }
+}
+
+/// Whether all running replicas vote within the time after which the next loss may come, and have
+/// everything that was acknowledged.
+fn recovers(sim: &mut Simulation) -> bool {
+    let steps = sim.steps_until_all_vote(CATCH_UP_STEPS);
+    // Followers learn with the next heartbeat what is committed.
+    sim.run(30).unwrap();
+    steps < CATCH_UP_STEPS && sim.all_have_acknowledged()
+}
+
+/// The replicas of `0..count`, but for some, in an order that depends on the seed.
+fn others(count: usize, but: &[usize], seed: u64) -> Vec<usize> {
+    let mut left: Vec<usize> = (0..count).filter(|n| !but.contains(n)).collect();
+    let turns = (seed as usize / 3) % left.len();
+    left.rotate_left(turns);
+    left
+}
+
+/// Guards against a log that no leader can be elected for any more: a replica has its successor and
+/// ends, and at any time after that a disk is lost. The one that ended still counted as a voter, so
+/// that three of four had to agree, and two were left.
+#[gtest]
+fn a_disk_lost_at_any_time_after_a_planned_replacement_is_borne() {
+    for (how, gap) in [End::Stopped, End::Killed]
+        .into_iter()
+        .flat_map(|how| [0, 5, 50, 100, 150, 200].map(|gap| (how, gap)))
+    {
+        for seed in 0..24 {
+            let mut sim = with_successors(1, 3, 1, seed);
+            let ended = seed as usize % 3;
+            end(&mut sim, ended, how);
+            sim.run(gap).unwrap();
+            sim.propose().unwrap();
+            sim.run(5).unwrap();
+
+            lose_disks(&mut sim, &others(4, &[ended], seed)[..1]);
+
+            expect_true!(
+                recovers(&mut sim),
+                "{how:?}, {gap} steps, seed {seed}: {:?}",
+                sim.changes
+            );
+        }
+    }
+}
+
+/// The same where two losses at once must be borne: one of five replicas has its
+/// successor and ends, and two disks are lost after that.
+#[gtest]
+fn two_disks_lost_at_any_time_after_planned_replacements_are_borne() {
+    let ends = [vec![End::Stopped], vec![End::Killed]];
+    for (ends, gap) in ends
+        .iter()
+        .flat_map(|ends| [0, 50, 150].map(|gap| (ends, gap)))
+    {
+        for seed in 0..24 {
+            let count = 5 + ends.len();
+            let mut sim = with_successors(2, 5, ends.len(), seed);
+            let ended: Vec<usize> = others(5, &[], seed)[..ends.len()].to_vec();
+            for (ended, how) in ended.iter().zip(ends) {
+                end(&mut sim, *ended, *how);
+            }
+            sim.run(gap).unwrap();
+            sim.propose().unwrap();
+            sim.run(5).unwrap();
+
+            lose_disks(&mut sim, &others(count, &ended, seed)[..2]);
+
+            expect_true!(
+                recovers(&mut sim),
+                "{ends:?}, {gap} steps, seed {seed}: {:?}",
+                sim.changes
+            );
+        }
+    }
+}
+
+/// Guards against the loss of acknowledged commands: a leader demotes a silent voter, the entry and a
+/// command reach one of the two others, whose disk is then lost. The third and the one that was
+/// silent know of no change, leave out the emptied one of four voters, and elect a leader without
+/// the command. A change must be agreed by the earlier members, too.
+#[gtest]
+fn a_change_that_the_earlier_members_do_not_know_is_not_committed() {
+    for seed in 0..40 {
+        let mut sim = with_successors(1, 3, 1, seed);
+        let leader = sim.leader().unwrap();
+        let [silent, told, untold] = [1, 2, 3].map(|n| (leader + n) % 4);
+        sim.apply(&Action::Isolate(silent)).unwrap();
+        let demoted = Change::Demoted(format!("c{silent}"), ChangeReason::Absent);
+        while sim.changes.last() != Some(&demoted) {
+            sim.run(1).unwrap();
+        }
+        sim.apply(&Action::PartitionPair(leader, untold)).unwrap();
+        sim.run(10).unwrap();
+        sim.propose().unwrap();
+        sim.run(10).unwrap();
+
+        sim.apply(&Action::Heal).unwrap();
+        sim.apply(&Action::Isolate(leader)).unwrap();
+        sim.wipe_disk(told);
+        sim.run(CATCH_UP_STEPS).unwrap();
+
+        expect_that!(sim.settle(), ok(anything()), "seed {seed}");
+    }
+}
+
+/// Guards against a log without a leader: long after a replica was replaced, all others are killed at
+/// once and one of them does not come back. A replica that restarts does not know which entries are
+/// committed, and must not count by the members of before the replacement for ever.
+#[gtest]
+fn replicas_that_restart_count_by_confirmed_members() {
+    for seed in 0..40 {
+        let mut sim = with_successors(1, 3, 1, seed);
+        let ended = seed as usize % 3;
+        end(&mut sim, ended, End::Killed);
+        sim.run(CATCH_UP_STEPS).unwrap();
+        let left = others(4, &[ended], seed);
+        for killed in &left {
+            sim.apply(&Action::Crash(*killed, false)).unwrap();
+        }
+
+        for started in &left[1..] {
+            sim.apply(&Action::Start(*started)).unwrap();
+        }
+
+        expect_true!(recovers(&mut sim), "seed {seed}: {:?}", sim.changes);
+    }
+}
