--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -434,7 +434,10 @@
 
     fn on_snapshot(&mut self, from: &str, snapshot: Snapshot) {
         let index = snapshot.index;
-        if index > self.commit {
+        if self.log.term(index) == Some(snapshot.term) {
+            // The entries after it may be acknowledged: they stay.
+            self.commit_to(index);
+        } else if index > self.commit {
             self.log.restore(&snapshot);
             self.commit = index;
             self.snapshot = snapshot.clone();
--- a/crates/quorum/tests/directed.rs
+++ b/crates/quorum/tests/directed.rs
@@ -7,7 +7,7 @@
 
 use bn_quorum::{
     Entry, Error, Kind, Member, Members, Message, Payload, Replica, ReplicaConfig, Restored, Role,
-    Timing,
+    Snapshot, Timing,
 };
 use googletest::prelude::*;
 use simulation::{Action, Simulation};
@@ -464,3 +464,26 @@
     );
     expect_that!(leader.commit(), eq(3));
 }
+
+/// Guards against the loss of acknowledged commands: a replica restarts, and before it learns again
+/// what is committed it gets a snapshot that covers only a part of its log. The entries after that,
+/// which it had acknowledged, were discarded.
+#[gtest]
+fn a_snapshot_of_known_entries_discards_none_after_it() {
+    let restored = Restored {
+        entries: (1..=5).map(|index| entry(index, 1)).collect(),
+        ..Restored::default()
+    };
+    let (mut replica, now) = replica_of_three([1, 2, 3], restored);
+    let snapshot = Snapshot {
+        index: 3,
+        term: 1,
+        ..Snapshot::default()
+    };
+
+    receive(&mut replica, now, ("bb", 2), 1, Kind::Snapshot(snapshot));
+    let out = replica.take_output();
+
+    expect_that!((replica.last_index(), replica.commit()), eq((5, 3)));
+    expect_that!((out.snapshot.is_none(), out.committed.len()), eq((true, 3)));
+}
