Quorum: two of five replaced at once, and two disks lost after that

Two of five coordinators have their successors and end at the same moment without SIGTERM; within some 2 s two disks are lost. Nobody can be elected among the three that are left, and an acknowledged document may be on none of them.

Cause: of seven voters a majority is four, which may be just the two that ended and the two that were emptied.

Change: with n losses and up to n more than 2n + 1 voters all but n must agree (five of seven), so that two quorums share three voters, two emptied ones can be left out, and the three that are left are one. With more than n more voters a majority, as before. The number of losses is now part of the list of members in the log: replicas with different settings would count different quorums. A leader with another setting changes it like a member. Logs from before have 0 there, which means majorities.

Ruled out: five of seven only for commits (then two leaders could be elected in one term); fewer voters at a time (a successor that is no voter yet has not all that was acknowledged).

Not to be had: more than n machines that end without notice at once, or one after the other faster than silence is noticed.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -138,7 +138,7 @@
         if empty && conf.first_start {
             // The initial voters must be on disk: after a restart the settings no longer say that
             // the system is new, and a restarted voter would know no other one.
-            let initial = initial_members(&seeds);
+            let initial = initial_members(&seeds, conf.max_losses);
             store.replace_snapshot(&(&initial).into(), Vec::new())?;
             loaded.snapshot = Some((&initial).into());
         }
--- a/crates/coordinator/src/durable.rs
+++ b/crates/coordinator/src/durable.rs
@@ -4,7 +4,7 @@
 use crate::core::Core;
 use crate::document::{VersionedDocument, decode_state, encode, encode_state};
 use crate::{DecodeSnafu, Result};
-use bn_quorum::{Entry, Member, Output, Restored};
+use bn_quorum::{Entry, Member, Members, Output, Restored};
 use bn_store::LoadedState;
 use bn_wire::messages as wire;
 use serde_json::json;
@@ -67,7 +67,7 @@
     }
 }
 
-pub(super) fn initial_members(seeds: &[SocketAddr]) -> bn_quorum::Snapshot {
+pub(super) fn initial_members(seeds: &[SocketAddr], losses: u32) -> bn_quorum::Snapshot {
     let member = |inbox: &SocketAddr| {
         let member = Member {
             identity: 0,
@@ -77,7 +77,7 @@
         (inbox.ip().to_string(), member)
     };
     bn_quorum::Snapshot {
-        members: seeds.iter().map(member).collect(),
+        members: Members::new(seeds.iter().map(member).collect(), losses as usize),
         state: encode(&VersionedDocument::default()),
         ..bn_quorum::Snapshot::default()
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -10,7 +10,8 @@
 use crate::run::Common;
 use crate::{DecodeSnafu, Result, SeedSnafu};
 use bn_quorum::{
-    Entry, Member, Message, Output, Payload, Replica, ReplicaConfig, Restored, Role, Timing,
+    Entry, Member, Members, Message, Output, Payload, Replica, ReplicaConfig, Restored, Role,
+    Timing,
 };
 use bn_state::{Command, State};
 use bn_store::{Disk, LoadedState, Store};
@@ -85,7 +86,10 @@
         let config = ReplicaConfig {
             id: common.id.clone(),
             identity: loaded.identity,
-            initial_members: conf.peers.iter().map(initial_member).collect(),
+            initial_members: Members::new(
+                conf.peers.iter().map(initial_member).collect(),
+                conf.peers.len().saturating_sub(1) / 2,
+            ),
             timing: Timing::default(),
             seed: rand::random(),
         };
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -43,6 +43,8 @@
     loss_round: u64,
     /// Replicas that are about to end: they are not made voters.
     leaving: Vec<MemberId>,
+    /// Losses that the members must tolerate, once they are set.
+    max_losses: Option<usize>,
     /// Time of the next round.
     round_due: Duration,
     /// When this replica was elected.
@@ -85,6 +87,11 @@
         self.leading.leaving = leaving;
     }
 
+    /// Sets how many losses the members must tolerate.
+    pub(crate) fn set_max_losses(&mut self, losses: usize) {
+        self.leading.max_losses = Some(losses);
+    }
+
     /// Until when this replica may act as the only leader, judged by time alone.
     pub fn lease_until(&self) -> Option<Duration> {
         if self.role != Role::Leader {
@@ -292,6 +299,8 @@
         {
             member.identity = seen(id);
             member.voter = true;
+        } else {
+            next.losses = self.leading.max_losses.unwrap_or(next.losses);
         }
         if next != self.members || self.change_unconfirmed() {
             self.mark_recorded(&next);
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -9,23 +9,31 @@
     !members.values().any(|m| m.voter && m.identity == 0)
 }
 
-/// Whether two lists have the same voters, under the same identities.
-pub(crate) fn same_voters(a: &Members, b: &Members) -> bool {
+/// Whether two lists have the same quorums: the same voters, under the same identities.
+pub(crate) fn same_quorums(a: &Members, b: &Members) -> bool {
     let voters = |members: &Members| {
         let voters = members.iter().filter(|(_, m)| m.voter);
         let identities = voters.map(|(id, m)| (id.clone(), m.identity));
         identities.collect::<IndexMap<_, _>>()
     };
-    voters(a) == voters(b)
+    a.losses == b.losses && voters(a) == voters(b)
 }
 
 /// Number of voters that must agree. While a voter's identity is unknown, the log has just been
 /// created and all must agree: otherwise two replicas that both lost their disks could create a new
 /// log beside the surviving one and lose its entries.
+///
+/// With `n` losses to be tolerated 2n + 1 vote, and up to as many more as there are instances with
+/// a successor. Those may end at once without notice, just before `n` disks are lost: n + 1 of all are
+/// left then, and must have what a quorum had. With more than n of them this cannot be had: any n + 1
+/// would have to be a quorum without the others.
 pub(crate) fn quorum_size(members: &Members) -> usize {
     let count = members.values().filter(|m| m.voter).count();
+    let majority = count / 2 + 1;
+    let all_but_losses = count.saturating_sub(members.losses);
     match voters_identified(members) {
-        true => count / 2 + 1,
+        true if all_but_losses <= 2 * members.losses + 1 => majority.max(all_but_losses),
+        true => majority,
         false => count,
     }
 }
@@ -68,7 +76,7 @@
 ///
 /// Of four voters a quorum has three, so two quorums share two voters: with one of the four known to
 /// be lost, any two of the other three still share one with every quorum that may have counted it.
-/// Of an odd number two quorums may share a single one, and none can be left out.
+/// Where two quorums may share a single voter, as two of three do, none can be left out.
 fn quorum_without(members: &Members, lost: &LostIdentities) -> usize {
     if !voters_identified(members) {
         return quorum_size(members);
--- a/crates/quorum/src/membership.rs
+++ b/crates/quorum/src/membership.rs
@@ -181,7 +181,7 @@
 
     fn next_change(&mut self, now: Duration, replica: &mut Replica) -> Option<Change> {
         self.update_silent(now, replica);
-        self.update_leaving(now, replica);
+        self.set_policy(now, replica);
         if let Some((id, why)) = self.find_demotion(now, replica) {
             replica.demote(&id).ok()?;
             return Some(Change::Demoted(id, why));
@@ -197,12 +197,14 @@
         Some(Change::Added(id.clone()))
     }
 
-    /// Replicas that leave are not made voters again while they are still there.
-    fn update_leaving(&mut self, now: Duration, replica: &mut Replica) {
+    /// Replicas that leave are not made voters again while they are still there, and quorums are as
+    /// large as the losses ask for.
+    fn set_policy(&mut self, now: Duration, replica: &mut Replica) {
         if self.leaving {
             self.leave_requests.insert(replica.id().clone(), now);
         }
         self.leave_requests.retain(|_, at| now < *at + LEAVE_HOLD);
+        replica.set_max_losses(self.max_losses);
         replica.set_leaving(self.leave_requests.keys().cloned().collect());
     }
 
--- a/crates/quorum/src/model.rs
+++ b/crates/quorum/src/model.rs
@@ -1,6 +1,7 @@
 //! Types of the replicated log.
 
 use indexmap::IndexMap;
+use std::ops::{Deref, DerefMut};
 use std::time::Duration;
 
 /// Id of a member.
@@ -24,8 +25,37 @@
     pub voter: bool,
 }
 
-/// All members by id.
-pub type Members = IndexMap<MemberId, Member>;
+/// All members by id, and how many of them may be lost at once.
+///
+/// The number is a part of the log, as the size of a quorum depends on it: replicas with different
+/// settings would count different quorums.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Members {
+    list: IndexMap<MemberId, Member>,
+    /// Simultaneous losses that must be tolerated.
+    pub losses: usize,
+}
+
+impl Members {
+    /// These members, of which `losses` may be lost at once.
+    pub fn new(list: IndexMap<MemberId, Member>, losses: usize) -> Members {
+        Members { list, losses }
+    }
+}
+
+impl Deref for Members {
+    type Target = IndexMap<MemberId, Member>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.list
+    }
+}
+
+impl DerefMut for Members {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.list
+    }
+}
 
 /// Content of an entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -3,7 +3,7 @@
 
 use crate::leader::LeaderState;
 use crate::log::Log;
-use crate::members::{LostIdentities, Reached, quorum_value, same_voters, voters_identified};
+use crate::members::{LostIdentities, Reached, quorum_value, same_quorums, voters_identified};
 use crate::model::{
     Entry, HardState, Identity, Index, Kind, MemberId, Members, Message, Output, Payload,
     ReplicaConfig, Restored, Role, Snapshot, Term,
@@ -75,7 +75,7 @@
             role: Role::Follower,
             leader: None,
             commit: snapshot.index,
-            members: Members::new(),
+            members: Members::default(),
             members_index: 0,
             earlier_members: None,
             lost: LostIdentities::new(),
@@ -502,7 +502,7 @@
         // A quorum of a list with unknown identities is all of its voters, and so shares one with
         // any quorum.
         self.earlier_members =
-            earlier.filter(|m| voters_identified(m) && !same_voters(m, &self.members));
+            earlier.filter(|m| voters_identified(m) && !same_quorums(m, &self.members));
     }
 
     fn members_at(&self, index: Index) -> Members {
--- a/crates/quorum/src/wire.rs
+++ b/crates/quorum/src/wire.rs
@@ -184,6 +184,7 @@
     };
     wire::Members {
         members: members.iter().map(member).collect(),
+        losses: members.losses as u32,
     }
 }
 
@@ -198,5 +199,6 @@
             },
         )
     };
-    members.members.into_iter().map(member).collect()
+    let list = members.members.into_iter().map(member).collect();
+    Members::new(list, members.losses as usize)
 }
--- a/crates/quorum/tests/directed.rs
+++ b/crates/quorum/tests/directed.rs
@@ -142,7 +142,7 @@
     let config = ReplicaConfig {
         id: "a".into(),
         identity: 1,
-        initial_members: names.iter().zip(identities).map(member).collect(),
+        initial_members: Members::new(names.iter().zip(identities).map(member).collect(), 0),
         timing: Timing::default(),
         seed: 1,
     };
@@ -407,7 +407,7 @@
             },
         )
     };
-    let members: Members = ["a", "bb", "ccc"].map(member).into_iter().collect();
+    let members = Members::new(["a", "bb", "ccc"].map(member).into_iter().collect(), 0);
     let config = ReplicaConfig {
         id: "a".into(),
         identity: 1,
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -419,6 +419,7 @@
         vec![End::Killed],
         vec![End::Stopped, End::Stopped],
         vec![End::Stopped, End::Killed],
+        vec![End::Killed, End::Killed],
     ];
     for (ends, gap) in ends
         .iter()
--- a/crates/quorum/tests/simulation/mod.rs
+++ b/crates/quorum/tests/simulation/mod.rs
@@ -209,7 +209,10 @@
             };
             (name(n), member)
         };
-        (0..self.config.seeds).map(member).collect()
+        Members::new(
+            (0..self.config.seeds).map(member).collect(),
+            self.config.losses,
+        )
     }
 
     fn all(&self) -> std::ops::Range<usize> {
@@ -224,7 +227,7 @@
         let config = ReplicaConfig {
             id: name(i),
             identity: self.disks[i].identity,
-            initial_members: Members::new(),
+            initial_members: Members::default(),
             timing: self.config.timing,
             seed: self.rng.random(),
         };
--- a/crates/quorum/tests/slow_start.rs
+++ b/crates/quorum/tests/slow_start.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use bn_quorum::{Member, Message, Replica, ReplicaConfig, Restored, Role, Timing};
+use bn_quorum::{Member, Members, Message, Replica, ReplicaConfig, Restored, Role, Timing};
 use googletest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -35,7 +35,7 @@
     let config = ReplicaConfig {
         id: id(n),
         identity: n as u64 + 1,
-        initial_members: (0..REPLICAS).map(member).collect(),
+        initial_members: Members::new((0..REPLICAS).map(member).collect(), 1),
         timing,
         seed: seed * 100 + n as u64,
     };
--- a/crates/wire/src/gen/bn.messages.rs
+++ b/crates/wire/src/gen/bn.messages.rs
@@ -551,6 +551,9 @@
 pub struct Members {
     #[prost(message, repeated, tag = "1")]
     pub members: ::prost::alloc::vec::Vec<Member>,
+    /// that must be tolerated at once
+    #[prost(uint32, tag = "2")]
+    pub losses: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HardState {
