Coordinators that are gone are assigned no gateways

Operators saw: after a coordinator was replaced, a quarter of the gateways has each new configuration about a second later than the others, for two minutes, or for ever if it is one of the seeds.

Each gateway is assigned to one of all coordinators that are known, members and seeds, whether they are there or not. A gateway of one that is gone gets each document only once it has polled twice with an older version (HELP_DELAY).

Each coordinator judges by itself; where two differ for a moment a gateway gets a document twice, or late as before.

Cost: none in messages; a look at the peers for each gateway and document.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -41,7 +41,7 @@
     GroupId, PendingRequest, Relays, RequestKind, batch_size, batches, reports_counts,
 };
 pub use self::subscribers::Subscribers;
-pub use self::updates::GatewayLag;
+pub use self::updates::{GatewayLag, assigned_coordinator};
 
 use snafu::Snafu;
 
--- a/crates/coordinator/src/updates.rs
+++ b/crates/coordinator/src/updates.rs
@@ -77,6 +77,34 @@
     demand_sum: Demand,
 }
 
+impl Peers {
+    /// Whether a coordinator has not answered for so long that it is considered gone.
+    fn is_lost(&self, inbox: SocketAddr) -> bool {
+        let peer = self.by_inbox.get(&inbox);
+        peer.is_some_and(|p| p.unanswered > MAX_UNANSWERED)
+    }
+}
+
+/// The one of `all` coordinators that sends a gateway its documents: otherwise every document would be
+/// sent as often as there are coordinators. `None` if any may.
+///
+/// The others step in if a gateway still polls with an older version some time later. So those that
+/// are gone do not count: their gateways would get every document that much later.
+pub fn assigned_coordinator(
+    gateway: SocketAddr,
+    all: Vec<SocketAddr>,
+    is_gone: impl Fn(&SocketAddr) -> bool,
+) -> Option<SocketAddr> {
+    let IpAddr::V4(ip) = gateway.ip() else {
+        return None;
+    };
+    let mut present = all;
+    present.retain(|inbox| !is_gone(inbox));
+    present.sort_unstable();
+    let index = u32::from(ip) as usize % present.len().max(1);
+    present.get(index).copied()
+}
+
 impl Core {
     /// Inboxes of all other coordinators that are known here.
     pub(crate) fn others(&self) -> Vec<SocketAddr> {
@@ -108,18 +136,20 @@
         }
     }
 
-    /// Each gateway is assigned to one coordinator: otherwise every document would be sent as often
-    /// as there are coordinators. The others step in if a gateway still polls with an older version
-    /// some time later.
+    /// Whether a gateway is assigned to this coordinator.
     fn is_assigned(&self, gateway: SocketAddr) -> bool {
         let mut all = self.others();
         all.push(self.inbox);
-        all.sort_unstable();
-        let IpAddr::V4(ip) = gateway.ip() else {
-            return true;
+        let is_gone = |inbox: &SocketAddr| {
+            *inbox != self.inbox && (self.peers.is_lost(*inbox) || self.is_learner(*inbox))
         };
-        let index = u32::from(ip) as usize % all.len().max(1);
-        all.get(index) == Some(&self.inbox)
+        assigned_coordinator(gateway, all, is_gone).is_none_or(|inbox| inbox == self.inbox)
+    }
+
+    /// A coordinator that was made a learner has left or is absent, or has not caught up yet.
+    fn is_learner(&self, inbox: SocketAddr) -> bool {
+        let member = self.quorum.members().get(&inbox.ip().to_string());
+        member.is_some_and(|m| !m.voter)
     }
 
     /// Builds the common part of all updates. It is cached: coordinators and gateways change
