Quorum: a repair is complete once its change is confirmed

What one would see: a coordinator's emptied disk is filled again and it is told as a voter; right then the leader is lost for good. The two that are left elect nobody.

Cause: until a change of members is known to be committed both lists must agree. The leader knew; it told so with its next message, and confirmed the change in the log only at its next round. Lost in between, the others still counted by the list before, of two voters, one of which was the leader.

Change: the confirming entry is appended as soon as the change is committed; a repair counts as complete (members_committed) and a leaving coordinator ends once that entry is committed, and a leader that leaves leads until then. Acknowledgements don't wait for it.

The mutant quorum-leave-again had become void with this; the test of planned stops now shows it again (nobody is demoted for absence afterwards).

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -269,7 +269,7 @@
     /// Records identities that were unknown and promotes learners that have synced all entries and
     /// are still there: one that has ended may have synced everything before.
     /// Until then learners do not count, so that losing a second instance right after a repair
-    /// loses no entry. Confirms the latest change if there is nothing else to change.
+    /// loses no entry.
     ///
     /// The identities of the initial voters are recorded all at once. If they were recorded one by
     /// one, a disk lost in between would leave a voter that is known but gone beside one that is
@@ -302,12 +302,19 @@
         } else {
             next.losses = self.leading.max_losses.unwrap_or(next.losses);
         }
-        if next != self.members || self.change_unconfirmed() {
+        if next != self.members {
             self.mark_recorded(&next);
             self.append_as_leader(Payload::Members(next));
         }
     }
 
+    /// Confirms the latest change of members as soon as it is committed.
+    fn confirm_change(&mut self) {
+        if self.change_unconfirmed() && self.ensure_can_change().is_ok() {
+            self.append_as_leader(Payload::Members(self.members.clone()));
+        }
+    }
+
     /// Notes in which round identities are recorded.
     fn mark_recorded(&mut self, next: &Members) {
         let round = self.leading.round;
@@ -335,7 +342,7 @@
     /// Whether the identities of all voters are known. Before that nothing should be acknowledged:
     /// a voter that lost its disk could not be detected.
     pub fn voters_identified(&self) -> bool {
-        self.members_committed() && voters_identified(&self.members)
+        self.members_index <= self.commit && voters_identified(&self.members)
     }
 
     /// Whether a majority has responded recently. A leader without responses from a majority for
@@ -352,7 +359,8 @@
         // Only entries of the current term are committed by counting; earlier ones follow.
         if self.log.term(index) == Some(self.hard.term) && index > self.commit {
             self.commit_to(index);
-            if self.members_index <= self.commit && !self.votes() {
+            self.confirm_change();
+            if self.members_committed() && !self.votes() {
                 for id in self.other_members() {
                     self.replicate(&id, true);
                 }
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -249,10 +249,11 @@
         self.is_member() && self.members.get(&self.config.id).is_some_and(|m| m.voter)
     }
 
-    /// Whether the members in effect are committed. Until then a repair is not complete: if the
-    /// leader is lost too, the learner it promoted may still not count.
+    /// Whether the members in effect are committed, and confirmed for those that may not know it.
+    /// Until then a repair is not complete: if the leader is lost too, the learner it promoted may
+    /// still not count.
     pub fn members_committed(&self) -> bool {
-        self.members_index <= self.commit
+        self.members_index <= self.commit && !self.change_unconfirmed()
     }
 
     /// Whether everything committed until `within` ago is known here to be committed. The disk may
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -406,6 +406,14 @@
         let left = |change: &&Change| matches!(change, Change::Demoted(_, ChangeReason::Leaving));
         let departures = sim.changes.iter().filter(left).count();
         expect_that!(departures, eq(3), "seed {seed}: {:?}", sim.changes);
+        // One that were made a voter again would be demoted for its absence.
+        sim.run(CATCH_UP_STEPS).unwrap();
+        let absent = |c: &&Change| matches!(c, Change::Demoted(_, ChangeReason::Absent));
+        expect_that!(
+            sim.changes.iter().filter(absent).count(),
+            eq(0),
+            "seed {seed}"
+        );
         expect_true!(recovers(&mut sim), "seed {seed}: {:?}", sim.changes);
     }
 }
@@ -498,3 +506,30 @@
         expect_true!(recovers(&mut sim), "seed {seed}: {:?}", sim.changes);
     }
 }
+
+/// Guards against a log without a leader: as soon as a repair is reported as complete, the leader is
+/// gone for good. The others know of the change that made the repaired replica a voter, but not that
+/// it is committed, and waited for a quorum of the members before it.
+#[gtest]
+fn a_leader_lost_as_soon_as_a_repair_is_complete_is_replaced() {
+    for (replicas, seed) in [3, 4]
+        .into_iter()
+        .flat_map(|n| (0..40).map(move |s| (n, s)))
+    {
+        let mut sim = all_voting(config(replicas), seed);
+        let leader = sim.leader().unwrap();
+        sim.wipe_disk((leader + 1) % replicas);
+        while !sim.repaired() {
+            sim.run(1).unwrap();
+        }
+
+        let leader = sim.leader().unwrap();
+        end(&mut sim, leader, End::Killed);
+
+        expect_true!(
+            recovers(&mut sim),
+            "{replicas} replicas, seed {seed}: {:?}",
+            sim.changes
+        );
+    }
+}
