Agents: an answer whose end nothing marks is not whole

The entry closes the answer as complete: empty, or its first bytes.

Cause: such an answer ends with its connection, and the HTTP library of the agent reports a reset connection as an ordinary end (measured: after 5 bytes and a reset it reads 0 bytes where the socket gives ECONNRESET).

Change: an agent reports the end of an answer without content-length, chunks, or a status without body as "may have run", and the caller's connection is cut. Backend servers behind agents have to mark the end of their answers; those of the gateways' path need not.

--- a/crates/node/src/agent/engine.rs
+++ b/crates/node/src/agent/engine.rs
@@ -133,6 +133,7 @@
             })
         };
         let mut headers: Vec<Header> = FORWARDED_HEADERS.iter().filter_map(forwarded).collect();
+        let framed = is_framed(&head);
         let mut offset = self.dispatch.resume_at;
         let mut reader = body.into_reader();
         let mut buffer = vec![0; MAX_PIECE_BYTES];
@@ -163,8 +164,10 @@
                     );
                 }
             }
-            if read == 0 {
-                return completion(Kind::Whole, offset, "");
+            match read {
+                0 if framed => return completion(Kind::Whole, offset, ""),
+                0 => return completion(Kind::MayHaveRun, offset, "nothing marks the answer's end"),
+                _ => {}
             }
         }
     }
@@ -185,6 +188,16 @@
     }
 }
 
+/// Whether the end of an answer is marked. Otherwise it ends with its connection, and the library
+/// reports a reset connection as an ordinary end.
+fn is_framed(head: &http::response::Parts) -> bool {
+    use http::StatusCode;
+    use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+    let has_no_body = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
+    let marks = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    has_no_body || marks.iter().any(|name| head.headers.contains_key(name))
+}
+
 fn completion(kind: Kind, length: u64, reason: &str) -> Completion {
     Completion {
         kind,
