A stopping gateway ends once its answers are written

Cause: a request counted as in flight until its answer was handed to its connection: a plain answer's head, a stream's last event. The rest was then in the process's buffers only.

Change: a stop also waits until no connection of a caller is open. At a stop idle connections are closed at once, and each other one after its answer is written, so those that are open are those that still write or wait. At most until 0.4 s before the end of the grace, as before, for a caller that reads nothing. Cost: one counter.

Ruled out: the guard in the body alone (the library drops a body when it has encoded its end, before it is written).

--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -27,6 +27,8 @@
 use tempfile::TempDir;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Grace period of gateways, unless a test says otherwise.
+const GRACE_SECONDS: u32 = 4;
 
 /// The example document, with all traffic of its weighted route sent to one service.
 pub(crate) fn document() -> String {
@@ -165,13 +167,22 @@
 
     /// Runs a gateway with a limit on its memory in MB; 0: no limit.
     pub(crate) fn run_gateway_with_memory(&mut self, n: u8, memory_mb: u32) {
+        self.run_gateway_with(n, memory_mb, GRACE_SECONDS);
+    }
+
+    /// Runs a gateway with a grace period, without a limit on its memory.
+    pub(crate) fn run_gateway_with_grace(&mut self, n: u8, grace_seconds: u32) {
+        self.run_gateway_with(n, 0, grace_seconds);
+    }
+
+    fn run_gateway_with(&mut self, n: u8, memory_mb: u32, grace_seconds: u32) {
         let settings = serde_json::json!({
             "id": format!("g{n}"), "domain": "d1", "inbox": self.addr(n, 0).to_string(),
             "operators": self.addr(n, 1).to_string(), "log": { "level": "info", "json": true },
             "gateway": {
                 "callers": self.addr(n, 4).to_string(), "readiness": self.addr(n, 5).to_string(),
                 "directory": self.addr(n, 6).to_string(),
-                "seeds": self.seeds(), "grace_s": 4, "retry_ratio": 0.2, "retry_slack": 200,
+                "seeds": self.seeds(), "grace_s": grace_seconds, "retry_ratio": 0.2, "retry_slack": 200,
                 "retry_window_s": 10, "memory_mb": memory_mb,
             },
         });
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,6 +10,7 @@
     FillRule, Fleet, PauseBounds, ResponseTimer, RetryAllowance, RetryBudget, RetryDetector,
     Server, Unit, UnitController,
 };
+use bn_serve::OpenConnections;
 use bn_serve::client::Pool;
 use bn_settle::Document;
 use bn_trace::Lines;
@@ -50,6 +51,8 @@
     stopped_accepting: AtomicBool,
     /// Requests in flight.
     in_flight: AtomicU32,
+    /// Connections of callers.
+    pub(crate) callers: OpenConnections,
     /// Requests accepted since the start.
     accepted: AtomicU64,
     /// Reports that the link sends to the coordinators.
@@ -145,6 +148,7 @@
             closing: watch::channel(false).0,
             stopped_accepting: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
+            callers: OpenConnections::default(),
             accepted: AtomicU64::new(0),
             reports,
         }))
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -7,7 +7,7 @@
 use bn_conf::{Admission, Gateway as Conf, Settings};
 use bn_net::Net;
 use bn_route::{FillRule, RetryAllowance};
-use bn_serve::{Body, ConnectionLimits};
+use bn_serve::{Body, ConnectionLimits, OpenConnections};
 use bn_trace::Lines;
 use bn_wire::messages::Role;
 use hyper::body::Incoming;
@@ -142,8 +142,9 @@
         ..ConnectionLimits::default()
     };
     let closing = shared.closing.subscribe();
+    let open = shared.callers.clone();
     let handle = move |request| frontend::answer(shared.clone(), request);
-    if let Err(e) = bn_serve::accept(listener, None, limits, closing, handle).await {
+    if let Err(e) = bn_serve::accept(listener, None, limits, closing, &open, handle).await {
         log::error!("cannot accept connections of callers: {e}");
     }
 }
@@ -159,15 +160,14 @@
         let response = answer(&shared, &request);
         async move { response }
     };
-    if let Err(e) =
-        bn_serve::accept(listener, None, ConnectionLimits::default(), closing, handle).await
-    {
+    let (limits, open) = (ConnectionLimits::default(), OpenConnections::default());
+    if let Err(e) = bn_serve::accept(listener, None, limits, closing, &open, handle).await {
         log::error!("cannot accept connections for readiness or directory requests: {e}");
     }
 }
 
-/// Returns once a stop was requested and the last request has finished, or the grace period is
-/// nearly over. `stop_accepting` closes the callers' listener.
+/// Returns once a stop was requested, the last request has finished and its answer is written, or the
+/// grace period is nearly over. `stop_accepting` closes the callers' listener.
 async fn until_stopped(shared: &Shared, grace: Duration, stop_accepting: impl Fn()) {
     let mut closing = shared.closing.subscribe();
     if closing.wait_for(|c| *c).await.is_err() {
@@ -183,12 +183,14 @@
             shared.stop_accepting();
             stop_accepting();
         }
-        if now >= latest || (now >= earliest && shared.in_flight() == 0) {
+        let idle = shared.in_flight() == 0 && shared.callers.count() == 0;
+        if now >= latest || (now >= earliest && idle) {
             break;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    shared
-        .lines
-        .put("stopped", json!({ "in_flight": shared.in_flight() }));
+    let fields = json!({
+        "in_flight": shared.in_flight(), "connections": shared.callers.count(),
+    });
+    shared.lines.put("stopped", fields);
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -21,6 +21,7 @@
 use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
@@ -70,6 +71,32 @@
     }
 }
 
+/// Counts connections that are open. Once they are shut down, one stays open until its last response is
+/// written: the body of that response ends earlier, when it is handed to the connection.
+#[derive(Debug, Clone, Default)]
+pub struct OpenConnections(Arc<AtomicUsize>);
+
+impl OpenConnections {
+    /// Number of open connections.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn add(&self) -> OpenConnection {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(self.0.clone())
+    }
+}
+
+/// An open connection.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Why a request's body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyError {
@@ -100,7 +127,9 @@
         .spawn(move || {
             // These connections are never shut down before the process exits.
             let (_open, closing) = watch::channel(false);
-            let accepted = accept(listener, tls, ConnectionLimits::default(), closing, handle);
+            let limits = ConnectionLimits::default();
+            let open = OpenConnections::default();
+            let accepted = accept(listener, tls, limits, closing, &open, handle);
             if let Err(e) = runtime.block_on(accepted) {
                 log::error!("HTTP server failed: {e}");
             }
@@ -116,6 +145,7 @@
     tls: Option<TlsAcceptor>,
     limits: ConnectionLimits,
     closing: watch::Receiver<bool>,
+    open: &OpenConnections,
     handle: F,
 ) -> io::Result<()>
 where
@@ -144,7 +174,9 @@
             log::debug!("failed to set the send buffer: {e}");
         }
         let (handle, tls, closing) = (handle.clone(), tls.clone(), closing.clone());
+        let connection = open.add();
         tokio::spawn(async move {
+            let _open = connection;
             match tls {
                 None => serve_connection(stream, limits, closing, handle, reset).await,
                 // Without a timeout, a peer that never completes its handshake would keep the
