Calls to engines have an id of their own

Cause: orders and reports share connections that are used again, carried no id, and whatever came next was the answer.

Change: each call carries a random id, and an answer with another id is none, so the call counts as unanswered, for which the switch controller has its fences. An engine that echoes no id gets each order on a connection of its own; its reports go on sharing one.

Suspected, by reading: a surplus report of an engine that echoes no id may be taken for the next report.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -1,6 +1,7 @@
 //! HTTP calls to backend servers on a separate thread, so that the core is not blocked.
 
-use bn_serve::client::{self, Pool};
+use bn_platform::header;
+use bn_serve::client::{self, Connection, Pool};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue};
@@ -77,7 +78,7 @@
             .name("calls".into())
             .spawn(move || {
                 runtime.block_on(async move {
-                    let pool = Arc::new(Pool::default());
+                    let pool = Arc::new(CallPool::default());
                     let permits = Arc::new(Semaphore::new(MAX_CONCURRENT));
                     while let Some(call) = queue.recv().await {
                         // The semaphore is never closed.
@@ -115,20 +116,63 @@
     }
 }
 
-pub(crate) async fn send(pool: &Pool, start: Instant, request: &CallRequest) -> Answer {
-    let idle = pool.take_idle(start.elapsed(), request.address);
+/// Idle connections to engines. Only an engine that echoes the ids of calls can show which call an
+/// answer is to, so an order is sent on a connection of such an engine, or on a new one.
+#[derive(Default)]
+pub(crate) struct CallPool {
+    /// The last answer echoed the id of its call.
+    echoing: Pool,
+    /// Only queries have used them.
+    others: Pool,
+}
+
+impl CallPool {
+    fn take_idle(&self, now: Duration, request: &CallRequest) -> Option<Connection> {
+        let echoing = self.echoing.take_idle(now, request.address);
+        echoing.or_else(|| match request.body {
+            None => self.others.take_idle(now, request.address),
+            Some(_) => None,
+        })
+    }
+
+    fn put_back(&self, now: Duration, connection: Connection, request: &CallRequest, echoes: bool) {
+        match (echoes, &request.body) {
+            (true, _) => self.echoing.put_back(now, connection, None),
+            (false, None) => self.others.put_back(now, connection, None),
+            (false, Some(_)) => {}
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn evict_expired(&self, now: Duration) {
+        self.echoing.evict_expired(now);
+        self.others.evict_expired(now);
+    }
+}
+
+pub(crate) async fn send(pool: &CallPool, start: Instant, request: &CallRequest) -> Answer {
+    let idle = pool.take_idle(start.elapsed(), request);
     let mut connection = match idle {
         Some(connection) => connection,
         None => client::open(request.address).await.ok()?,
     };
-    let answer = connection.send(http_request(request)).await.ok()?;
+    // A surplus answer to an earlier call may arrive late, where the next one is expected: a second
+    // report taken for the answer to an order would show a map as armed that is not.
+    let id = format!("{:016x}", rand::random::<u64>());
+    let answer = connection.send(http_request(request, &id)).await.ok()?;
+    let echoed = answer.headers().get(header::ATTEMPT).cloned();
+    if echoed.as_ref().is_some_and(|echoed| echoed != &id) {
+        metrics::counter!("engine_answers_of_other_calls_total").increment(1);
+        log::debug!("{} sent an answer to another call", request.server);
+        return None;
+    }
     let status = answer.status().as_u16();
-    let rejected = answer.headers().contains_key(bn_platform::header::NOT_RUN);
+    let rejected = answer.headers().contains_key(header::NOT_RUN);
     let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
         .collect()
         .await;
     let body = body.ok()?.to_bytes();
-    pool.put_back(start.elapsed(), connection, None);
+    pool.put_back(start.elapsed(), connection, request, echoed.is_some());
     Some(HttpAnswer {
         status,
         rejected,
@@ -136,7 +180,7 @@
     })
 }
 
-fn http_request(call: &CallRequest) -> Request<Full<Bytes>> {
+fn http_request(call: &CallRequest, id: &str) -> Request<Full<Bytes>> {
     let body = call.body.clone().unwrap_or_default();
     let mut request = Request::new(Full::new(Bytes::from(body)));
     if call.body.is_some() {
@@ -153,7 +197,7 @@
     };
     set(HOST, &call.address.to_string());
     set(CONTENT_TYPE, "application/json");
-    let expect = HeaderName::from_static(bn_platform::header::EXPECT_SERVER);
-    set(expect, &call.server);
+    set(HeaderName::from_static(header::EXPECT_SERVER), &call.server);
+    set(HeaderName::from_static(header::ATTEMPT), id);
     request
 }
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -5,14 +5,13 @@
 //! deliver an order late, as any link may: orders carry the group's epoch and a fencing token, and
 //! a coordinator that gets no answer calls the engine itself.
 
-use crate::calls::{Answer, CallRequest, HttpAnswer, send};
+use crate::calls::{Answer, CallPool, CallRequest, HttpAnswer, send};
 use crate::forward::Forwarder;
 use crate::placements::decompress_placements;
 use crate::{Result, RuntimeSnafu};
 use bn_conf::{Relay as Conf, Settings};
 use bn_net::{Net, UsageReporter};
 use bn_platform::engine::{self, Operation, RankedMap};
-use bn_serve::client::Pool;
 use bn_trace::Lines;
 use bn_wire::messages::envelope::Body;
 use bn_wire::messages::{
@@ -81,7 +80,7 @@
         start: Instant::now(),
         net,
         lines,
-        pool: Pool::default(),
+        pool: CallPool::default(),
         forwarder: Forwarder::default(),
         last_counts: Mutex::default(),
     };
@@ -97,7 +96,7 @@
     start: Instant,
     net: Net,
     lines: Lines,
-    pool: Pool,
+    pool: CallPool,
     forwarder: Forwarder,
     last_counts: Mutex<LastCounts>,
 }
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -172,3 +172,82 @@
     expect_that!(answer.map(|a| a.status), some(eq(200)));
     expect_that!(sent.load(Ordering::SeqCst), lt(MAX_SENT));
 }
+
+/// An engine that answers with the status in each request's path, and repeats its latest answer where
+/// the path asks for no other one. With `echoes`, an answer has the id of its call.
+fn repeating_engine(echoes: bool) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = Arc::new(AtomicUsize::new(0));
+    let count = connections.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            count.fetch_add(1, Ordering::SeqCst);
+            thread::spawn(move || {
+                let (mut latest, mut buffer) = (String::new(), [0; 4096]);
+                while let Ok(n @ 1..) = stream.read(&mut buffer) {
+                    let request = String::from_utf8_lossy(&buffer[..n]).to_lowercase();
+                    let status = request.split(['/', ' ']).nth(2).unwrap_or_default();
+                    let id = request.lines().find(|l| l.starts_with("x-attempt-id"));
+                    let id = id
+                        .filter(|_| echoes)
+                        .map_or(String::new(), |l| format!("{l}\r\n"));
+                    if status != "repeat" {
+                        latest =
+                            format!("HTTP/1.1 {status} x\r\n{id}content-length: 2\r\n\r\n{{}}");
+                    }
+                    if stream.write_all(latest.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, connections)
+}
+
+/// Makes calls to these paths, one after the other; the status of each answer. Those to `/repeat` and
+/// above 200 are orders.
+fn statuses(address: SocketAddr, paths: &[&'static str]) -> Vec<Option<u16>> {
+    let client = EngineClient::start().unwrap();
+    let status_of = |path: &&'static str| {
+        let (sender, answers) = channel();
+        client.submit(Call {
+            request: CallRequest {
+                address,
+                path: (*path).into(),
+                body: (*path != "/200").then(|| b"{}".to_vec()),
+                server: "e1".into(),
+            },
+            on_answer: Box::new(move |answer| sender.send(answer).unwrap_or_default()),
+        });
+        let answer = answers.recv_timeout(TIMEOUT).expect("an answer");
+        answer.map(|a| a.status)
+    };
+    paths.iter().map(status_of).collect()
+}
+
+/// Guards against a pass on two maps: an engine sends its answer to a report a second time, where the
+/// answer to an order is expected that it carries out late, and the order counted as done.
+#[googletest::test]
+fn a_second_answer_to_an_earlier_call_is_no_answer() {
+    let (address, connections) = repeating_engine(true);
+
+    let statuses = statuses(address, &["/200", "/repeat", "/202", "/409"]);
+
+    expect_that!(statuses, eq(&vec![Some(200), None, Some(202), Some(409)]));
+    expect_that!(connections.load(Ordering::SeqCst), eq(2));
+}
+
+/// The same with an engine that does not say which call it answers: no order uses a connection on
+/// which it has answered before. Reports go on using one.
+#[googletest::test]
+fn an_order_to_an_engine_that_names_no_call_has_its_own_connection() {
+    let (address, connections) = repeating_engine(false);
+
+    let statuses = statuses(address, &["/200", "/repeat", "/202", "/200", "/200"]);
+
+    let answered = [Some(200), None, Some(202), Some(200), Some(200)];
+    expect_that!(statuses, eq(&answered.to_vec()));
+    expect_that!(connections.load(Ordering::SeqCst), eq(3));
+}
