Tests: callers' requests are told from calls to engines by their deadline

Cause: since calls to engines carry an id, too, by which the tests' backend servers knew callers' requests: a coordinator's look at an engine counted as a run, or was the one to be cut. Change: a caller's request is one with the time that is left (X-Deadline-Ms), which gateways always send on. As strict as before: the same requests count.

--- a/crates/cli/tests/cut_heads.rs
+++ b/crates/cli/tests/cut_heads.rs
@@ -67,7 +67,7 @@
     let backends = ["a", "b"].map(|n| {
         let is_first = is_first.clone();
         Backend::start(&format!("{name}-{n}"), move |request, stream| {
-            let is_callers = request.headers.contains_key(ATTEMPT);
+            let is_callers = request.is_callers();
             match is_callers && is_first.swap(false, Ordering::SeqCst) {
                 true => write_cut(request, stream, cut, close),
                 false => succeed(request, stream),
--- a/crates/cli/tests/endless.rs
+++ b/crates/cli/tests/endless.rs
@@ -7,7 +7,7 @@
 #[allow(dead_code)]
 mod fleet;
 
-use bn_platform::header::{ATTEMPT, LAST_EVENT, SIGNATURE};
+use bn_platform::header::{LAST_EVENT, SIGNATURE};
 use fleet::scripts::{response_head, succeed, write_text};
 use fleet::{Backend, Fleet, Message};
 use googletest::prelude::*;
@@ -139,8 +139,7 @@
     let backend = |id: String| {
         let sent = sent.clone();
         Backend::start(&id, move |request, stream| {
-            if request.headers.contains_key(ATTEMPT) && sent.endlessly(form, request, stream, kind)
-            {
+            if request.is_callers() && sent.endlessly(form, request, stream, kind) {
                 return false;
             }
             match kind {
@@ -268,7 +267,7 @@
     let sent = Arc::new(Sent::default());
     let checked = sent.clone();
     let silent = Backend::start("silent", move |request, stream| {
-        match request.headers.contains_key(ATTEMPT) {
+        match request.is_callers() {
             true => std::thread::sleep(Duration::from_secs(30)),
             false => {
                 checked.endlessly(HEADS[2], request, stream, "text/plain");
--- a/crates/cli/tests/fleet/message.rs
+++ b/crates/cli/tests/fleet/message.rs
@@ -27,6 +27,12 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// Whether a request is a caller's: gateways pass these on with the time that is left. Calls to
+    /// engines and health checks have none.
+    pub(crate) fn is_callers(&self) -> bool {
+        self.headers.contains_key(bn_platform::header::DEADLINE)
+    }
+
     pub(crate) fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -86,7 +86,7 @@
     let mut reader = BufReader::new(copy);
     while let Some(request) = read_message(&mut reader, true) {
         // Coordinators poll engines for reports; only callers' requests are recorded.
-        if request.headers.contains_key(bn_platform::header::ATTEMPT) {
+        if request.is_callers() {
             requests.lock().expect("requests").push(request.clone());
         }
         if !script(&request, &mut stream) {
--- a/crates/cli/tests/fleet/recording.rs
+++ b/crates/cli/tests/fleet/recording.rs
@@ -37,7 +37,7 @@
             let attempt = request.header(ATTEMPT);
             let gateway = attempt.split('-').next().and_then(|g| g.parse().ok());
             // Coordinators' requests to engines are not callers' requests.
-            let Some(gateway) = gateway else {
+            let Some(gateway) = gateway.filter(|_| request.is_callers()) else {
                 return write_text(
                     stream,
                     "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
--- a/crates/cli/tests/gateway.rs
+++ b/crates/cli/tests/gateway.rs
@@ -346,7 +346,7 @@
 
 /// The group is stalled for its first two requests.
 fn stalled(request: &Message, stream: &mut TcpStream) -> bool {
-    if !request.headers.contains_key(ATTEMPT) || REJECTED.load(Ordering::SeqCst) >= 2 {
+    if !request.is_callers() || REJECTED.load(Ordering::SeqCst) >= 2 {
         return succeed(request, stream);
     }
     REJECTED.fetch_add(1, Ordering::SeqCst);
--- a/crates/cli/tests/statuses.rs
+++ b/crates/cli/tests/statuses.rs
@@ -6,7 +6,7 @@
 #[allow(dead_code)]
 mod fleet;
 
-use bn_platform::header::{ATTEMPT, SIGNATURE};
+use bn_platform::header::SIGNATURE;
 use fleet::scripts::{response_head, succeed, write_text};
 use fleet::{Backend, Fleet, Message};
 use googletest::prelude::*;
@@ -29,7 +29,7 @@
 /// Answers all requests of callers with `status`, whole otherwise; health checks succeed.
 fn backend(id: &str, status: &'static str, kind: &'static str) -> Backend {
     Backend::start(id, move |request: &Message, stream: &mut TcpStream| {
-        if !request.headers.contains_key(ATTEMPT) {
+        if !request.is_callers() {
             return succeed(request, stream);
         }
         let headers = format!("{SIGNATURE}: s\r\ncontent-type: {kind}\r\ncontent-length: 5\r\n");
--- a/crates/cli/tests/stopping_readers.rs
+++ b/crates/cli/tests/stopping_readers.rs
@@ -6,7 +6,7 @@
 #[allow(dead_code)]
 mod fleet;
 
-use bn_platform::header::{ATTEMPT, SIGNATURE};
+use bn_platform::header::SIGNATURE;
 use fleet::scripts::{response_head, succeed, write_text};
 use fleet::{Backend, Fleet, Message, request_head};
 use googletest::prelude::*;
@@ -35,7 +35,7 @@
 /// Answers by the path: with a long answer, a long stream, late, or at once.
 fn answer(request: &Message, stream: &mut TcpStream) -> bool {
     let path = &request.start_line;
-    if !request.headers.contains_key(ATTEMPT) {
+    if !request.is_callers() {
         return succeed(request, stream);
     }
     match () {
--- a/crates/cli/tests/surplus.rs
+++ b/crates/cli/tests/surplus.rs
@@ -7,7 +7,7 @@
 #[allow(dead_code)]
 mod fleet;
 
-use bn_platform::header::{ATTEMPT, LIMIT, LOAD, NOT_RUN, RETRY_AFTER, SERVER};
+use bn_platform::header::{LIMIT, LOAD, NOT_RUN, RETRY_AFTER, SERVER};
 use fleet::scripts::{response_head, succeed, write_text};
 use fleet::{Backend, Fleet, Message};
 use googletest::prelude::*;
@@ -28,7 +28,7 @@
 fn backend(id: &str, status: &'static str, name: &'static str) -> Backend {
     let earlier: Mutex<Option<Message>> = Mutex::default();
     Backend::start(id, move |request: &Message, stream: &mut TcpStream| {
-        if !request.headers.contains_key(ATTEMPT) {
+        if !request.is_callers() {
             return succeed(request, stream);
         }
         let Some(earlier) = earlier.lock().expect("earlier").take() else {
--- a/crates/cli/tests/unframed.rs
+++ b/crates/cli/tests/unframed.rs
@@ -40,7 +40,7 @@
         .map(|id| {
             let is_first = is_first.clone();
             Backend::start(id, move |request, stream| {
-                let is_callers = request.headers.contains_key(bn_platform::header::ATTEMPT);
+                let is_callers = request.is_callers();
                 let swap = std::sync::atomic::Ordering::SeqCst;
                 match is_callers && is_first.swap(false, swap) {
                     true if request.start_line.contains("/draft/") => {
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use bn_engine::{Call, CallRequest, EngineClient};
+use bn_platform::header::ATTEMPT;
 use googletest::prelude::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -188,7 +189,7 @@
                 while let Ok(n @ 1..) = stream.read(&mut buffer) {
                     let request = String::from_utf8_lossy(&buffer[..n]).to_lowercase();
                     let status = request.split(['/', ' ']).nth(2).unwrap_or_default();
-                    let id = request.lines().find(|l| l.starts_with("x-attempt-id"));
+                    let id = request.lines().find(|l| l.starts_with(ATTEMPT));
                     let id = id
                         .filter(|_| echoes)
                         .map_or(String::new(), |l| format!("{l}\r\n"));
