--- a/crates/coordinator/src/members.rs
+++ b/crates/coordinator/src/members.rs
@@ -122,7 +122,7 @@
             .put("voting", json!({ "votes": votes, "voters": voters }));
     }
 
-    /// A quorum may leave out a voter whose disk was emptied: operators are shown by whose word.
+    /// A quorum may leave out a voter whose disk was emptied: operators are shown which.
     fn log_lost_identities(&mut self) {
         let lost = self.quorum.lost_identities();
         let new = lost
