Engines that echo ids: an answer without one is none

Bytes of a faulty engine that name no call stand where the answer to an order is expected, and the order counts as done.

Change: on a connection whose last answer echoed an id, the next one must, too.

Evidence: an_answer_without_an_id_from_an_engine_that_echoes_ids_is_no_answer, red before ([200, 200, 202] in place of [200, none, 202]); mutant engine-nameless.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -127,10 +127,12 @@
 }
 
 impl CallPool {
-    fn take_idle(&self, now: Duration, request: &CallRequest) -> Option<Connection> {
+    /// An idle connection, and whether its answers must echo ids.
+    fn take_idle(&self, now: Duration, request: &CallRequest) -> Option<(Connection, bool)> {
         let echoing = self.echoing.take_idle(now, request.address);
+        let echoing = echoing.map(|connection| (connection, true));
         echoing.or_else(|| match request.body {
-            None => self.others.take_idle(now, request.address),
+            None => Some((self.others.take_idle(now, request.address)?, false)),
             Some(_) => None,
         })
     }
@@ -152,18 +154,18 @@
 
 pub(crate) async fn send(pool: &CallPool, start: Instant, request: &CallRequest) -> Answer {
     let idle = pool.take_idle(start.elapsed(), request);
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => client::open(request.address).await.ok()?,
+    let (mut connection, must_echo) = match idle {
+        Some(idle) => idle,
+        None => (client::open(request.address).await.ok()?, false),
     };
     // A surplus answer to an earlier call may arrive late, where the next one is expected: a second
     // report taken for the answer to an order would show a map as armed that is not.
     let id = format!("{:016x}", rand::random::<u64>());
     let answer = connection.send(http_request(request, &id)).await.ok()?;
     let echoed = answer.headers().get(header::ATTEMPT).cloned();
-    if echoed.as_ref().is_some_and(|echoed| echoed != &id) {
+    if !echoed.as_ref().map_or(!must_echo, |echoed| echoed == &id) {
         metrics::counter!("engine_answers_of_other_calls_total").increment(1);
-        log::debug!("{} sent an answer to another call", request.server);
+        log::debug!("{} sent an answer to no or another call", request.server);
         return None;
     }
     let status = answer.status().as_u16();
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -193,6 +193,12 @@
                     let id = id
                         .filter(|_| echoes)
                         .map_or(String::new(), |l| format!("{l}\r\n"));
+                    // Bytes of no call, as a faulty engine may send them.
+                    if status == "nameless" {
+                        let text = "HTTP/1.1 200 x\r\ncontent-length: 2\r\n\r\n{}";
+                        let _ = stream.write_all(text.as_bytes());
+                        continue;
+                    }
                     if status != "repeat" {
                         latest =
                             format!("HTTP/1.1 {status} x\r\n{id}content-length: 2\r\n\r\n{{}}");
@@ -240,6 +246,17 @@
     expect_that!(connections.load(Ordering::SeqCst), eq(2));
 }
 
+/// The same with an answer that names no call, from an engine that names it otherwise.
+#[googletest::test]
+fn an_answer_without_an_id_from_an_engine_that_echoes_ids_is_no_answer() {
+    let (address, connections) = repeating_engine(true);
+
+    let statuses = statuses(address, &["/200", "/nameless", "/202"]);
+
+    expect_that!(statuses, eq(&vec![Some(200), None, Some(202)]));
+    expect_that!(connections.load(Ordering::SeqCst), eq(2));
+}
+
 /// The same with an engine that does not say which call it answers: no order uses a connection on
 /// which it has answered before. Reports go on using one.
 #[googletest::test]
--- a/crates/quorum/src/votes.rs
+++ b/crates/quorum/src/votes.rs
@@ -155,8 +155,8 @@
         };
         let elected = self.agreed_value(&self.lost_before_votes, vote_of) > 0;
         // Votes that are older than a loss do not count, but the same replicas will vote again.
-        let again = self.lost != self.lost_before_votes;
-        let again = again && self.agreed_value(&self.lost, vote_of) > 0;
+        let loss_learned = self.lost != self.lost_before_votes;
+        let again = loss_learned && self.agreed_value(&self.lost, vote_of) > 0;
         match self.role {
             Role::Trial if elected => self.campaign(now, false),
             Role::Candidate if elected => self.become_leader(now),
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -406,7 +406,7 @@
         let left = |change: &&Change| matches!(change, Change::Demoted(_, ChangeReason::Leaving));
         let departures = sim.changes.iter().filter(left).count();
         expect_that!(departures, eq(3), "seed {seed}: {:?}", sim.changes);
-        // One that were made a voter again would be demoted for its absence.
+        // A replica that was made a voter again would be demoted for its absence.
         sim.run(CATCH_UP_STEPS).unwrap();
         let absent = |c: &&Change| matches!(c, Change::Demoted(_, ChangeReason::Absent));
         expect_that!(
